--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,4 +1,4 @@
-//! Drives zincdrift routers over a line protocol: one JSON batch of events in, one JSON reply out.
+//! Drives yewroute routers over a line protocol: one JSON batch of events in, one JSON reply out.
 //!
 //! Translation only: every decision is the library's.
 
@@ -14,7 +14,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("zincdrift-adapter: {message}");
+            eprintln!("yewroute-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -6,12 +6,12 @@
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::value::RawValue;
 use uuid::Uuid;
-use zincdrift::interface::{
-    Action, Class, Discovery, Effect, Entry, Event, Freshness, GroupId, KeyScope, Limits, ListKind, ListRole,
-    Ms, Note, Outcome, Phase, Report, Request, RequestId, Role, Rules, ServerId, SessionKey, Settings,
-    Status, Tokens, WhenBehind,
+use yewroute::interface::{
+    Action, Entry, Event, GroupId, ListKind, Ms, Note, Outcome, Phase, Report, Request, RequestId, Role,
+    ServerId, SessionKey, Status,
 };
-use zincdrift::Router;
+use yewroute::Router;
+use yewroute_settings::Deployment;
 
 /// The numbered lists, shared by the instances of this process.
 pub type Slots = BTreeMap<u8, Vec<Entry>>;
@@ -42,115 +42,7 @@
 #[serde(rename_all = "PascalCase")]
 struct Born {
     prng: u64,
-    conf: Conf,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Conf {
-    bounds: Bounds,
-    classes: Vec<WireClass>,
-    discovery: WireDiscovery,
-    domain: Domain,
-    instances: u32,
-    rules: WireRules,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Bounds {
-    max_attempts: u32,
-    #[serde(default)]
-    max_retry_after_ms: Ms,
-    probing: bool,
-    retry_after: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireClass {
-    aim_ms: Ms,
-    credit: f64,
-    deadline_ms: Ms,
-    effect: WireEffect,
-    #[serde(default)]
-    key_scope: Option<String>,
-    #[serde(default)]
-    late_worth: f64,
-    #[serde(default)]
-    repeat_window_ms: Option<Ms>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireEffect {
-    Idempotent,
-    Deduplicated,
-    AtMostOnce,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireDiscovery {
-    Automatic,
-    Subscribe,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Domain {
-    base_time_ms: Ms,
-    freshness: Vec<WireFreshness>,
-    lag_allowed_ms: Vec<Ms>,
-    shows_role: WireListRole,
-    tokens: WireTokens,
-    when_behind: WireBehind,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireFreshness {
-    Write,
-    Fresh,
-    Session,
-    Bounded,
-    Any,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireListRole {
-    Late,
-    Start,
-    Silent,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireTokens {
-    Carried,
-    Remembered,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireBehind {
-    Silent,
-    Refuse,
-    Wait,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WireRules {
-    cold_ms: Ms,
-    fall_ms: Ms,
-    #[serde(default)]
-    must_ask_in_ms: Option<Ms>,
-    start_capacity: f64,
-    tip_multiple: f64,
-    #[serde(default)]
-    soft_removal: Option<bool>,
+    conf: Box<RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -345,10 +237,9 @@
 
 impl Host {
     fn new(born: Born) -> Result<Self, String> {
-        let base = born.conf.domain.base_time_ms;
-        let settings = settings(born.conf)?;
-        let router = Router::new(settings, born.prng).map_err(|e| format!("BORN: {e}"))?;
-        Ok(Self { router, base, actions: Vec::new() })
+        let deployment = Deployment::from_json(born.conf.get()).map_err(|e| format!("BORN: Conf.{e}"))?;
+        let router = Router::new(deployment.module, born.prng).map_err(|e| format!("BORN: {e}"))?;
+        Ok(Self { router, base: deployment.base, actions: Vec::new() })
     }
 
     fn event(&self, kind: &str, raw: &RawValue, slots: &Slots) -> Result<Option<Event>, String> {
@@ -427,84 +318,6 @@
     }
 }
 
-fn settings(conf: Conf) -> Result<Settings, String> {
-    let domain = conf.domain;
-    let count = conf.classes.len();
-    for (name, len) in [("Freshness", domain.freshness.len()), ("LagAllowedMs", domain.lag_allowed_ms.len())]
-    {
-        if len != count {
-            return Err(format!("BORN: Domain.{name} has {len} entries for {count} classes"));
-        }
-    }
-    let mut classes = Vec::with_capacity(count);
-    for ((class, freshness), bound) in
-        conf.classes.into_iter().zip(domain.freshness).zip(domain.lag_allowed_ms)
-    {
-        let effect = match class.effect {
-            WireEffect::Idempotent => Effect::Idempotent,
-            WireEffect::AtMostOnce => Effect::AtMostOnce,
-            WireEffect::Deduplicated => Effect::Deduplicated {
-                scope: if class.key_scope.as_deref() == Some("all") {
-                    KeyScope::All
-                } else {
-                    KeyScope::Group
-                },
-                window: class.repeat_window_ms.ok_or("BORN: missing field `RepeatWindowMs`")?,
-            },
-        };
-        let freshness = match freshness {
-            WireFreshness::Write => Freshness::Write,
-            WireFreshness::Fresh => Freshness::Fresh,
-            WireFreshness::Session => Freshness::Session,
-            WireFreshness::Bounded => Freshness::Bounded(bound),
-            WireFreshness::Any => Freshness::Any,
-        };
-        classes.push(Class {
-            aim: class.aim_ms,
-            deadline: class.deadline_ms,
-            worth: class.credit,
-            late_worth: class.late_worth,
-            effect,
-            freshness,
-        });
-    }
-    Ok(Settings {
-        gateways: conf.instances,
-        classes,
-        when_behind: match domain.when_behind {
-            WireBehind::Silent => WhenBehind::Silent,
-            WireBehind::Refuse | WireBehind::Wait => WhenBehind::Refuses,
-        },
-        list_role: match domain.shows_role {
-            WireListRole::Late => ListRole::Late,
-            WireListRole::Start => ListRole::Start,
-            WireListRole::Silent => ListRole::Silent,
-        },
-        tokens: match domain.tokens {
-            WireTokens::Carried => Tokens::Carried,
-            WireTokens::Remembered => Tokens::Remembered,
-        },
-        discovery: match conf.discovery {
-            WireDiscovery::Automatic => Discovery::Automatic,
-            WireDiscovery::Subscribe => Discovery::Subscribe,
-        },
-        limits: Limits {
-            max_attempts: conf.bounds.max_attempts,
-            max_retry_after: conf.bounds.max_retry_after_ms,
-            probes: conf.bounds.probing,
-            retry_after: conf.bounds.retry_after,
-        },
-        rules: Rules {
-            start_capacity: conf.rules.start_capacity,
-            cold: conf.rules.cold_ms,
-            tip_multiple: conf.rules.tip_multiple,
-            fall: conf.rules.fall_ms,
-            must_ask_in: conf.rules.must_ask_in_ms.unwrap_or(Ms::MAX),
-            soft_removal: conf.rules.soft_removal.unwrap_or(false),
-        },
-    })
-}
-
 impl Member {
     fn entry(self) -> Entry {
         Entry {
--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -6,7 +6,7 @@
 const ID: &str = "5d3a91c4-366a-4d71-acd5-58917dbd845b";
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_zincdrift-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_yewroute-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- /dev/null
+++ b/gateway/src/config.rs
@@ -0,0 +1,105 @@
+//! What a gateway is told: the EDGE_* variables and the configuration file they name.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use thiserror::Error;
+use yewroute_settings::{parse, Deployment, Fault};
+
+use crate::proto::catalog::Members;
+
+/// Descriptors without which nothing can be served: listener, poller, watch, signals, standard streams, and
+/// a few connections.
+const LEAST_SOCKETS: usize = 32;
+
+/// Why there is no configuration.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// A variable that must be set is not.
+    #[error("{0}: not set")]
+    Unset(&'static str),
+    /// The file cannot be read.
+    #[error("EDGE_CONFIG: {0}: {1}")]
+    File(String, std::io::Error),
+    /// A key of the file, or a variable that stands for one.
+    #[error("{0}")]
+    Fault(#[from] Fault),
+}
+
+/// The whole configuration.
+#[derive(Debug)]
+pub struct Config {
+    /// The gateway's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// File descriptors that may be held.
+    pub sockets: usize,
+    /// The list of db hosts as last known.
+    pub known: Members,
+    /// The settings.
+    pub deployment: Deployment,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: Limits,
+    known: Members,
+    settings: Box<RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    #[serde(default = "sockets")]
+    sockets: usize,
+}
+
+fn sockets() -> usize {
+    1024
+}
+
+impl Config {
+    /// Reads variables and file.
+    ///
+    /// # Errors
+    /// Names the variable or key at fault.
+    pub fn read() -> Result<Self, ConfigError> {
+        let path = env::var("EDGE_CONFIG").map_err(|_| ConfigError::Unset("EDGE_CONFIG"))?;
+        let text = fs::read_to_string(&path).map_err(|e| ConfigError::File(path, e))?;
+        let variable = |name: &'static str| env::var(name).ok();
+        Ok(Self::parse(&text, variable)?)
+    }
+
+    /// Reads the file's text; a variable outweighs the key it stands for.
+    fn parse(text: &str, variable: impl Fn(&'static str) -> Option<String>) -> Result<Self, Fault> {
+        let file: File = parse(text)?;
+        let address = |name: &'static str, told: SocketAddr| match variable(name) {
+            Some(text) => text.parse().map_err(|e| Fault::at(name, format!("{e}"))),
+            None => Ok(told),
+        };
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| Fault::at("seed", e.to_string()))?;
+        if file.limits.sockets < LEAST_SOCKETS {
+            return Err(Fault::at("limits.sockets", format!("must be at least {LEAST_SOCKETS}")));
+        }
+        Ok(Self {
+            name: variable("EDGE_NAME").unwrap_or(file.name),
+            listen: address("EDGE_LISTEN", file.listen)?,
+            discovery: address("EDGE_DISCOVERY", file.discovery)?,
+            seed,
+            sockets: file.limits.sockets,
+            known: file.known,
+            deployment: Deployment::from_json(file.settings.get()).map_err(|f| f.inside("settings"))?,
+        })
+    }
+}
--- /dev/null
+++ b/gateway/src/core/admit.rs
@@ -0,0 +1,22 @@
+//! Sees whether a request can be held at all.
+
+use super::{Answer, Ask, Core};
+
+/// Bytes of held requests: well inside the memory limit, with the connections' own buffers beside them.
+const MOST_BYTES: usize = 48 * 1024 * 1024;
+
+impl Core {
+    /// The class of a request that is let in, or the answer to one that is not.
+    pub(super) fn admit(&self, ask: &Ask) -> Result<usize, Answer> {
+        let refused = Answer::Refused { retry_after: None };
+        let class = self.deployment.class_names.iter().position(|name| *name == ask.class);
+        // Guards against: running out of memory in a jam. Refusing is harmless, nothing has been sent.
+        let full =
+            self.held.len() >= self.deployment.max_open || self.bytes + ask.body.text.len() > MOST_BYTES;
+        match class {
+            Some(class) if !full => Ok(class),
+            // An unlisted class can never be served here, but asking elsewhere does no harm.
+            _ => Err(refused),
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/core/book.rs
@@ -0,0 +1,60 @@
+//! Books what came of attempts and probes, and what the list says.
+
+use std::time::Instant;
+
+use yewroute::interface::{Event, ListKind, Note, Outcome, Report, ServerId, Status};
+
+use super::{Answer, AttemptId, Core, Effect, Ended, HostNote};
+use crate::clock::{self, Clock};
+use crate::proto::catalog::Members;
+
+impl Core {
+    pub(super) fn book(&mut self, now: Instant, id: AttemptId, ended: Ended, effects: &mut Vec<Effect>) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        let (request, number) = id;
+        if ended.status == Status::Good {
+            self.relay(request, Answer::Served(ended.served), effects);
+        }
+        let held = self.held.get_mut(&request);
+        let finished = held.is_none();
+        if let Some(held) = held {
+            held.out = None;
+        }
+        let outcome = Outcome {
+            request,
+            attempt: number,
+            server: attempt.server,
+            status: ended.status,
+            elapsed: clock::span(now.saturating_duration_since(attempt.sent)),
+            finished,
+            note: Note { role: ended.note.role, position: ended.note.applied_ms.map(Clock::position) },
+            report: report(&ended.note),
+        };
+        self.route(now, Event::Outcome(outcome), effects);
+    }
+
+    pub(super) fn book_probe(
+        &mut self,
+        now: Instant,
+        server: ServerId,
+        ended: &Ended,
+        effects: &mut Vec<Effect>,
+    ) {
+        let event = Event::Probed { server, status: ended.status, report: report(&ended.note) };
+        self.route(now, event, effects);
+    }
+
+    pub(super) fn book_members(&mut self, now: Instant, members: Members, effects: &mut Vec<Effect>) {
+        let kind = if members.full { ListKind::Whole } else { ListKind::Patch };
+        let entries = self.directory.learn(&members);
+        self.route(now, Event::List { kind, entries }, effects);
+    }
+
+    pub(super) fn book_broken_watch(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        self.route(now, Event::List { kind: ListKind::Broken, entries: Vec::new() }, effects);
+    }
+}
+
+fn report(note: &HostNote) -> Report {
+    Report { role: note.report_role, position: note.report_position.map(Clock::reported) }
+}
--- /dev/null
+++ b/gateway/src/core/mod.rs
@@ -0,0 +1,268 @@
+//! What happens to a request, without I/O.
+//!
+//! A request passes these stages, a file each: [`take_in`] numbers it, [`admit`] sees whether it can be held,
+//! [`route`] asks the module, [`send`] starts an attempt, [`relay`] hands the client its one final answer and
+//! [`book`] tells the module what came of it. Inputs are values with a time, effects are values too; nothing
+//! here knows what protocol either side speaks.
+
+mod admit;
+mod book;
+mod directory;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use yewroute::interface::{Action, Event, RequestId, Role, ServerId, SettingsError, Status};
+use yewroute::Router;
+use yewroute_settings::Deployment;
+
+use crate::clock::Clock;
+use crate::proto::catalog::Members;
+use crate::timers::Timers;
+pub use directory::Directory;
+
+/// A client connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ClientId(pub u64);
+
+/// An attempt: the request, and the attempt's number.
+pub type AttemptId = (RequestId, u32);
+
+/// A request as it goes on to a db host.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Body {
+    /// The text as the client sent it.
+    pub text: Vec<u8>,
+    /// Where in it the number of milliseconds stands that the sender will wait.
+    pub wait_at: Range<usize>,
+}
+
+impl Body {
+    /// Appends the text with `wait` in its place; all else goes on byte for byte.
+    pub fn put(&self, out: &mut Vec<u8>, wait: Duration) {
+        out.extend(&self.text[..self.wait_at.start]);
+        out.extend(wait.as_millis().to_string().as_bytes());
+        out.extend(&self.text[self.wait_at.end..]);
+    }
+}
+
+/// A client's request, whatever protocol it came by.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The name of its class.
+    pub class: String,
+    /// How long the client will wait.
+    pub wait: Duration,
+    /// Its group.
+    pub group: u64,
+    /// What names its session, in a class that has sessions.
+    pub key: Vec<u8>,
+    /// The position that it must see, as Unix time in milliseconds.
+    pub after: Option<u64>,
+    /// The client marked it as a repeat.
+    pub resent: bool,
+    /// What goes on.
+    pub body: Body,
+}
+
+/// The final answer to a client.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Served: what the db host said, in the form its connection gave it.
+    Served(Vec<u8>),
+    /// Refused: a further try is harmless.
+    Refused {
+        /// When to come back.
+        retry_after: Option<Duration>,
+    },
+    /// Failed: it may have taken effect.
+    Failed,
+}
+
+/// What a db host says of itself along with an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct HostNote {
+    /// Its role.
+    pub role: Option<Role>,
+    /// Its position, or a write's commit, as Unix time in milliseconds.
+    pub applied_ms: Option<u64>,
+    /// The load report's position, as Unix time in seconds.
+    pub report_position: Option<f64>,
+    /// The load report's role.
+    pub report_role: Option<Role>,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Debug, PartialEq)]
+pub struct Ended {
+    /// The outcome.
+    pub status: Status,
+    /// With [`Status::Good`]: what the client gets.
+    pub served: Vec<u8>,
+    /// What the db host says of itself.
+    pub note: HostNote,
+}
+
+impl Ended {
+    /// An end without an answer.
+    pub fn silent(status: Status) -> Self {
+        Self { status, served: Vec::new(), note: HostNote::default() }
+    }
+}
+
+/// Something that happened outside.
+#[derive(Debug)]
+pub enum Input {
+    /// A client asks; it asks nothing more until it has its answer.
+    Ask(ClientId, Ask),
+    /// A client is gone.
+    ClientGone(ClientId),
+    /// An attempt ended; once for each [`Effect::Start`].
+    Ended(AttemptId, Ended),
+    /// A probe ended; once for each [`Effect::Probe`].
+    Probed(ServerId, Ended),
+    /// News from the list.
+    Members(Members),
+    /// The watch could not be opened, or it broke.
+    WatchBroken,
+}
+
+/// Something to be done outside.
+#[derive(Debug, PartialEq)]
+pub enum Effect {
+    /// Give the client its answer.
+    Answer(ClientId, Answer),
+    /// Start an attempt.
+    Start {
+        /// Which.
+        attempt: AttemptId,
+        /// Where to.
+        server: ServerId,
+        /// What to send.
+        body: Rc<Body>,
+        /// When to give up.
+        cut_at: Instant,
+    },
+    /// Nobody waits for this attempt any more: drop it if none of it has been sent.
+    Withdraw(AttemptId),
+    /// Ask a db host for its report.
+    Probe(ServerId),
+    /// Close the idle connections to a db host.
+    CloseIdle(ServerId),
+    /// Watch the list from this version on.
+    Watch(u64),
+}
+
+enum Due {
+    /// A timer of the module's.
+    Module(u64),
+    /// A request's time is long over.
+    Overdue(RequestId),
+}
+
+struct Held {
+    client: ClientId,
+    body: Rc<Body>,
+    sends: u32,
+    out: Option<AttemptId>,
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Instant,
+}
+
+/// Holds requests and attempts round the module.
+pub struct Core {
+    clock: Clock,
+    deployment: Deployment,
+    router: Router,
+    directory: Directory,
+    held: HashMap<RequestId, Held>,
+    by_client: HashMap<ClientId, RequestId>,
+    attempts: HashMap<AttemptId, Attempt>,
+    timers: Timers<Due>,
+    /// Events for the module that its own actions gave rise to.
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    taken: u128,
+    bytes: usize,
+}
+
+impl Core {
+    /// A core that holds nothing and knows the list as it was last known.
+    pub fn new(
+        now: Instant,
+        clock: Clock,
+        deployment: Deployment,
+        seed: u64,
+        known: Members,
+        effects: &mut Vec<Effect>,
+    ) -> Result<Self, SettingsError> {
+        let router = Router::new(deployment.module.clone(), seed)?;
+        let mut core = Self {
+            clock,
+            deployment,
+            router,
+            directory: Directory::default(),
+            held: HashMap::new(),
+            by_client: HashMap::new(),
+            attempts: HashMap::new(),
+            timers: Timers::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            taken: 0,
+            bytes: 0,
+        };
+        core.begin(now, known, effects);
+        Ok(core)
+    }
+
+    /// Takes what happened at `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Instant, input: Input, effects: &mut Vec<Effect>) {
+        match input {
+            Input::Ask(client, ask) => self.take_in(now, client, ask, effects),
+            Input::ClientGone(client) => self.leave(now, client, effects),
+            Input::Ended(attempt, ended) => self.book(now, attempt, ended, effects),
+            Input::Probed(server, ended) => self.book_probe(now, server, &ended, effects),
+            Input::Members(members) => self.book_members(now, members, effects),
+            Input::WatchBroken => self.book_broken_watch(now, effects),
+        }
+    }
+
+    /// When [`Core::tick`] is due.
+    pub fn next(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    /// Lets the timers go off that are due at `now`.
+    pub fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        while let Some(due) = self.timers.due(now) {
+            match due {
+                Due::Module(name) => self.route(now, Event::Timer(name), effects),
+                Due::Overdue(request) => self.overdue(now, request, effects),
+            }
+        }
+    }
+
+    /// The list as it is held.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+}
+
+impl Directory {
+    /// Where to send now; none for a db host that drains, is gone or was never listed.
+    pub fn open(&self, server: ServerId) -> Option<SocketAddr> {
+        self.member(server).filter(|member| member.serving).map(|member| member.addr)
+    }
+}
--- /dev/null
+++ b/gateway/src/core/route.rs
@@ -0,0 +1,45 @@
+//! Asks the module and sets its actions in motion.
+
+use std::time::Instant;
+
+use yewroute::interface::{Action, Event, ListKind};
+
+use super::{Answer, Core, Due, Effect};
+use crate::clock;
+use crate::proto::catalog::Members;
+
+impl Core {
+    /// The module's first event: the list as it was last known.
+    pub(super) fn begin(&mut self, now: Instant, known: Members, effects: &mut Vec<Effect>) {
+        let entries = self.directory.learn(&known);
+        self.route(now, Event::List { kind: ListKind::Stale, entries }, effects);
+    }
+
+    /// Hands the module an event, and those that follow from its own actions.
+    pub(super) fn route(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.router.handle(self.clock.ms(now), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(now, action, effects);
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Instant, action: Action, effects: &mut Vec<Effect>) {
+        match action {
+            Action::Send { request, server, cut_at } => self.send(now, request, server, cut_at, effects),
+            Action::Refuse { request, retry_after } => {
+                let retry_after = retry_after.map(clock::duration);
+                self.relay(request, Answer::Refused { retry_after }, effects);
+            }
+            Action::Fail(request) => self.relay(request, Answer::Failed, effects),
+            Action::Probe(server) => effects.push(Effect::Probe(server)),
+            Action::Close(server) => effects.push(Effect::CloseIdle(server)),
+            Action::Subscribe => effects.push(Effect::Watch(self.directory.version())),
+            Action::Timer { delay, name } => self.timers.set(now + clock::duration(delay), Due::Module(name)),
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/core/send.rs
@@ -0,0 +1,53 @@
+//! Starts attempts.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use yewroute::interface::{Event, Ms, Note, Outcome, Report, RequestId, ServerId, Status};
+
+use super::{Attempt, Core, Effect};
+
+impl Core {
+    pub(super) fn send(
+        &mut self,
+        now: Instant,
+        id: RequestId,
+        server: ServerId,
+        cut_at: Ms,
+        effects: &mut Vec<Effect>,
+    ) {
+        let (number, body) = match self.held.get_mut(&id) {
+            // Guards against: two attempts of a request out at once. The module never asks for it.
+            Some(held) if held.out.is_none() => {
+                let number = held.sends;
+                held.sends += 1;
+                held.out = Some((id, number));
+                (number, Rc::clone(&held.body))
+            }
+            held => {
+                let number = held.map_or(0, |held| {
+                    held.sends += 1;
+                    held.sends - 1
+                });
+                self.events.push_back(Event::Outcome(unsent(id, number, server)));
+                return;
+            }
+        };
+        let attempt = (id, number);
+        self.attempts.insert(attempt, Attempt { server, sent: now });
+        effects.push(Effect::Start { attempt, server, body, cut_at: self.clock.instant(cut_at) });
+    }
+}
+
+fn unsent(request: RequestId, attempt: u32, server: ServerId) -> Outcome {
+    Outcome {
+        request,
+        attempt,
+        server,
+        status: Status::NotSent,
+        elapsed: 0.0,
+        finished: true,
+        note: Note::default(),
+        report: Report::default(),
+    }
+}
--- /dev/null
+++ b/gateway/src/core/take_in.rs
@@ -0,0 +1,57 @@
+//! Takes a request in: gives it a number and the module's form.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use yewroute::interface::{Event, GroupId, Request, RequestId, SessionKey};
+
+use super::{Ask, ClientId, Core, Due, Effect, Held};
+use crate::clock::{self, Clock};
+
+/// How long after its time a request that nobody answered is failed here: later than the module's own last
+/// moment, sooner than the rules' slack ends.
+const OVERDUE: Duration = Duration::from_millis(10);
+
+impl Core {
+    pub(super) fn take_in(&mut self, now: Instant, client: ClientId, ask: Ask, effects: &mut Vec<Effect>) {
+        let class = match self.admit(&ask) {
+            Ok(class) => class,
+            Err(answer) => {
+                effects.push(Effect::Answer(client, answer));
+                return;
+            }
+        };
+        // Clients repeat their own ids when they send once more on a new connection; ours never come twice.
+        self.taken += 1;
+        let id = RequestId(self.taken);
+        let request = Request {
+            id,
+            class,
+            group: GroupId(ask.group),
+            left: clock::span(ask.wait),
+            resent: ask.resent,
+            session: self.deployment.sessions[class].then(|| session(&ask.key)),
+            last_write_age: ask.after.map(|after| self.age(now, after)),
+        };
+        self.bytes += ask.body.text.len();
+        self.held.insert(id, Held { client, body: Rc::new(ask.body), sends: 0, out: None });
+        self.by_client.insert(client, id);
+        self.timers.set(now + ask.wait + OVERDUE, Due::Overdue(id));
+        self.route(now, Event::Request(request), effects);
+    }
+
+    /// How long ago a commit was. Commits are rounded up, so one may seem to come; it is over all the same, and
+    /// an age of nothing would stand for no write.
+    fn age(&self, now: Instant, after: u64) -> f64 {
+        const LEAST_MS: f64 = 0.001;
+        (self.clock.ms(now) - Clock::position(after)).max(LEAST_MS)
+    }
+}
+
+/// The module's name for a session.
+fn session(key: &[u8]) -> SessionKey {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    SessionKey(hasher.finish())
+}
--- /dev/null
+++ b/gateway/src/net/hosts.rs
@@ -0,0 +1,474 @@
+//! Connections to db hosts: a pool for each, one request at a time on each connection.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use yewroute::interface::{Role, ServerId, Status};
+
+use super::poller::{Interest, Poller, Ready, Token};
+use super::wire::{Taken, Wire, CHUNK};
+use crate::core::{AttemptId, Body, Directory, Ended, HostNote, Input};
+use crate::log;
+use crate::proto::pg::backend::{self, Gather, Reply, Step, Verdict};
+use crate::timers::Timers;
+
+/// Idle connections are retired after this share of the time that a db host leaves them open.
+const RETIRE_AFTER: f64 = 0.6;
+/// How often that is looked after.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum JobId {
+    Attempt(AttemptId),
+    Probe(ServerId),
+}
+
+struct Job {
+    server: ServerId,
+    /// None for a probe.
+    body: Option<Rc<Body>>,
+    cut_at: Instant,
+    conn: Option<u64>,
+    /// Tells a probe from an earlier one to the same db host, whose timer may still be set.
+    number: u64,
+}
+
+#[derive(Clone, Copy)]
+enum Due {
+    /// Connecting has taken too long.
+    Connect(u64),
+    /// A job's time is over.
+    Cut(JobId, u64),
+    Sweep,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Connecting,
+    /// Connected, not welcomed yet.
+    Starting,
+    Idle(Instant),
+    Busy(JobId),
+}
+
+struct Conn {
+    server: ServerId,
+    wire: Wire,
+    state: State,
+    buffer: Vec<u8>,
+    gather: Gather,
+    writable: bool,
+}
+
+#[derive(Default)]
+struct Pool {
+    /// The one used last is used next, so that those not needed grow old.
+    idle: Vec<u64>,
+    waiting: VecDeque<JobId>,
+    dialing: usize,
+}
+
+/// All connections to db hosts.
+pub struct Hosts {
+    conns: HashMap<u64, Conn>,
+    pools: BTreeMap<ServerId, Pool>,
+    jobs: HashMap<JobId, Job>,
+    timers: Timers<Due>,
+    opened: u64,
+    started: u64,
+    most: usize,
+    connect_timeout: Duration,
+    retire_after: Duration,
+    scratch: Vec<u8>,
+}
+
+/// What the pool needs of its surroundings for a moment.
+pub struct Around<'a> {
+    pub now: Instant,
+    pub poller: &'a Poller,
+    pub directory: &'a Directory,
+    pub inbox: &'a mut VecDeque<Input>,
+}
+
+impl Hosts {
+    /// A pool of at most `most` connections.
+    pub fn new(now: Instant, most: usize, connect_timeout: Duration, keepalive: Duration) -> Self {
+        let mut timers = Timers::new();
+        timers.set(now + SWEEP, Due::Sweep);
+        Self {
+            conns: HashMap::new(),
+            pools: BTreeMap::new(),
+            jobs: HashMap::new(),
+            timers,
+            opened: 0,
+            started: 0,
+            most,
+            connect_timeout,
+            retire_after: keepalive.mul_f64(RETIRE_AFTER),
+            scratch: vec![0; CHUNK],
+        }
+    }
+
+    /// Starts an attempt.
+    pub fn start(
+        &mut self,
+        attempt: AttemptId,
+        server: ServerId,
+        body: Rc<Body>,
+        cut_at: Instant,
+        a: &mut Around,
+    ) {
+        self.take(JobId::Attempt(attempt), server, Some(body), cut_at, a);
+    }
+
+    /// Starts a probe.
+    pub fn probe(&mut self, server: ServerId, a: &mut Around) {
+        if self.jobs.contains_key(&JobId::Probe(server)) {
+            return;
+        }
+        self.take(JobId::Probe(server), server, None, a.now + self.connect_timeout, a);
+    }
+
+    fn take(&mut self, id: JobId, server: ServerId, body: Option<Rc<Body>>, cut_at: Instant, a: &mut Around) {
+        self.started += 1;
+        let number = self.started;
+        self.timers.set(cut_at, Due::Cut(id, number));
+        self.jobs.insert(id, Job { server, body, cut_at, conn: None, number });
+        self.pools.entry(server).or_default().waiting.push_back(id);
+        self.pump(server, a);
+    }
+
+    /// Drops an attempt that nobody waits for, if none of it has been sent.
+    pub fn withdraw(&mut self, attempt: AttemptId, a: &mut Around) {
+        let id = JobId::Attempt(attempt);
+        if self.jobs.get(&id).is_some_and(|job| job.conn.is_none()) {
+            self.end(id, Ended::silent(Status::NotSent), a);
+        }
+    }
+
+    /// Closes the idle connections to a db host.
+    pub fn close_idle(&mut self, server: ServerId) {
+        let idle = self.pools.get_mut(&server).map(|pool| std::mem::take(&mut pool.idle));
+        for conn in idle.unwrap_or_default() {
+            self.conns.remove(&conn);
+        }
+    }
+
+    pub fn next(&self) -> Option<Instant> {
+        self.timers.next()
+    }
+
+    pub fn tick(&mut self, a: &mut Around) {
+        while let Some(due) = self.timers.due(a.now) {
+            match due {
+                Due::Connect(number) => {
+                    let state = self.conns.get(&number).map(|conn| conn.state);
+                    if matches!(state, Some(State::Connecting | State::Starting)) {
+                        self.fail_dial(number, Status::ConnectFailed, "timed out", a);
+                    }
+                }
+                Due::Cut(id, number) => self.cut(id, number, a),
+                Due::Sweep => {
+                    self.sweep(a);
+                    self.timers.set(a.now + SWEEP, Due::Sweep);
+                }
+            }
+        }
+    }
+
+    /// Guards against: a second copy. The connection of an attempt that is given up is closed before anything
+    /// else can be sent for the request, and never used again.
+    fn cut(&mut self, id: JobId, number: u64, a: &mut Around) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.number == number) else { return };
+        let written = job.conn.and_then(|conn| self.conns.remove(&conn)).map(|conn| !conn.wire.unwritten());
+        let status = match (id, written) {
+            (_, Some(true)) => Status::Timeout,
+            (JobId::Attempt(_), _) => Status::NotSent,
+            (JobId::Probe(_), _) => Status::ConnectFailed,
+        };
+        self.end(id, Ended::silent(status), a);
+    }
+
+    /// Closes connections that have been idle for long, before the db host does, and those to db hosts that
+    /// are to get nothing more.
+    fn sweep(&mut self, a: &mut Around) {
+        for (server, pool) in &mut self.pools {
+            let open = a.directory.open(*server).is_some();
+            pool.idle.retain(|number| {
+                let state = self.conns.get(number).map(|conn| conn.state);
+                let keep =
+                    open && matches!(state, Some(State::Idle(since)) if a.now - since < self.retire_after);
+                if !keep {
+                    self.conns.remove(number);
+                }
+                keep
+            });
+        }
+    }
+
+    /// Gives waiting jobs connections: idle ones first, then new ones.
+    fn pump(&mut self, server: ServerId, a: &mut Around) {
+        loop {
+            let pool = self.pools.entry(server).or_default();
+            let Some(id) = pool.waiting.front().copied() else { return };
+            let Some(addr) = a.directory.open(server) else {
+                // Guards against: a first byte for a db host that drains, of a send that was queued or
+                // still connecting when the news came.
+                self.end(id, Ended::silent(Status::NotSent), a);
+                continue;
+            };
+            if let Some(number) = pool.idle.pop() {
+                let conn = self.conns.get(&number);
+                // Guards against: a stale connection that ends as a reset. One that the db host has closed
+                // may not have been polled yet.
+                if conn.is_some_and(|conn| conn.wire.quiet()) {
+                    pool.waiting.pop_front();
+                    self.write(number, id, a);
+                } else {
+                    self.conns.remove(&number);
+                }
+                continue;
+            }
+            if pool.dialing >= pool.waiting.len() {
+                return;
+            }
+            if self.conns.len() >= self.most && !self.evict() {
+                log!("out of connections to db hosts: {} open", self.conns.len());
+                let last = self.pools[&server].waiting.back().copied().unwrap_or(id);
+                self.end(last, Ended::silent(Status::NotSent), a);
+                continue;
+            }
+            self.opened += 1;
+            let number = self.opened;
+            let dialled = Wire::dial(addr)
+                .and_then(|wire| a.poller.add(&wire, Token::Host(number), Interest::WRITE).map(|()| wire));
+            match dialled {
+                Ok(wire) => {
+                    self.timers.set(a.now + self.connect_timeout, Due::Connect(number));
+                    let (buffer, gather) = (Vec::new(), Gather::default());
+                    let state = State::Connecting;
+                    self.conns.insert(number, Conn { server, wire, state, buffer, gather, writable: false });
+                    self.pools.entry(server).or_default().dialing += 1;
+                }
+                Err(error) => {
+                    log!("cannot dial {addr}: {error}");
+                    self.end(id, Ended::silent(Status::ConnectFailed), a);
+                }
+            }
+        }
+    }
+
+    /// Closes the idle connection that was used longest ago.
+    fn evict(&mut self) -> bool {
+        let idle = self.conns.iter().filter_map(|(number, conn)| match conn.state {
+            State::Idle(since) => Some((since, *number)),
+            _ => None,
+        });
+        let Some((_, number)) = idle.min() else { return false };
+        self.forget(number);
+        true
+    }
+
+    fn forget(&mut self, number: u64) {
+        if let Some(conn) = self.conns.remove(&number) {
+            self.pools.entry(conn.server).or_default().idle.retain(|idle| *idle != number);
+        }
+    }
+
+    /// Writes a job's query on a connection that is free.
+    fn write(&mut self, number: u64, id: JobId, a: &mut Around) {
+        let (Some(conn), Some(job)) = (self.conns.get_mut(&number), self.jobs.get_mut(&id)) else { return };
+        job.conn = Some(number);
+        conn.state = State::Busy(id);
+        let wait = job.cut_at.saturating_duration_since(a.now);
+        let body = job.body.clone();
+        backend::put_query(conn.wire.out(), |out| match &body {
+            Some(body) => body.put(out, wait),
+            None => out.extend(backend::SHOW_LOAD),
+        });
+        if conn.flush(number, a).is_err() {
+            self.lose(number, a);
+        }
+    }
+
+    pub fn ready(&mut self, number: u64, event: Ready, a: &mut Around) {
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        if conn.state == State::Connecting {
+            if let Err(error) = conn.wire.dialled() {
+                self.fail_dial(number, Status::ConnectFailed, &error.to_string(), a);
+                return;
+            }
+            conn.state = State::Starting;
+            backend::put_startup(conn.wire.out());
+        }
+        if (event.write || conn.state == State::Starting) && conn.flush(number, a).is_err() {
+            self.lose(number, a);
+            return;
+        }
+        let taken = match conn.wire.read(&mut self.scratch, &mut conn.buffer) {
+            Ok(taken) => taken,
+            Err(_) => Taken::End,
+        };
+        if taken == Taken::Some {
+            self.gather(number, a);
+        } else if taken == Taken::End || event.broken {
+            self.lose(number, a);
+        }
+    }
+
+    /// Takes the messages that have come.
+    fn gather(&mut self, number: u64, a: &mut Around) {
+        let mut used = 0;
+        loop {
+            let Some(conn) = self.conns.get_mut(&number) else { return };
+            if matches!(conn.state, State::Idle(_)) {
+                if used < conn.buffer.len() {
+                    // It says goodbye, or something that was not asked for.
+                    self.forget(number);
+                    return;
+                }
+                conn.buffer.clear();
+                if conn.buffer.capacity() > 2 * CHUNK {
+                    conn.buffer = Vec::new();
+                }
+                let server = conn.server;
+                self.pump(server, a);
+                return;
+            }
+            match conn.gather.next(&conn.buffer[used..]) {
+                Ok(Some((step, len))) => {
+                    used += len;
+                    if let Step::Ready(reply) = step {
+                        self.answered(number, reply, a);
+                    }
+                }
+                Ok(None) => {
+                    conn.buffer.drain(..used);
+                    return;
+                }
+                Err(error) => {
+                    log!("malformed answer from a db host: {error}");
+                    self.malformed(number, a);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// ReadyForQuery has come.
+    fn answered(&mut self, number: u64, reply: Reply, a: &mut Around) {
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        let before = std::mem::replace(&mut conn.state, State::Idle(a.now));
+        let pool = self.pools.entry(conn.server).or_default();
+        pool.idle.push(number);
+        match before {
+            State::Busy(id) => self.end(id, ended(id, reply), a),
+            _ => pool.dialing -= 1,
+        }
+    }
+
+    /// A connection has ended or broken.
+    fn lose(&mut self, number: u64, a: &mut Around) {
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        let cut_short = conn.gather.cut_short();
+        match conn.state {
+            State::Connecting | State::Starting => {
+                // An ErrorResponse in place of a welcome: turned away if it says so.
+                let turned_away = cut_short.is_some_and(|reply| reply.verdict == Verdict::TurnedAway);
+                let status = if turned_away { Status::Full } else { Status::ConnectFailed };
+                self.fail_dial(number, status, "ended before the welcome", a);
+            }
+            State::Idle(_) => self.forget(number),
+            State::Busy(id) => {
+                let written = !conn.wire.unwritten();
+                self.conns.remove(&number);
+                let end = match cut_short {
+                    Some(reply) => ended(id, reply),
+                    None if written => Ended::silent(Status::Reset),
+                    None => Ended::silent(Status::ConnectFailed),
+                };
+                self.end(id, end, a);
+            }
+        }
+    }
+
+    fn malformed(&mut self, number: u64, a: &mut Around) {
+        match self.conns.get(&number).map(|conn| conn.state) {
+            Some(State::Busy(id)) => {
+                self.conns.remove(&number);
+                self.end(id, Ended::silent(Status::Error), a);
+            }
+            Some(State::Idle(_)) => self.forget(number),
+            Some(_) => self.fail_dial(number, Status::ConnectFailed, "malformed welcome", a),
+            None => {}
+        }
+    }
+
+    /// A new connection did not come up; the job that has waited longest pays for it.
+    fn fail_dial(&mut self, number: u64, status: Status, why: &str, a: &mut Around) {
+        let Some(conn) = self.conns.remove(&number) else { return };
+        log!("no connection to db host {}: {why}", conn.server.0);
+        let pool = self.pools.entry(conn.server).or_default();
+        pool.dialing -= 1;
+        if let Some(id) = pool.waiting.front().copied() {
+            self.end(id, Ended::silent(status), a);
+        }
+    }
+
+    /// A job is over.
+    fn end(&mut self, id: JobId, ended: Ended, a: &mut Around) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        if job.conn.is_none() {
+            self.pools.entry(job.server).or_default().waiting.retain(|waiting| *waiting != id);
+        }
+        a.inbox.push_back(match id {
+            JobId::Attempt(attempt) => Input::Ended(attempt, ended),
+            JobId::Probe(server) => Input::Probed(server, ended),
+        });
+    }
+}
+
+impl Conn {
+    /// Writes what there is room for, and asks to be woken for the rest.
+    fn flush(&mut self, number: u64, a: &mut Around) -> std::io::Result<()> {
+        let writable = !self.wire.flush()?;
+        if writable != self.writable || self.state == State::Starting {
+            self.writable = writable;
+            let interest = Interest { read: true, write: writable };
+            a.poller.change(&self.wire, Token::Host(number), interest)?;
+        }
+        Ok(())
+    }
+}
+
+/// An answer as the core has it.
+fn ended(id: JobId, reply: Reply) -> Ended {
+    let status = match reply.verdict {
+        Verdict::Served => Status::Good,
+        Verdict::Miss => Status::Miss,
+        Verdict::TurnedAway => Status::Full,
+        Verdict::Error => Status::Error,
+    };
+    let role = |role: backend::Role| match role {
+        backend::Role::Primary => Role::Primary,
+        backend::Role::Replica => Role::Replica,
+    };
+    let probe = matches!(id, JobId::Probe(_));
+    let row = String::from_utf8_lossy(if probe { &reply.value } else { b"" });
+    let load = reply.load.as_deref().unwrap_or(&row);
+    let note = HostNote {
+        role: reply.role.map(role),
+        applied_ms: reply.applied_ms,
+        report_position: backend::load_field(load, "x0"),
+        report_role: backend::load_field(load, "x1").map(|x1| {
+            if x1 == 1.0 {
+                Role::Primary
+            } else {
+                Role::Replica
+            }
+        }),
+    };
+    Ended { status, served: if probe { Vec::new() } else { reply.messages }, note }
+}
--- /dev/null
+++ b/gateway/src/net/mod.rs
@@ -0,0 +1,191 @@
+//! Adapters to sockets and signals, on one thread: epoll wakes it, the core says what is to be done.
+
+mod clients;
+mod discovery;
+mod hosts;
+mod poller;
+mod signals;
+mod wire;
+
+use std::collections::VecDeque;
+use std::io;
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+use yewroute::interface::SettingsError;
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::core::{Core, Effect, Input};
+use crate::log;
+use clients::Clients;
+use discovery::Discovery;
+use hosts::{Around, Hosts};
+use poller::{Interest, Poller, Ready, Token};
+use signals::Signals;
+
+/// Descriptors kept for the listener, the poller, the watch, signals and the standard streams.
+const RESERVED: usize = 16;
+/// How long after SIGTERM new connections are still taken: clients hear of it only then.
+const NOTICE: Duration = Duration::from_millis(500);
+
+/// Why the gateway cannot run.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// The module does not accept the settings.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+    /// The listener.
+    #[error("cannot listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, io::Error),
+    /// The poller or the signals.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+}
+
+struct Gateway {
+    poller: Poller,
+    clients: Clients,
+    hosts: Hosts,
+    discovery: Discovery,
+    signals: Signals,
+    core: Core,
+    inbox: VecDeque<Input>,
+    effects: Vec<Effect>,
+    /// Since SIGTERM: when the listener closes.
+    drain_at: Option<Instant>,
+    draining: bool,
+}
+
+/// Serves until SIGTERM has come and all is answered.
+pub fn run(config: Config) -> Result<(), RunError> {
+    let mut gateway = Gateway::new(config)?;
+    let mut ready = Vec::new();
+    let mut now = Instant::now();
+    gateway.settle(now);
+    while !gateway.done() {
+        gateway.poller.wait(now, gateway.next(), &mut ready)?;
+        now = Instant::now();
+        for event in ready.drain(..) {
+            gateway.ready(now, event);
+        }
+        gateway.tick(now);
+        gateway.settle(now);
+    }
+    log!("stopped: all answered");
+    Ok(())
+}
+
+impl Gateway {
+    fn new(config: Config) -> Result<Self, RunError> {
+        let now = Instant::now();
+        let poller = Poller::new()?;
+        let signals = Signals::new()?;
+        poller.add(&signals, Token::Signals, Interest::READ)?;
+        let usable = config.sockets - RESERVED;
+        let most_hosts = usable / 2;
+        let listen = config.listen;
+        let clients = Clients::listen(listen, usable - most_hosts, &poller)
+            .map_err(|error| RunError::Listen(listen, error))?;
+        let deployment = config.deployment;
+        let hosts = Hosts::new(now, most_hosts, deployment.connect_timeout, deployment.keepalive);
+        let mut effects = Vec::new();
+        let core = Core::new(now, Clock::start(), deployment, config.seed, config.known, &mut effects)?;
+        log!("{} listens on {listen}", config.name);
+        Ok(Self {
+            poller,
+            clients,
+            hosts,
+            discovery: Discovery::new(config.discovery),
+            signals,
+            core,
+            inbox: VecDeque::new(),
+            effects,
+            drain_at: None,
+            draining: false,
+        })
+    }
+
+    /// Nothing is owed any more.
+    fn done(&self) -> bool {
+        self.draining && self.clients.is_empty()
+    }
+
+    fn next(&self) -> Option<Instant> {
+        let drain_at = self.drain_at.filter(|_| !self.draining);
+        let next =
+            [self.core.next(), self.hosts.next(), self.clients.next(), self.discovery.next(), drain_at];
+        next.into_iter().flatten().min()
+    }
+
+    fn ready(&mut self, now: Instant, event: Ready) {
+        match event.token {
+            Token::Listener => self.clients.accept(now, &self.poller),
+            Token::Signals => {
+                if self.signals.take() && self.drain_at.is_none() {
+                    log!("SIGTERM: draining");
+                    self.drain_at = Some(now + NOTICE);
+                }
+            }
+            Token::Watch(number) => {
+                self.discovery.ready(now, number, event, &self.poller, &mut self.inbox);
+            }
+            Token::Client(number) => {
+                self.clients.ready(now, number, event, &self.poller, &mut self.inbox);
+            }
+            Token::Host(number) => {
+                let (hosts, mut around) = self.hosts(now);
+                hosts.ready(number, event, &mut around);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        let (hosts, mut around) = self.hosts(now);
+        hosts.tick(&mut around);
+        self.clients.tick(now, &self.poller);
+        self.discovery.tick(now, &mut self.inbox);
+        // What has come counts before what is overdue.
+        self.settle(now);
+        self.core.tick(now, &mut self.effects);
+        if !self.draining && self.drain_at.is_some_and(|at| at <= now) {
+            self.draining = true;
+            self.clients.drain(now, &self.poller);
+        }
+    }
+
+    /// Tells the core what has come and does what it says, until there is nothing more to do. All that has
+    /// come is told before anything is done, so that news of a drain comes before the next send.
+    fn settle(&mut self, now: Instant) {
+        while !self.inbox.is_empty() || !self.effects.is_empty() {
+            while let Some(input) = self.inbox.pop_front() {
+                self.core.handle(now, input, &mut self.effects);
+            }
+            for effect in std::mem::take(&mut self.effects) {
+                self.perform(now, effect);
+            }
+        }
+    }
+
+    fn perform(&mut self, now: Instant, effect: Effect) {
+        let (hosts, mut around) = self.hosts(now);
+        match effect {
+            Effect::Start { attempt, server, body, cut_at } => {
+                hosts.start(attempt, server, body, cut_at, &mut around);
+            }
+            Effect::Withdraw(attempt) => hosts.withdraw(attempt, &mut around),
+            Effect::Probe(server) => hosts.probe(server, &mut around),
+            Effect::CloseIdle(server) => hosts.close_idle(server),
+            Effect::Answer(client, answer) => {
+                self.clients.answer(now, client, answer, &self.poller, &mut self.inbox);
+            }
+            Effect::Watch(since) => self.discovery.watch(now, since, &self.poller, &mut self.inbox),
+        }
+    }
+
+    fn hosts(&mut self, now: Instant) -> (&mut Hosts, Around<'_>) {
+        let around =
+            Around { now, poller: &self.poller, directory: self.core.directory(), inbox: &mut self.inbox };
+        (&mut self.hosts, around)
+    }
+}
--- /dev/null
+++ b/gateway/src/net/poller.rs
@@ -0,0 +1,131 @@
+//! epoll, and which adapter a descriptor belongs to.
+
+use std::io;
+use std::os::fd::{AsFd, OwnedFd};
+use std::time::{Duration, Instant};
+
+use rustix::buffer::spare_capacity;
+use rustix::event::epoll::{self, CreateFlags, Event, EventData, EventFlags};
+use rustix::event::Timespec;
+
+/// Events taken at one wake-up.
+const EVENTS: usize = 256;
+
+/// Whose descriptor it is. Numbers are never used again, so a late event meets nobody.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Token {
+    /// The listener.
+    Listener,
+    /// The pipe that signals arrive by.
+    Signals,
+    /// The watch of this number.
+    Watch(u64),
+    /// A client's connection.
+    Client(u64),
+    /// A connection to a db host.
+    Host(u64),
+}
+
+impl Token {
+    fn pack(self) -> u64 {
+        match self {
+            Self::Listener => 0,
+            Self::Signals => 1,
+            Self::Watch(number) => number << 3 | 2,
+            Self::Client(number) => number << 3 | 3,
+            Self::Host(number) => number << 3 | 4,
+        }
+    }
+
+    fn unpack(data: u64) -> Self {
+        match (data & 7, data >> 3) {
+            (0, _) => Self::Listener,
+            (1, _) => Self::Signals,
+            (2, number) => Self::Watch(number),
+            (3, number) => Self::Client(number),
+            (_, number) => Self::Host(number),
+        }
+    }
+}
+
+/// What to be woken for; a broken connection always wakes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Interest {
+    /// There is something to read.
+    pub read: bool,
+    /// There is room to write.
+    pub write: bool,
+}
+
+impl Interest {
+    pub const READ: Self = Self { read: true, write: false };
+    pub const WRITE: Self = Self { read: false, write: true };
+
+    fn flags(self) -> EventFlags {
+        let mut flags = EventFlags::empty();
+        flags.set(EventFlags::IN, self.read);
+        flags.set(EventFlags::OUT, self.write);
+        flags
+    }
+}
+
+/// What has come.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    /// To whom.
+    pub token: Token,
+    /// Room to write.
+    pub write: bool,
+    /// Both directions are over, or the connection is broken.
+    pub broken: bool,
+}
+
+/// An epoll descriptor.
+pub struct Poller {
+    epoll: OwnedFd,
+    events: Vec<Event>,
+}
+
+impl Poller {
+    pub fn new() -> io::Result<Self> {
+        Ok(Self { epoll: epoll::create(CreateFlags::CLOEXEC)?, events: Vec::with_capacity(EVENTS) })
+    }
+
+    pub fn add(&self, fd: impl AsFd, token: Token, interest: Interest) -> io::Result<()> {
+        Ok(epoll::add(&self.epoll, fd, EventData::new_u64(token.pack()), interest.flags())?)
+    }
+
+    pub fn change(&self, fd: impl AsFd, token: Token, interest: Interest) -> io::Result<()> {
+        Ok(epoll::modify(&self.epoll, fd, EventData::new_u64(token.pack()), interest.flags())?)
+    }
+
+    pub fn remove(&self, fd: impl AsFd) -> io::Result<()> {
+        Ok(epoll::delete(&self.epoll, fd)?)
+    }
+
+    /// Waits until something is ready or `until` has come, to the nanosecond.
+    pub fn wait(&mut self, now: Instant, until: Option<Instant>, ready: &mut Vec<Ready>) -> io::Result<()> {
+        let timeout = until.map(|until| timespec(until.saturating_duration_since(now)));
+        self.events.clear();
+        match epoll::wait(&self.epoll, spare_capacity(&mut self.events), timeout.as_ref()) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            Err(error) => return Err(error.into()),
+        }
+        ready.extend(self.events.iter().map(|event| {
+            let flags = event.flags;
+            Ready {
+                token: Token::unpack(event.data.u64()),
+                write: flags.contains(EventFlags::OUT),
+                broken: flags.intersects(EventFlags::ERR | EventFlags::HUP),
+            }
+        }));
+        Ok(())
+    }
+}
+
+fn timespec(span: Duration) -> Timespec {
+    Timespec {
+        tv_sec: i64::try_from(span.as_secs()).unwrap_or(i64::MAX),
+        tv_nsec: i64::from(span.subsec_nanos()),
+    }
+}
--- /dev/null
+++ b/gateway/src/net/wire.rs
@@ -0,0 +1,119 @@
+//! A non-blocking connection: what is still to be written, and reading without a copy too many.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
+
+use rustix::io::Errno;
+use rustix::net::{connect, ipproto, socket_with, AddressFamily, SocketFlags, SocketType};
+
+/// Bytes read at a time.
+pub const CHUNK: usize = 32 * 1024;
+
+/// What a read came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// Bytes, perhaps with more behind them.
+    Some,
+    /// Nothing for now.
+    Nothing,
+    /// The other side will send no more.
+    End,
+}
+
+/// A connection.
+pub struct Wire {
+    stream: TcpStream,
+    out: Vec<u8>,
+    written: usize,
+}
+
+impl Wire {
+    /// Takes over an accepted connection.
+    pub fn accepted(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, out: Vec::new(), written: 0 })
+    }
+
+    /// Begins to connect; room to write tells that it is done, one way or the other.
+    pub fn dial(addr: SocketAddr) -> io::Result<Self> {
+        let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let socket = socket_with(family, SocketType::STREAM, flags, Some(ipproto::TCP))?;
+        match connect(&socket, &addr) {
+            Ok(()) | Err(Errno::INPROGRESS) => {}
+            Err(error) => return Err(error.into()),
+        }
+        let stream = TcpStream::from(socket);
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, out: Vec::new(), written: 0 })
+    }
+
+    /// Why connecting failed, once it is done.
+    pub fn dialled(&self) -> io::Result<()> {
+        self.stream.take_error()?.map_or(Ok(()), Err)
+    }
+
+    /// Where to append what is to be written.
+    pub fn out(&mut self) -> &mut Vec<u8> {
+        &mut self.out
+    }
+
+    /// Writes as much as there is room for; true when nothing is left.
+    pub fn flush(&mut self) -> io::Result<bool> {
+        while self.written < self.out.len() {
+            match self.stream.write(&self.out[self.written..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.out.clear();
+        self.written = 0;
+        if self.out.capacity() > 2 * CHUNK {
+            // A long value passed through: an idle connection keeps no such buffer.
+            self.out = Vec::new();
+        }
+        Ok(true)
+    }
+
+    /// Something is still to be written.
+    pub fn unwritten(&self) -> bool {
+        !self.out.is_empty()
+    }
+
+    /// Reads once, by way of `scratch`, into `buffer`.
+    pub fn read(&mut self, scratch: &mut [u8], buffer: &mut Vec<u8>) -> io::Result<Taken> {
+        loop {
+            match self.stream.read(scratch) {
+                Ok(0) => return Ok(Taken::End),
+                Ok(n) => {
+                    buffer.extend(&scratch[..n]);
+                    return Ok(Taken::Some);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(Taken::Nothing),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Neither closed by the other side nor with anything to read.
+    pub fn quiet(&self) -> bool {
+        matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Ends the sending; what was written still arrives.
+    pub fn end_sending(&self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+    }
+}
+
+impl AsFd for Wire {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
--- /dev/null
+++ b/gateway/src/proto/mod.rs
@@ -0,0 +1,6 @@
+//! Parsers and encoders of our own: incremental, without I/O. Any split of the bytes gives the same result,
+//! and a length is checked before anything is set aside for it.
+
+pub mod catalog;
+pub mod http;
+pub mod pg;
--- /dev/null
+++ b/gateway/src/proto/pg/frontend.rs
@@ -0,0 +1,167 @@
+//! The client's side: what clients send, and what they are answered.
+
+use std::time::Duration;
+
+use super::frame::{self, Malformed};
+use super::{code, statement};
+
+const VERSION_MAJOR: i32 = 3;
+const SSL_REQUEST: i32 = 80_877_103;
+const GSS_REQUEST: i32 = 80_877_104;
+const CANCEL_REQUEST: i32 = 80_877_102;
+
+/// What a connection opens with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    /// Asks for encryption: answered with [`NO_ENCRYPTION`], the startup message follows.
+    Encryption,
+    /// Asks to cancel a query: no answer, the connection is closed.
+    Cancel,
+    /// The startup message, of this minor version.
+    Startup {
+        /// The minor version asked for.
+        minor: i32,
+    },
+    /// A version that is not spoken here.
+    Version(i32),
+}
+
+/// The answer to a request for encryption.
+pub const NO_ENCRYPTION: u8 = b'N';
+
+/// Reads the opening message, if all of it is there, and its length.
+pub fn opening(bytes: &[u8]) -> Result<Option<(Opening, usize)>, Malformed> {
+    let Some((body, len)) = frame::untyped(bytes)? else { return Ok(None) };
+    let Some(head) = body.first_chunk::<4>() else { return Err(Malformed::Length(len as i32)) };
+    let number = i32::from_be_bytes(*head);
+    let opening = match number {
+        SSL_REQUEST | GSS_REQUEST => Opening::Encryption,
+        CANCEL_REQUEST => Opening::Cancel,
+        n if n >> 16 == VERSION_MAJOR => Opening::Startup { minor: n & 0xffff },
+        n => Opening::Version(n >> 16),
+    };
+    Ok(Some((opening, len)))
+}
+
+/// One message of a client after its startup.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Message<'a> {
+    /// A simple query, without its zero byte.
+    Query(&'a [u8]),
+    /// The client says goodbye.
+    Terminate,
+    /// The end of a run of extended-query messages.
+    Sync,
+    /// Part of the extended query protocol.
+    Extended,
+    /// A query whose text has no end.
+    Unterminated,
+    /// No message that a client may send here.
+    Unknown(u8),
+}
+
+/// Reads the next message, if all of it is there, and its length.
+pub fn message(bytes: &[u8]) -> Result<Option<(Message<'_>, usize)>, Malformed> {
+    let Some(frame) = frame::next(bytes)? else { return Ok(None) };
+    let message = match frame.kind {
+        b'Q' => match frame.body.split_last() {
+            Some((0, text)) if !text.contains(&0) => Message::Query(text),
+            _ => Message::Unterminated,
+        },
+        b'X' => Message::Terminate,
+        b'S' => Message::Sync,
+        b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => Message::Extended,
+        other => Message::Unknown(other),
+    };
+    Ok(Some((message, frame.len)))
+}
+
+/// A statement that is answered here, without a db host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Local {
+    /// Nothing but white space and semicolons.
+    Empty,
+    /// Sets or resets a parameter, which nothing here depends on; the tag of its answer.
+    Parameter(&'static str),
+}
+
+/// Whether a query is answered here.
+pub fn local(text: &[u8]) -> Option<Local> {
+    let text = statement::trim(text);
+    let word = text.split(|b| !b.is_ascii_alphabetic()).next().unwrap_or_default();
+    let tags = ["SET", "RESET", "DISCARD"];
+    if text.is_empty() {
+        return Some(Local::Empty);
+    }
+    tags.iter().find(|tag| word.eq_ignore_ascii_case(tag.as_bytes())).map(|tag| {
+        let discard = *tag == "DISCARD";
+        Local::Parameter(if discard { "DISCARD ALL" } else { tag })
+    })
+}
+
+/// Appends the welcome that follows a startup message.
+pub fn put_welcome(out: &mut Vec<u8>, minor: i32) {
+    if minor > 0 {
+        // NegotiateProtocolVersion: 3.0, and no option was refused.
+        frame::put(out, b'v', |b| b.extend([0; 8]));
+    }
+    frame::put(out, b'R', |b| b.extend([0; 4]));
+    for (name, value) in [
+        ("server_version", "15.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ] {
+        frame::put(out, b'S', |b| {
+            frame::put_text(b, name);
+            frame::put_text(b, value);
+        });
+    }
+    // BackendKeyData: there is nothing that a cancel request could name.
+    frame::put(out, b'K', |b| b.extend([0; 8]));
+    put_ready(out);
+}
+
+/// Appends ReadyForQuery, outside a transaction.
+pub fn put_ready(out: &mut Vec<u8>) {
+    frame::put(out, b'Z', |b| b.push(b'I'));
+}
+
+/// Appends the answer to a statement that is answered here.
+pub fn put_local(out: &mut Vec<u8>, local: Local) {
+    match local {
+        Local::Empty => frame::put(out, b'I', |_| {}),
+        Local::Parameter(tag) => frame::put(out, b'C', |b| frame::put_text(b, tag)),
+    }
+    put_ready(out);
+}
+
+/// Appends an ErrorResponse.
+pub fn put_error(out: &mut Vec<u8>, severity: &str, sqlstate: &str, message: &str, detail: Option<&str>) {
+    frame::put(out, b'E', |b| {
+        let fields =
+            [(b'S', Some(severity)), (b'V', Some(severity)), (b'C', Some(sqlstate)), (b'M', Some(message))];
+        for (field, text) in fields.into_iter().chain([(b'D', detail)]) {
+            if let Some(text) = text {
+                b.push(field);
+                frame::put_text(b, text);
+            }
+        }
+        b.push(0);
+    });
+}
+
+/// Appends the refusal of a request, with the time after which to come again.
+pub fn put_refusal(out: &mut Vec<u8>, retry_after: Option<Duration>) {
+    let detail = retry_after.map(|span| span.as_millis().to_string());
+    put_error(out, "ERROR", code::TOO_MANY, "refused: too busy, try again later", detail.as_deref());
+    put_ready(out);
+}
+
+/// Appends the failure of a request.
+pub fn put_failure(out: &mut Vec<u8>) {
+    put_error(out, "ERROR", code::UNKNOWN_COMPLETION, "failed: whether it took effect is not known", None);
+    put_ready(out);
+}
--- /dev/null
+++ b/gateway/src/proto/pg/mod.rs
@@ -0,0 +1,24 @@
+//! PostgreSQL's wire protocol, version 3, simple queries.
+
+pub mod backend;
+pub mod frame;
+pub mod frontend;
+pub mod statement;
+
+/// SQLSTATEs that this gateway writes or reads.
+pub mod code {
+    /// The client broke the protocol.
+    pub const PROTOCOL_VIOLATION: &str = "08P01";
+    /// A message that this gateway does not take.
+    pub const NOT_SUPPORTED: &str = "0A000";
+    /// Refused: a further try is harmless. From a db host: turned away unseen.
+    pub const TOO_MANY: &str = "53300";
+    /// Failed: whether it took effect is not known.
+    pub const UNKNOWN_COMPLETION: &str = "40003";
+    /// A write met a replica.
+    pub const READ_ONLY: &str = "25006";
+    /// A read met a replica that is too far behind.
+    pub const BEHIND: &str = "72000";
+    /// The server does not take connections now.
+    pub const CANNOT_CONNECT_NOW: &str = "57P03";
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! gets back. [`interface`] says who calls what, in which order, and what is promised.
 //!
 //! ```
-//! use zincdrift::interface::*;
-//! use zincdrift::Router;
+//! use yewroute::interface::*;
+//! use yewroute::Router;
 //!
 //! let class = |freshness, effect| Class {
 //!     aim: 300.0,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A gateway for tests: plays events by hand and keeps what the router answered.
 #![allow(dead_code)]
 
-use zincdrift::interface::*;
-use zincdrift::Router;
+use yewroute::interface::*;
+use yewroute::Router;
 
 pub const GROUP: GroupId = GroupId(1);
 pub const BOUNDED: usize = 0;
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use zincdrift::interface::*;
+use yewroute::interface::*;
 
 #[test]
 fn a_read_goes_to_the_replica_with_the_fewest_outstanding_reads() {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -7,7 +7,7 @@
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use zincdrift::interface::*;
+use yewroute::interface::*;
 
 const REPLICAS: u32 = 3;
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use zincdrift::interface::*;
+use yewroute::interface::*;
 
 #[test]
 fn a_waiting_request_is_answered_before_its_client_leaves() {
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use zincdrift::interface::*;
+use yewroute::interface::*;
 
 #[test]
 fn fast_errors_do_not_draw_work() {
@@ -181,7 +181,7 @@
 fn a_lost_list_is_asked_for_again_after_a_pause() {
     let mut s = settings();
     s.discovery = Discovery::Subscribe;
-    let mut router = zincdrift::Router::new(s, 1).expect("valid");
+    let mut router = yewroute::Router::new(s, 1).expect("valid");
     let mut out = Vec::new();
     router.handle(0.0, Event::List { kind: ListKind::Stale, entries: vec![entry(0, true)] }, &mut out);
     assert!(out.contains(&Action::Subscribe));
@@ -253,7 +253,7 @@
     let error = |change: fn(&mut Settings)| {
         let mut s = settings();
         change(&mut s);
-        zincdrift::Router::new(s, 0).err().map(|e| e.to_string()).unwrap_or_default()
+        yewroute::Router::new(s, 0).err().map(|e| e.to_string()).unwrap_or_default()
     };
     assert!(error(|s| s.classes.clear()).contains("classes"));
     assert!(error(|s| s.gateways = 0).contains("gateways"));
