Test the gateway: tables for the parsers, the core by values, a socket test for each rule

Found while writing the tests: a client that sends and never reads could make answers pile up (guarded in net/clients.rs, take_messages); NegotiateProtocolVersion must carry the whole version number (proto/pg/frontend.rs).

--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -1,1 +1,228 @@
+//! The core, driven with values and made-up times.
 
+use std::time::{Duration, Instant};
+
+use super::*;
+use crate::proto::catalog::{Member, Role as ListedRole, State};
+
+const SETTINGS: &str = include_str!("../../tests/common/settings.json");
+const UNIX_MS: u64 = 1_767_225_600_000;
+const PRIMARY: ServerId = ServerId(0);
+const REPLICA: ServerId = ServerId(1);
+
+struct Bench {
+    core: Core,
+    start: Instant,
+    now: Instant,
+}
+
+fn member(id: &str, primary: bool, state: State) -> Member {
+    Member {
+        id: id.to_owned(),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        cell: 2,
+        state,
+        started_ms: 0,
+        role: Some(if primary { ListedRole::Primary } else { ListedRole::Replica }),
+    }
+}
+
+fn ask(class: &str, wait_ms: u64) -> Ask {
+    let text = format!("SELECT 'k' /* id=1,c={class},d={wait_ms},cluster=2 */").into_bytes();
+    let at = text.windows(2).position(|w| w == b"d=").unwrap();
+    let at = text[at + 2..].windows(2).position(|w| w == b"d=").map_or(at + 2, |next| at + 2 + next + 2);
+    let wait_at = at..at + wait_ms.to_string().len();
+    Ask {
+        class: class.to_owned(),
+        wait: Duration::from_millis(wait_ms),
+        group: 2,
+        key: b"k".to_vec(),
+        after: None,
+        resent: false,
+        body: Body { text, wait_at },
+    }
+}
+
+impl Bench {
+    /// A core that has had its first list and its replica's word that it is up to date.
+    fn new() -> (Self, Vec<Effect>) {
+        let start = Instant::now();
+        let clock = Clock::at(start, Duration::from_millis(UNIX_MS));
+        let known = Members {
+            version: 41,
+            full: true,
+            servers: vec![member("a", true, State::Ready), member("b", false, State::Ready)],
+        };
+        let deployment = Deployment::from_json(SETTINGS).unwrap();
+        let mut effects = Vec::new();
+        let core = Core::new(start, clock, deployment, 7, known, &mut effects).unwrap();
+        (Self { core, start, now: start }, effects)
+    }
+
+    fn give(&mut self, input: Input) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.core.handle(self.now, input, &mut effects);
+        effects
+    }
+
+    /// Lets time pass, timer by timer.
+    fn pass(&mut self, span: Duration) -> Vec<Effect> {
+        let end = self.now + span;
+        let mut effects = Vec::new();
+        while let Some(next) = self.core.next().filter(|next| *next <= end) {
+            self.now = self.now.max(next);
+            self.core.tick(self.now, &mut effects);
+        }
+        self.now = end;
+        effects
+    }
+
+    fn ask(&mut self, client: u64, class: &str, wait_ms: u64) -> Vec<Effect> {
+        self.give(Input::Ask(ClientId(client), ask(class, wait_ms)))
+    }
+
+    fn unix(&self) -> u64 {
+        UNIX_MS + u64::try_from((self.now - self.start).as_millis()).unwrap()
+    }
+
+    fn end(&mut self, attempt: AttemptId, status: Status) -> Vec<Effect> {
+        let served = if status == Status::Good { b"row".to_vec() } else { Vec::new() };
+        self.give(Input::Ended(attempt, Ended { status, served, note: HostNote::default() }))
+    }
+}
+
+fn starts(effects: &[Effect]) -> Vec<(AttemptId, ServerId)> {
+    let start = |e: &Effect| match e {
+        Effect::Start { attempt, server, .. } => Some((*attempt, *server)),
+        _ => None,
+    };
+    effects.iter().filter_map(start).collect()
+}
+
+fn answers(effects: &[Effect]) -> Vec<(u64, &Answer)> {
+    let answer = |e: &'_ Effect| matches!(e, Effect::Answer(..));
+    effects
+        .iter()
+        .filter(|e| answer(e))
+        .map(|e| match e {
+            Effect::Answer(ClientId(client), answer) => (*client, answer),
+            _ => unreachable!("filtered"),
+        })
+        .collect()
+}
+
+#[test]
+fn the_watch_goes_on_from_the_list_last_known() {
+    let (_, effects) = Bench::new();
+    assert_eq!(effects, [Effect::Watch(41)]);
+}
+
+#[test]
+fn a_write_is_served_once_and_its_client_told_once() {
+    let (mut b, _) = Bench::new();
+    let effects = b.ask(5, "order", 3000);
+    let [(attempt, PRIMARY)] = starts(&effects)[..] else { panic!("{effects:?}") };
+    let effects = b.end(attempt, Status::Good);
+    assert_eq!(answers(&effects), [(5, &Answer::Served(b"row".to_vec()))]);
+    // The same end again, and all the time there is: nothing more comes of it.
+    assert_eq!(answers(&b.end(attempt, Status::Good)), []);
+    assert_eq!(answers(&b.pass(Duration::from_secs(4))), []);
+}
+
+#[test]
+fn a_read_goes_to_a_replica_whose_report_is_recent_in_unix_time() {
+    let (mut b, _) = Bench::new();
+    let effects = b.ask(1, "view", 1200);
+    assert!(effects.contains(&Effect::Probe(REPLICA)), "{effects:?}");
+    assert_eq!(starts(&effects), [], "it waits for the replica's word");
+    let seconds = b.unix() as f64 / 1000.0;
+    let note =
+        HostNote { report_position: Some(seconds), report_role: Some(Role::Replica), ..HostNote::default() };
+    let effects = b.give(Input::Probed(REPLICA, Ended { status: Status::Good, served: Vec::new(), note }));
+    let [(_, REPLICA)] = starts(&effects)[..] else { panic!("{effects:?}") };
+}
+
+#[test]
+fn an_attempt_that_is_never_ended_still_leaves_its_client_an_answer_in_time() {
+    let (mut b, _) = Bench::new();
+    b.ask(1, "order", 800);
+    assert_eq!(answers(&b.pass(Duration::from_millis(800))), []);
+    let effects = b.pass(Duration::from_millis(20));
+    assert_eq!(answers(&effects), [(1, &Answer::Failed)]);
+}
+
+#[test]
+fn a_request_given_up_on_is_answered_at_once_and_told_when_to_come_back() {
+    let (mut b, _) = Bench::new();
+    let effects = b.give(Input::Members(Members { version: 42, full: true, servers: Vec::new() }));
+    assert_eq!(answers(&effects), []);
+    let effects = b.ask(1, "order", 3000);
+    let retry_after = Some(Duration::from_secs(2));
+    assert_eq!(answers(&effects), [(1, &Answer::Refused { retry_after })]);
+}
+
+#[test]
+fn what_may_have_run_is_not_refused() {
+    let (mut b, _) = Bench::new();
+    let effects = b.ask(1, "order", 300);
+    let (attempt, _) = starts(&effects)[0];
+    b.pass(Duration::from_millis(299));
+    let effects = b.end(attempt, Status::Timeout);
+    assert_eq!(answers(&effects), [(1, &Answer::Failed)]);
+}
+
+#[test]
+fn more_requests_than_may_be_held_are_refused() {
+    let (mut b, _) = Bench::new();
+    b.core.deployment.max_open = 3;
+    for client in 0..3 {
+        assert_eq!(answers(&b.ask(client, "order", 3000)), [], "client {client}");
+    }
+    let effects = b.ask(3, "order", 3000);
+    assert!(matches!(answers(&effects)[..], [(3, Answer::Refused { .. })]), "{effects:?}");
+    let effects = b.ask(4, "no such class", 3000);
+    assert!(matches!(answers(&effects)[..], [(4, Answer::Refused { .. })]), "{effects:?}");
+}
+
+#[test]
+fn a_client_that_leaves_is_owed_nothing_and_its_room_is_free_again() {
+    let (mut b, _) = Bench::new();
+    let effects = b.ask(1, "order", 3000);
+    let (attempt, _) = starts(&effects)[0];
+    assert_eq!(b.give(Input::ClientGone(ClientId(1))), [Effect::Withdraw(attempt)]);
+    assert_eq!(b.core.bytes, 0);
+    assert_eq!(answers(&b.end(attempt, Status::Good)), []);
+    assert_eq!(b.give(Input::ClientGone(ClientId(1))), []);
+}
+
+#[test]
+fn a_db_host_that_drains_or_leaves_the_list_is_closed_to_sends() {
+    let (mut b, _) = Bench::new();
+    assert!(b.core.directory().open(REPLICA).is_some());
+    let drain = vec![member("b", false, State::Terminating)];
+    b.give(Input::Members(Members { version: 42, full: false, servers: drain }));
+    assert_eq!(b.core.directory().open(REPLICA), None);
+    assert!(b.core.directory().open(PRIMARY).is_some());
+    let back = vec![member("b", false, State::Ready)];
+    b.give(Input::Members(Members { version: 43, full: true, servers: back }));
+    assert!(b.core.directory().open(REPLICA).is_some(), "it keeps its number");
+    assert_eq!(b.core.directory().open(PRIMARY), None, "a full list leaves it out");
+}
+
+#[test]
+fn a_broken_watch_is_opened_again_after_a_pause() {
+    let (mut b, _) = Bench::new();
+    let news = vec![member("b", false, State::Ready)];
+    b.give(Input::Members(Members { version: 50, full: false, servers: news }));
+    assert_eq!(b.give(Input::WatchBroken), []);
+    let effects = b.pass(Duration::from_secs(4));
+    assert!(effects.contains(&Effect::Watch(50)), "{effects:?}");
+}
+
+#[test]
+fn only_the_wait_in_a_statement_changes() {
+    let ask = ask("order", 3000);
+    let mut out = Vec::new();
+    ask.body.put(&mut out, Duration::from_micros(41_900));
+    assert_eq!(String::from_utf8(out).unwrap(), "SELECT 'k' /* id=1,c=order,d=41,cluster=2 */");
+}
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -88,6 +88,11 @@
         })
     }
 
+    /// Where clients connect.
+    pub fn addr(&self) -> io::Result<SocketAddr> {
+        self.listener.as_ref().map_or(Err(ErrorKind::NotConnected.into()), TcpListener::local_addr)
+    }
+
     /// Takes the connections that wait.
     pub fn accept(&mut self, now: Instant, poller: &Poller) {
         while let Some(listener) = &self.listener {
@@ -290,7 +295,10 @@
     /// Takes messages until one has to be waited for.
     fn take_messages(&mut self, now: Instant, number: u64, inbox: &mut VecDeque<Input>) {
         let mut used = 0;
-        while matches!(self.phase, Phase::Opening | Phase::Idle(_) | Phase::Skipping) {
+        // Guards against: answers piling up for a client that sends and never reads.
+        while matches!(self.phase, Phase::Opening | Phase::Idle(_) | Phase::Skipping)
+            && self.wire.unwritten() < MOST_BUFFERED
+        {
             let step = if self.phase == Phase::Opening {
                 self.open(now, used)
             } else {
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -182,7 +182,8 @@
     /// else can be sent for the request, and never used again.
     fn cut(&mut self, id: JobId, number: u64, a: &mut Around) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.number == number) else { return };
-        let written = job.conn.and_then(|conn| self.conns.remove(&conn)).map(|conn| !conn.wire.unwritten());
+        let written =
+            job.conn.and_then(|conn| self.conns.remove(&conn)).map(|conn| conn.wire.unwritten() == 0);
         let status = match (id, written) {
             (_, Some(true)) => Status::Timeout,
             (JobId::Attempt(_), _) => Status::NotSent,
@@ -382,7 +383,7 @@
             }
             State::Idle(_) => self.forget(number),
             State::Busy(id) => {
-                let written = !conn.wire.unwritten();
+                let written = conn.wire.unwritten() == 0;
                 self.conns.remove(&number);
                 let end = match cut_short {
                     Some(reply) => ended(id, reply),
@@ -409,7 +410,10 @@
     /// A new connection did not come up; the job that has waited longest pays for it.
     fn fail_dial(&mut self, number: u64, status: Status, why: &str, a: &mut Around) {
         let Some(conn) = self.conns.remove(&number) else { return };
-        log!("no connection to db host {}: {why}", conn.server.0);
+        match a.directory.open(conn.server) {
+            Some(addr) => log!("no connection to db host {addr}: {why}"),
+            None => log!("no connection to a db host that has left: {why}"),
+        }
         let pool = self.pools.entry(conn.server).or_default();
         pool.dialing -= 1;
         if let Some(id) = pool.waiting.front().copied() {
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -91,7 +91,7 @@
         let hosts = Hosts::new(now, most_hosts, deployment.connect_timeout, deployment.keepalive);
         let mut effects = Vec::new();
         let core = Core::new(now, Clock::start(), deployment, config.seed, config.known, &mut effects)?;
-        log!("{} listens on {listen}", config.name);
+        log!("{} listens on {}", config.name, clients.addr()?);
         Ok(Self {
             poller,
             clients,
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -80,9 +80,9 @@
         Ok(true)
     }
 
-    /// Something is still to be written.
-    pub fn unwritten(&self) -> bool {
-        !self.out.is_empty()
+    /// Bytes still to be written.
+    pub fn unwritten(&self) -> usize {
+        self.out.len() - self.written
     }
 
     /// Reads once, by way of `scratch`, into `buffer`.
--- a/gateway/src/proto/mod.rs
+++ b/gateway/src/proto/mod.rs
@@ -4,3 +4,5 @@
 pub mod catalog;
 pub mod http;
 pub mod pg;
+#[cfg(test)]
+mod tests;
--- a/gateway/src/proto/pg/frontend.rs
+++ b/gateway/src/proto/pg/frontend.rs
@@ -102,8 +102,11 @@
 /// Appends the welcome that follows a startup message.
 pub fn put_welcome(out: &mut Vec<u8>, minor: i32) {
     if minor > 0 {
-        // NegotiateProtocolVersion: 3.0, and no option was refused.
-        frame::put(out, b'v', |b| b.extend([0; 8]));
+        // NegotiateProtocolVersion: 3.0 is the newest here, and no option was refused.
+        frame::put(out, b'v', |b| {
+            b.extend((VERSION_MAJOR << 16).to_be_bytes());
+            b.extend([0; 4]);
+        });
     }
     frame::put(out, b'R', |b| b.extend([0; 4]));
     for (name, value) in [
--- /dev/null
+++ b/gateway/tests/rules.rs
@@ -0,0 +1,241 @@
+//! The rules, each on real sockets with the gateway as a process.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::*;
+
+const SERVED: &[u8] = b"TDCZ";
+const ERROR: &[u8] = b"EZ";
+
+#[test]
+fn requests_are_served_byte_for_byte_however_their_bytes_come() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    // The first query right behind the startup message, all of it in single bytes.
+    let mut client = Client::raw(gateway.addr);
+    let order = statement("order", 3000, ",k=5c0f,novel=x'y");
+    for byte in [startup(), frame(b'Q', &[order.as_bytes(), b"\0"].concat())].concat() {
+        client.stream.write_all(&[byte]).unwrap();
+    }
+    assert_eq!(client.answer(), b"Z", "the welcome");
+    assert_eq!(client.answer(), SERVED);
+    // Two requests and an empty query at once, then the end of sending: all are answered, in order.
+    client.send(&order);
+    client.send("");
+    client.send(&order);
+    client.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!([client.answer(), client.answer(), client.answer()], [SERVED, b"IZ", SERVED]);
+    assert_eq!(client.stream.read(&mut [0]).unwrap(), 0, "then it is closed");
+    for asked in primary.asked() {
+        let (before, rest) = asked.split_once(",d=").unwrap();
+        let (wait, after) = rest.split_once(',').unwrap();
+        assert_eq!(format!("{before},d=3000,{after}"), order);
+        assert!((2000..=3000).contains(&wait.parse::<u32>().unwrap()), "{wait}");
+    }
+    assert_eq!(primary.asked().len(), 3);
+}
+
+#[test]
+fn every_request_is_answered_though_its_db_hosts_are_in_trouble() {
+    let dead = Host { addr: "127.0.0.1:1".parse().unwrap(), ..Host::well(false) };
+    let garbage = Host::start(|query| match query {
+        "SHOW load" => Do::Say(b"\xff\xff\xff\xff\xff\xff".to_vec()),
+        _ => Do::Say(b"T\0\0\0\x01".to_vec()),
+    });
+    let silent = Host::start(|_| Do::Nothing);
+    for (host, least) in [(&dead, 0), (&garbage, 0), (&silent, 1)] {
+        let gateway = Gateway::pair(host, host);
+        for class in ["order", "view"] {
+            let start = Instant::now();
+            let mut client = gateway.client();
+            assert_eq!(client.ask(&statement(class, 700, ",k=1")), ERROR, "{class}");
+            assert!(start.elapsed() < Duration::from_secs(5));
+            assert!(host.asked().len() >= least);
+        }
+    }
+}
+
+#[test]
+fn a_request_that_cannot_be_served_is_refused_at_once_with_the_time_to_come_back() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    let mut client = gateway.client();
+    let other_group = statement("order", 3000, "").replace("cluster=2", "cluster=3");
+    assert_eq!(client.ask(&other_group), ERROR);
+    assert!(client.error.contains("|C53300|") && client.error.contains("|D2000|"), "{}", client.error);
+}
+
+#[test]
+fn no_effect_is_done_twice_at_a_time() {
+    // The first copy breaks, the second is never answered, so the third must wait for its connection's end.
+    static OUT: AtomicU32 = AtomicU32::new(0);
+    let primary = Host::start(|query| match query {
+        "SHOW load" => well(true, query),
+        _ => match OUT.fetch_add(1, Ordering::SeqCst) {
+            0 => Do::Break,
+            _ => Do::Nothing,
+        },
+    });
+    let replica = Host::well(false);
+    let gateway = Gateway::pair(&primary, &replica);
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&statement("order", 900, ",k=1")), ERROR);
+    // It may have run, so it has failed and was not refused.
+    assert!(client.error.contains("|C40003|"), "{}", client.error);
+    assert!(primary.asked().len() <= 2 && replica.asked().is_empty(), "{:?}", primary.asked());
+}
+
+#[test]
+fn a_draining_db_host_gets_nothing_new() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
+    assert_eq!((primary.asked().len(), replica.asked().len()), (0, 1));
+    let drain = entry("s-b", &replica, "replica", "Terminating", 0);
+    gateway.news.send(list(42, false, &[drain])).unwrap();
+    // It has been heard of within the time that the rule allows.
+    thread::sleep(Duration::from_millis(250));
+    for _ in 0..10 {
+        assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
+    }
+    assert_eq!((primary.asked().len(), replica.asked().len()), (10, 1));
+}
+
+#[test]
+fn a_db_host_that_has_just_started_is_spared() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let entries = [
+        entry("s-a", &primary, "primary", "Ready", 0),
+        entry("s-b", &replica, "replica", "Ready", unix_ms()),
+    ];
+    let gateway = Gateway::start(&list(41, true, &entries));
+    let mut client = gateway.client();
+    for _ in 0..40 {
+        assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
+    }
+    let (cold, warm) = (replica.asked().len(), primary.asked().len());
+    assert!(cold < warm, "{cold} to the cold replica, {warm} to the warm primary");
+}
+
+#[test]
+fn no_read_goes_to_a_replica_that_is_too_far_behind() {
+    let primary = Host::well(true);
+    let replica = Host::start(|query| match query {
+        "SHOW load" => Do::Say(report(false, 60_000)),
+        _ => Do::Say(
+            frame(b'E', b"SERROR\0C72000\0Mbehind\0\0").into_iter().chain(frame(b'Z', b"I")).collect(),
+        ),
+    });
+    let gateway = Gateway::pair(&primary, &replica);
+    let mut client = gateway.client();
+    for _ in 0..10 {
+        assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
+    }
+    assert_eq!(primary.asked().len(), 10);
+    assert!(replica.asked().len() <= 2, "{} reads were turned away", replica.asked().len());
+}
+
+#[test]
+fn connections_to_db_hosts_are_used_again_and_a_closed_one_is_no_reset() {
+    let (primary, replica) = (
+        Host::start(|query| match query {
+            "SHOW load" => well(true, query),
+            query if query.contains("k=last") => Do::Break,
+            _ => well(true, query),
+        }),
+        Host::well(false),
+    );
+    let gateway = Gateway::pair(&primary, &replica);
+    let mut client = gateway.client();
+    for _ in 0..20 {
+        assert_eq!(client.ask(&statement("order", 3000, ",k=1")), SERVED);
+    }
+    let connections = primary.connections.load(Ordering::SeqCst);
+    assert!(connections <= 2, "one for requests, one for a probe at the same time: {connections}");
+}
+
+#[test]
+fn malformed_clients_are_told_and_closed_and_others_served() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    let query = |text: &[u8]| frame(b'Q', text);
+    let cases: [Vec<u8>; 6] = [
+        query(b"SELECT 1\0"),
+        query(b"no end"),
+        query(b"SELECT '\xff' /* id=1,c=view,d=\xff,cluster=2 */\0"),
+        b"Q\xff\xff\xff\xff".to_vec(),
+        b"Q\0\0\0\0".to_vec(),
+        b"!\0\0\0\x04".to_vec(),
+    ];
+    for case in cases {
+        let mut client = gateway.client();
+        client.stream.write_all(&case).unwrap();
+        assert_eq!(client.answer(), b"E", "{}", case.escape_ascii());
+        assert!(client.error.contains("|C08P01|"), "{}", client.error);
+    }
+    let mut client = gateway.client();
+    client.stream.write_all(&[frame(b'P', b"\0\0\0\0"), frame(b'S', b"")].concat()).unwrap();
+    assert_eq!(client.answer(), ERROR, "extended queries are not taken");
+    assert!(client.error.contains("|C0A000|"));
+    assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
+}
+
+#[test]
+fn sigterm_answers_all_it_has_taken_and_exits_cleanly() {
+    let primary = Host::start(|query| match query {
+        "SHOW load" => well(true, query),
+        _ => Do::SayLater(Duration::from_millis(900), served("primary")),
+    });
+    let replica = Host::well(false);
+    let mut gateway = Gateway::pair(&primary, &replica);
+    let mut early = gateway.client();
+    let mut idle = gateway.client();
+    early.send(&statement("order", 3000, ",k=1"));
+    gateway.terminate();
+    thread::sleep(Duration::from_millis(200));
+    // New connections still come for a while, and are served too.
+    let mut late = gateway.client();
+    late.send(&statement("order", 3000, ",k=2"));
+    assert_eq!(early.answer(), SERVED);
+    assert_eq!(late.answer(), SERVED);
+    assert_eq!(idle.answer(), b"", "closed without a word");
+    assert!(gateway.wait().success(), "{}", gateway.log());
+}
+
+#[test]
+fn a_configuration_at_fault_names_its_key() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let good = format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","limits":{{"sockets":256}},
+        "known":{{"version":1,"full":true,"servers":[]}},"settings":{}}}"#,
+        include_str!("common/settings.json")
+    );
+    let cases = [
+        (r#""sockets":256"#, r#""sockets":"many""#, "limits.sockets: "),
+        (r#""sockets":256"#, r#""sockets":3"#, "limits.sockets: "),
+        (r#""seed":"1""#, r#""seed":"xyz""#, "seed: "),
+        (r#""listen":"127.0.0.1:0""#, r#""listen":"here""#, "listen: "),
+        (r#""AimMs": 500.0"#, r#""AimMs": "soon""#, "settings.Classes[0].AimMs: "),
+        (r#""KeepaliveMs": 30000.0"#, r#""KeepaliveMs": 0"#, "settings.Bounds.KeepaliveMs: "),
+        (r#"["bounded", "write"]"#, r#"["write"]"#, "settings.Domain.Freshness: "),
+    ];
+    for (from, to, named) in cases {
+        assert!(good.contains(from), "{from}");
+        std::fs::write(&path, good.replace(from, to)).unwrap();
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_yewroute"))
+            .env_clear()
+            .env("EDGE_CONFIG", &path)
+            .output()
+            .unwrap();
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(78), "{text}");
+        assert!(text.contains(named), "{text}");
+    }
+}
