--- a/gateway/tests/pages.rs
+++ b/gateway/tests/pages.rs
@@ -11,7 +11,8 @@
             log_formats(&path, found);
         } else if path.extension().is_some_and(|e| e == "rs") {
             let text = fs::read_to_string(&path).unwrap();
-            found.extend(text.split("log!(\"").skip(1).map(|rest| rest.split('"').next().unwrap().to_owned()));
+            found
+                .extend(text.split("log!(\"").skip(1).map(|rest| rest.split('"').next().unwrap().to_owned()));
         }
     }
 }
