--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,17 +1,27 @@
 //! The wire's messages and their translation.
 
 use std::collections::BTreeMap;
+use std::sync::LazyLock;
+use std::time::{Duration, Instant};
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::value::RawValue;
 use uuid::Uuid;
 use yewroute::interface::{
-    Action, Entry, Event, GroupId, ListKind, Ms, Note, Outcome, Phase, Report, Request, RequestId, Role,
+    Action, Entry, Event, GroupId, ListKind, Note, Outcome, Phase, Report, Request, RequestId, Role,
     ServerId, SessionKey, Status,
 };
 use yewroute::Router;
-use yewroute_settings::Deployment;
+use yewroute_settings::{span_ms, Deployment, Span};
+
+/// Where the simulator's clock has its zero. Only times from there on are ever compared, so any instant does.
+static ZERO: LazyLock<Instant> = LazyLock::new(Instant::now);
+
+/// A time on the simulator's clock.
+fn at(time: Span) -> Instant {
+    *ZERO + time.0
+}
 
 /// The numbered lists, shared by the instances of this process.
 pub type Slots = BTreeMap<u8, Vec<Entry>>;
@@ -19,14 +29,14 @@
 /// One instance: its router and where positions are counted from.
 pub struct Host {
     router: Router,
-    base: Ms,
+    base: Instant,
     actions: Vec<Action>,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Batch<'a> {
-    at_time_ms: Ms,
+    at_time_ms: Span,
     #[serde(rename = "inbox", borrow)]
     inbox: Vec<&'a RawValue>,
 }
@@ -56,7 +66,7 @@
 #[serde(rename_all = "PascalCase")]
 struct Member {
     set: u64,
-    ready_at_ms: Option<Ms>,
+    ready_at_ms: Option<Span>,
     #[serde(default)]
     leads: f64,
     phase: WirePhase,
@@ -92,9 +102,9 @@
 struct Submit {
     op_id: Id,
     set_no: u64,
-    left_ms: Ms,
+    left_ms: Span,
     resent: Option<bool>,
-    last_write_ms: Option<Ms>,
+    last_write_ms: Option<Span>,
     grade: usize,
     key: Option<u64>,
 }
@@ -112,7 +122,7 @@
     n: u32,
     server: u32,
     state_code: WireStatus,
-    spent_ms: Ms,
+    spent_ms: Span,
     finished: bool,
     progress: Option<u64>,
     usage: Option<Usage>,
@@ -183,20 +193,20 @@
 #[derive(Serialize)]
 #[serde(tag = "t", rename_all = "SCREAMING_SNAKE_CASE", rename_all_fields = "PascalCase")]
 enum WireAction {
-    Place { op_id: Uuid, cut_at_ms: Ms, server: u32 },
-    NotNow { op_id: Uuid, retry_after_ms: Option<Ms> },
+    Place { op_id: Uuid, cut_at_ms: f64, server: u32 },
+    NotNow { op_id: Uuid, retry_after_ms: Option<f64> },
     GiveUp { op_id: Uuid },
     Probe { server: u32 },
     Release { server: u32 },
     StreamChanges { active: bool },
-    Arm { delay_ms: Ms, name: u64 },
+    Arm { delay_ms: f64, name: u64 },
 }
 
 /// Plays one line: a batch of events in, the reply line out.
 pub fn batch(line: &[u8], hosts: &mut BTreeMap<u64, Host>, slots: &mut Slots) -> Result<Vec<u8>, String> {
     let text = std::str::from_utf8(line).map_err(|e| format!("not UTF-8: {e}"))?;
     let batch: Batch = serde_json::from_str(text).map_err(|e| format!("malformed batch: {e}"))?;
-    let now = batch.at_time_ms;
+    let now = at(batch.at_time_ms);
     let mut played: Vec<(u64, Action)> = Vec::new();
     for raw in batch.inbox {
         let head: Head = parse("event", raw)?;
@@ -239,7 +249,7 @@
     fn new(born: Born) -> Result<Self, String> {
         let deployment = Deployment::from_json(born.conf.get()).map_err(|e| format!("BORN: Conf.{e}"))?;
         let router = Router::new(deployment.module, born.prng).map_err(|e| format!("BORN: {e}"))?;
-        Ok(Self { router, base: deployment.base, actions: Vec::new() })
+        Ok(Self { router, base: at(Span(deployment.base)), actions: Vec::new() })
     }
 
     fn event(&self, kind: &str, raw: &RawValue, slots: &Slots) -> Result<Option<Event>, String> {
@@ -266,10 +276,10 @@
                     id: submit.op_id.0,
                     class: submit.grade,
                     group: GroupId(submit.set_no),
-                    left: submit.left_ms,
+                    left: submit.left_ms.0,
                     resent: submit.resent.unwrap_or(false),
                     session: submit.key.map(SessionKey),
-                    last_write_age: submit.last_write_ms,
+                    last_write_age: submit.last_write_ms.map(|span| span.0),
                 })
             }
             "FIRED" => Event::Timer(parse::<Fired>(kind, raw)?.name),
@@ -280,7 +290,7 @@
                     attempt: reply.n,
                     server: ServerId(reply.server),
                     status: reply.state_code.status(),
-                    elapsed: reply.spent_ms,
+                    elapsed: reply.spent_ms.0,
                     finished: reply.finished,
                     note: self.note(reply.progress.unwrap_or(0)),
                     report: self.report(reply.usage),
@@ -307,14 +317,24 @@
             2 => Some(Role::Replica),
             _ => None,
         };
-        let position = (progress >= 4).then_some(self.base + (progress / 4) as Ms);
+        let position = (progress >= 4).then(|| self.base + Duration::from_millis(progress / 4));
         Note { role, position }
     }
 
+    /// So many seconds after the count's start, or before it.
+    fn position(&self, seconds: f64) -> Option<Instant> {
+        let span = Duration::try_from_secs_f64(seconds.abs()).ok()?;
+        if seconds < 0.0 {
+            self.base.checked_sub(span)
+        } else {
+            self.base.checked_add(span)
+        }
+    }
+
     fn report(&self, usage: Option<Usage>) -> Report {
         let Some(usage) = usage else { return Report::default() };
         let role = usage.x1.map(|x1| if x1 == 1.0 { Role::Primary } else { Role::Replica });
-        Report { role, position: usage.x0.map(|seconds| self.base + seconds * 1000.0) }
+        Report { role, position: usage.x0.and_then(|seconds| self.position(seconds)) }
     }
 }
 
@@ -323,7 +343,7 @@
         Entry {
             server: ServerId(self.server),
             group: GroupId(self.set),
-            started: self.ready_at_ms.filter(|at| *at != 0.0),
+            started: self.ready_at_ms.filter(|at| !at.0.is_zero()).map(at),
             primary: self.leads == 1.0,
             phase: match self.phase {
                 WirePhase::Serving => Phase::Serving,
@@ -353,17 +373,19 @@
 fn tagged(gateway: u64, action: &Action) -> Tagged {
     let op = |id: &RequestId| Uuid::from_u128(id.0);
     let action = match action {
-        Action::Send { request, server, cut_at } => {
-            WireAction::Place { op_id: op(request), cut_at_ms: *cut_at, server: server.0 }
-        }
+        Action::Send { request, server, cut_at } => WireAction::Place {
+            op_id: op(request),
+            cut_at_ms: span_ms(cut_at.saturating_duration_since(*ZERO)),
+            server: server.0,
+        },
         Action::Refuse { request, retry_after } => {
-            WireAction::NotNow { op_id: op(request), retry_after_ms: *retry_after }
+            WireAction::NotNow { op_id: op(request), retry_after_ms: retry_after.map(span_ms) }
         }
         Action::Fail(request) => WireAction::GiveUp { op_id: op(request) },
         Action::Probe(server) => WireAction::Probe { server: server.0 },
         Action::Close(server) => WireAction::Release { server: server.0 },
         Action::Subscribe => WireAction::StreamChanges { active: true },
-        Action::Timer { delay, name } => WireAction::Arm { delay_ms: *delay, name: *name },
+        Action::Timer { delay, name } => WireAction::Arm { delay_ms: span_ms(*delay), name: *name },
     };
     Tagged { gateway, action }
 }
--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -1,62 +1,63 @@
-//! The only map between `Instant`, the module's times and Unix positions.
+//! The only map between Unix positions and the times that the module and the rest of the gateway use.
 //!
-//! The module's clock here is Unix time in milliseconds, so that positions, which db hosts give in that form,
-//! need no further origin. It is read off the system once and moves on with `Instant` from there.
+//! Unix time is read off the system once and moves on with `Instant` from there.
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use yewroute::interface::Ms;
-
 /// Maps times.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
-    unix: Ms,
+    unix: Duration,
 }
 
 impl Clock {
     /// A clock that takes the system's word for what time it is now.
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { origin: Instant::now(), unix: span(unix) }
+        Self { origin: Instant::now(), unix }
     }
 
     /// A clock on which `origin` is `unix`.
     #[cfg(test)]
     pub fn at(origin: Instant, unix: Duration) -> Self {
-        Self { origin, unix: span(unix) }
+        Self { origin, unix }
     }
 
-    /// The module's time at `at`.
-    pub fn ms(&self, at: Instant) -> Ms {
-        self.unix + span(at.saturating_duration_since(self.origin))
+    /// Unix time at `at`.
+    pub fn unix(&self, at: Instant) -> Duration {
+        self.unix + at.saturating_duration_since(self.origin)
     }
 
-    /// When the module's time is `at`.
-    pub fn instant(&self, at: Ms) -> Instant {
-        self.origin + duration(at - self.unix)
+    /// When a position is, given as Unix time in milliseconds; none if no clock reaches that far.
+    pub fn position(&self, unix_ms: u64) -> Option<Instant> {
+        self.instant(Duration::from_millis(unix_ms))
     }
 
-    /// The module's time at a Unix position.
-    pub fn position(unix_ms: u64) -> Ms {
-        unix_ms as Ms
+    /// When a load report's position is, given as Unix time in seconds.
+    pub fn reported(&self, unix_seconds: f64) -> Option<Instant> {
+        self.instant(Duration::try_from_secs_f64(unix_seconds).ok()?)
     }
 
-    /// The module's time at a position that a load report gives.
-    pub fn reported(unix_seconds: f64) -> Ms {
-        unix_seconds * 1000.0
+    fn instant(&self, unix: Duration) -> Option<Instant> {
+        match unix.checked_sub(self.unix) {
+            Some(later) => self.origin.checked_add(later),
+            None => self.origin.checked_sub(self.unix - unix),
+        }
     }
 }
 
-/// A span as the module has it.
-pub fn span(span: Duration) -> Ms {
-    span.as_secs_f64() * 1000.0
-}
-
-/// A span of the module's; none below zero, and at most a day.
-pub fn duration(ms: Ms) -> Duration {
-    const DAY_MS: Ms = 86_400_000.0;
-    // NaN fails both comparisons that clamp makes and would reach the conversion.
-    let ms = if ms.is_nan() { 0.0 } else { ms.clamp(0.0, DAY_MS) };
-    Duration::from_secs_f64(ms / 1000.0)
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn positions_before_and_after_the_start_and_such_as_are_none() {
+        let origin = Instant::now();
+        let clock = Clock::at(origin, Duration::from_secs(1_767_225_600));
+        assert_eq!(clock.position(1_767_225_600_250), Some(origin + Duration::from_millis(250)));
+        assert_eq!(clock.reported(1_767_225_599.5), origin.checked_sub(Duration::from_millis(500)));
+        assert_eq!(clock.unix(origin + Duration::from_secs(1)), Duration::from_secs(1_767_225_601));
+        assert_eq!([clock.reported(-1.0), clock.reported(f64::NAN), clock.reported(1e300)], [None; 3]);
+    }
 }
--- a/gateway/src/core/admit.rs
+++ b/gateway/src/core/admit.rs
@@ -1,7 +1,6 @@
 //! Sees whether a request can be held at all.
 
 use super::{Answer, Ask, Core};
-use crate::clock;
 
 /// Bytes of held requests: well inside the memory limit, with the connections' own buffers beside them.
 const MOST_BYTES: usize = 48 * 1024 * 1024;
@@ -10,7 +9,7 @@
     /// The class of a request that is let in, or the answer to one that is not.
     pub(super) fn admit(&self, ask: &Ask) -> Result<usize, Answer> {
         let limits = &self.deployment.module.limits;
-        let retry_after = limits.retry_after.then(|| clock::duration(limits.max_retry_after));
+        let retry_after = limits.retry_after.then_some(limits.max_retry_after);
         let refused = Answer::Refused { retry_after };
         let class = self.deployment.class_names.iter().position(|name| *name == ask.class);
         // Guards against: running out of memory in a jam. Refusing is harmless, nothing has been sent.
--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -5,7 +5,7 @@
 use yewroute::interface::{Event, ListKind, Note, Outcome, Report, ServerId, Status};
 
 use super::{Answer, AttemptId, Core, Effect, Ended, HostNote};
-use crate::clock::{self, Clock};
+use crate::clock::Clock;
 use crate::proto::catalog::Members;
 
 impl Core {
@@ -25,10 +25,13 @@
             attempt: number,
             server: attempt.server,
             status: ended.status,
-            elapsed: clock::span(now.saturating_duration_since(attempt.sent)),
+            elapsed: now.saturating_duration_since(attempt.sent),
             finished,
-            note: Note { role: ended.note.role, position: ended.note.applied_ms.map(Clock::position) },
-            report: report(&ended.note),
+            note: Note {
+                role: ended.note.role,
+                position: ended.note.applied_ms.and_then(|ms| self.clock.position(ms)),
+            },
+            report: report(&ended.note, &self.clock),
         };
         self.route(now, Event::Outcome(outcome), effects);
     }
@@ -40,13 +43,13 @@
         ended: &Ended,
         effects: &mut Vec<Effect>,
     ) {
-        let event = Event::Probed { server, status: ended.status, report: report(&ended.note) };
+        let event = Event::Probed { server, status: ended.status, report: report(&ended.note, &self.clock) };
         self.route(now, event, effects);
     }
 
     pub(super) fn book_members(&mut self, now: Instant, members: Members, effects: &mut Vec<Effect>) {
         let kind = if members.full { ListKind::Whole } else { ListKind::Patch };
-        let entries = self.directory.learn(&members);
+        let entries = self.directory.learn(&members, &self.clock);
         self.route(now, Event::List { kind, entries }, effects);
     }
 
@@ -55,6 +58,6 @@
     }
 }
 
-fn report(note: &HostNote) -> Report {
-    Report { role: note.report_role, position: note.report_position.map(Clock::reported) }
+fn report(note: &HostNote, clock: &Clock) -> Report {
+    Report { role: note.report_role, position: note.report_position.and_then(|at| clock.reported(at)) }
 }
--- a/gateway/src/core/directory.rs
+++ b/gateway/src/core/directory.rs
@@ -36,16 +36,16 @@
     }
 
     /// Takes news and gives the entries as the module has them.
-    pub fn learn(&mut self, news: &Members) -> Vec<Entry> {
+    pub fn learn(&mut self, news: &Members, clock: &Clock) -> Vec<Entry> {
         self.version = news.version;
         if news.full {
             // Who is not in a full list is gone.
             self.members.iter_mut().for_each(|member| member.serving = false);
         }
-        news.servers.iter().map(|member| self.entry(member)).collect()
+        news.servers.iter().map(|member| self.entry(member, clock)).collect()
     }
 
-    fn entry(&mut self, member: &Member) -> Entry {
+    fn entry(&mut self, member: &Member, clock: &Clock) -> Entry {
         let listed = Listed { addr: member.addr, serving: member.state == State::Ready };
         let server = match self.numbers.get(&member.id) {
             Some(server) => {
@@ -62,7 +62,7 @@
         Entry {
             server,
             group: GroupId(member.cell),
-            started: (member.started_ms != 0).then(|| Clock::position(member.started_ms)),
+            started: Some(member.started_ms).filter(|ms| *ms != 0).and_then(|ms| clock.position(ms)),
             primary: member.role == Some(Role::Primary),
             phase: match member.state {
                 State::Ready => Phase::Serving,
--- a/gateway/src/core/route.rs
+++ b/gateway/src/core/route.rs
@@ -5,13 +5,12 @@
 use yewroute::interface::{Action, Event, ListKind};
 
 use super::{Answer, Core, Due, Effect};
-use crate::clock;
 use crate::proto::catalog::Members;
 
 impl Core {
     /// The module's first event: the list as it was last known.
     pub(super) fn begin(&mut self, now: Instant, known: Members, effects: &mut Vec<Effect>) {
-        let entries = self.directory.learn(&known);
+        let entries = self.directory.learn(&known, &self.clock);
         self.route(now, Event::List { kind: ListKind::Stale, entries }, effects);
     }
 
@@ -20,7 +19,7 @@
         self.events.push_back(event);
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.router.handle(self.clock.ms(now), event, &mut actions);
+            self.router.handle(now, event, &mut actions);
             for action in actions.drain(..) {
                 self.act(now, action, effects);
             }
@@ -32,14 +31,13 @@
         match action {
             Action::Send { request, server, cut_at } => self.send(now, request, server, cut_at, effects),
             Action::Refuse { request, retry_after } => {
-                let retry_after = retry_after.map(clock::duration);
                 self.relay(request, Answer::Refused { retry_after }, effects);
             }
             Action::Fail(request) => self.relay(request, Answer::Failed, effects),
             Action::Probe(server) => effects.push(Effect::Probe(server)),
             Action::Close(server) => effects.push(Effect::CloseIdle(server)),
             Action::Subscribe => effects.push(Effect::Watch(self.directory.version())),
-            Action::Timer { delay, name } => self.timers.set(now + clock::duration(delay), Due::Module(name)),
+            Action::Timer { delay, name } => self.timers.set(now + delay, Due::Module(name)),
         }
     }
 }
--- a/gateway/src/core/send.rs
+++ b/gateway/src/core/send.rs
@@ -1,9 +1,9 @@
 //! Starts attempts.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use yewroute::interface::{Event, Ms, Note, Outcome, Report, RequestId, ServerId, Status};
+use yewroute::interface::{Event, Note, Outcome, Report, RequestId, ServerId, Status};
 
 use super::{Attempt, Core, Effect};
 
@@ -13,7 +13,7 @@
         now: Instant,
         id: RequestId,
         server: ServerId,
-        cut_at: Ms,
+        cut_at: Instant,
         effects: &mut Vec<Effect>,
     ) {
         let (number, body) = match self.held.get_mut(&id) {
@@ -35,7 +35,7 @@
         };
         let attempt = (id, number);
         self.attempts.insert(attempt, Attempt { server, sent: now });
-        effects.push(Effect::Start { attempt, server, body, cut_at: self.clock.instant(cut_at) });
+        effects.push(Effect::Start { attempt, server, body, cut_at });
     }
 }
 
@@ -45,7 +45,7 @@
         attempt,
         server,
         status: Status::NotSent,
-        elapsed: 0.0,
+        elapsed: Duration::ZERO,
         finished: true,
         note: Note::default(),
         report: Report::default(),
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -7,7 +7,6 @@
 use yewroute::interface::{Event, GroupId, Request, RequestId, SessionKey};
 
 use super::{Ask, ClientId, Core, Due, Effect, Held};
-use crate::clock::{self, Clock};
 
 /// How long after its time a request that nobody answered is failed here: later than the module's own last
 /// moment, sooner than the rules' slack ends.
@@ -29,7 +28,7 @@
             id,
             class,
             group: GroupId(ask.group),
-            left: clock::span(ask.wait),
+            left: ask.wait,
             resent: ask.resent,
             session: self.deployment.sessions[class].then(|| session(&ask.key)),
             last_write_age: ask.after.map(|after| self.age(now, after)),
@@ -43,9 +42,9 @@
 
     /// How long ago a commit was. Commits are rounded up, so one may seem to come; it is over all the same, and
     /// an age of nothing would stand for no write.
-    fn age(&self, now: Instant, after: u64) -> f64 {
-        const LEAST_MS: f64 = 0.001;
-        (self.clock.ms(now) - Clock::position(after)).max(LEAST_MS)
+    fn age(&self, now: Instant, after: u64) -> Duration {
+        const LEAST: Duration = Duration::from_micros(1);
+        self.clock.unix(now).saturating_sub(Duration::from_millis(after)).max(LEAST)
     }
 }
 
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Deserializer};
 use thiserror::Error;
 use yewroute::interface::{
-    Class, Discovery, Effect, Freshness, KeyScope, Limits, ListRole, Ms, Rules, Settings, Tokens, WhenBehind,
+    Class, Discovery, Effect, Freshness, KeyScope, Limits, ListRole, Rules, Settings, Tokens, WhenBehind,
 };
 
 /// What is wrong, and with which key.
@@ -55,8 +55,8 @@
     pub module: Settings,
     /// The names of the classes, in the module's order.
     pub class_names: Vec<String>,
-    /// Where the simulator counts positions from, on its own clock.
-    pub base: Ms,
+    /// Where the simulator counts positions from, as a span from its clock's zero.
+    pub base: Duration,
     /// A connection that is not up after this counts as failed.
     pub connect_timeout: Duration,
     /// A db host closes a connection that has been idle for so long.
@@ -99,7 +99,7 @@
     #[serde(default = "max_open")]
     max_open: usize,
     #[serde(default)]
-    max_retry_after_ms: Ms,
+    max_retry_after_ms: Span,
     probing: bool,
     retry_after: bool,
 }
@@ -107,9 +107,9 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireClass {
-    aim_ms: Ms,
+    aim_ms: Span,
     credit: f64,
-    deadline_ms: Ms,
+    deadline_ms: Span,
     effect: WireEffect,
     #[serde(default)]
     key_scope: Option<String>,
@@ -118,7 +118,7 @@
     #[serde(default)]
     name: String,
     #[serde(default)]
-    repeat_window_ms: Option<Ms>,
+    repeat_window_ms: Option<Span>,
 }
 
 #[derive(Deserialize)]
@@ -139,9 +139,9 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Domain {
-    base_time_ms: Ms,
+    base_time_ms: Span,
     freshness: Vec<WireFreshness>,
-    lag_allowed_ms: Vec<Ms>,
+    lag_allowed_ms: Vec<Span>,
     shows_role: WireListRole,
     tokens: WireTokens,
     when_behind: WireBehind,
@@ -183,24 +183,33 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct WireRules {
-    cold_ms: Ms,
-    fall_ms: Ms,
+    cold_ms: Span,
+    fall_ms: Span,
     #[serde(default)]
-    must_ask_in_ms: Option<Ms>,
+    must_ask_in_ms: Option<Span>,
     start_capacity: f64,
     tip_multiple: f64,
     #[serde(default)]
     soft_removal: Option<bool>,
 }
 
-/// A span, given in milliseconds.
-struct Span(Duration);
+/// A span in milliseconds, as the wire and the settings give it.
+pub fn span_ms(span: Duration) -> f64 {
+    // By whole nanoseconds: what came as a decimal fraction goes out as the same.
+    span.as_nanos() as f64 / 1e6
+}
+
+/// A span, given in milliseconds; none by default.
+#[derive(Clone, Copy, Default)]
+pub struct Span(pub Duration);
 
 impl<'de> Deserialize<'de> for Span {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        /// Far more than any deployment needs, and far from where adding to an `Instant` overflows.
+        const LONGEST: Duration = Duration::from_secs(10 * 365 * 86_400);
         let ms = f64::deserialize(deserializer)?;
-        let span = Duration::try_from_secs_f64(ms / 1000.0);
-        span.map(Self).map_err(|_| serde::de::Error::custom(format!("{ms} ms is no span of time")))
+        let span = Duration::try_from_secs_f64(ms / 1000.0).ok().filter(|span| *span <= LONGEST);
+        span.map(Self).ok_or_else(|| serde::de::Error::custom(format!("{ms} ms is no span of time")))
     }
 }
 
@@ -243,7 +252,7 @@
                     } else {
                         KeyScope::Group
                     },
-                    window: class.repeat_window_ms.ok_or_else(|| {
+                    window: class.repeat_window_ms.map(|span| span.0).ok_or_else(|| {
                         Fault::at(
                             format!("Classes[{index}].RepeatWindowMs"),
                             "missing for a deduplicated class",
@@ -255,13 +264,13 @@
                 WireFreshness::Write => Freshness::Write,
                 WireFreshness::Fresh => Freshness::Fresh,
                 WireFreshness::Session => Freshness::Session,
-                WireFreshness::Bounded => Freshness::Bounded(bound),
+                WireFreshness::Bounded => Freshness::Bounded(bound.0),
                 WireFreshness::Any => Freshness::Any,
             };
             class_names.push(class.name);
             classes.push(Class {
-                aim: class.aim_ms,
-                deadline: class.deadline_ms,
+                aim: class.aim_ms.0,
+                deadline: class.deadline_ms.0,
                 worth: class.credit,
                 late_worth: class.late_worth,
                 effect,
@@ -303,23 +312,23 @@
             },
             limits: Limits {
                 max_attempts: conf.bounds.max_attempts,
-                max_retry_after: conf.bounds.max_retry_after_ms,
+                max_retry_after: conf.bounds.max_retry_after_ms.0,
                 probes: conf.bounds.probing,
                 retry_after: conf.bounds.retry_after,
             },
             rules: Rules {
                 start_capacity: conf.rules.start_capacity,
-                cold: conf.rules.cold_ms,
+                cold: conf.rules.cold_ms.0,
                 tip_multiple: conf.rules.tip_multiple,
-                fall: conf.rules.fall_ms,
-                must_ask_in: conf.rules.must_ask_in_ms.unwrap_or(Ms::MAX),
+                fall: conf.rules.fall_ms.0,
+                must_ask_in: conf.rules.must_ask_in_ms.map_or(Duration::MAX, |span| span.0),
                 soft_removal: conf.rules.soft_removal.unwrap_or(false),
             },
         };
         Ok(Deployment {
             module,
             class_names,
-            base: domain.base_time_ms,
+            base: domain.base_time_ms.0,
             connect_timeout,
             keepalive,
             max_open: conf.bounds.max_open,
@@ -327,3 +336,37 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn spans_are_neither_negative_nor_endless() {
+        let span = |text| parse::<Span>(text).map(|span| span.0).map_err(|fault| fault.to_string());
+        assert_eq!(span("8412.25"), Ok(Duration::from_micros(8_412_250)));
+        for text in ["-1.0", "1e18", "1e300"] {
+            assert!(span(text).unwrap_err().contains("no span of time"), "{text}");
+        }
+    }
+
+    #[test]
+    fn a_span_goes_out_as_it_came() {
+        for ms in [1100.5, 620_894_735.627, 0.0, 8492.25] {
+            assert_eq!(span_ms(Duration::from_secs_f64(ms / 1000.0)), ms);
+        }
+    }
+
+    #[test]
+    fn a_fault_names_its_key_from_the_root() {
+        #[derive(Debug, Deserialize)]
+        struct Inner {
+            #[serde(rename = "Key")]
+            _key: u32,
+        }
+        let fault = parse::<Vec<Inner>>(r#"[{"Key":1},{"Key":"x"}]"#).unwrap_err();
+        assert_eq!(fault.key, "[1].Key");
+        assert_eq!(fault.inside("settings").key, "settings.[1].Key");
+        assert_eq!(Fault::at(".", "odd").inside("settings").key, "settings");
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -13,10 +13,9 @@
 //! not know (any more) change nothing but what they teach about the server, a repeated request id is ignored,
 //! and a request of an unlisted class is refused.
 
-use thiserror::Error;
+use std::time::{Duration, Instant};
 
-/// A time or a span in milliseconds. Times are on the embedding gateway's own clock, with any origin.
-pub type Ms = f64;
+use thiserror::Error;
 
 /// Names one client request; never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -44,7 +43,7 @@
         /// Where repeats are recognised.
         scope: KeyScope,
         /// For how long.
-        window: Ms,
+        window: Duration,
     },
     /// Must never run twice.
     AtMostOnce,
@@ -69,7 +68,7 @@
     /// It sees its session's writes.
     Session,
     /// Its data is no older than this when it is sent.
-    Bounded(Ms),
+    Bounded(Duration),
     /// Any member may answer it.
     Any,
 }
@@ -78,9 +77,9 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Answered inside this time it earns its full worth.
-    pub aim: Ms,
+    pub aim: Duration,
     /// The client gives up after this time, over all its tries.
-    pub deadline: Ms,
+    pub deadline: Duration,
     /// What an answer inside the aim is worth.
     pub worth: f64,
     /// Share of the worth left for an answer after the aim.
@@ -135,7 +134,7 @@
     /// The most attempts for one request.
     pub max_attempts: u32,
     /// The longest wait that clients follow.
-    pub max_retry_after: Ms,
+    pub max_retry_after: Duration,
     /// [`Action::Probe`] may be used.
     pub probes: bool,
     /// Clients are told when to come back.
@@ -148,13 +147,13 @@
     /// A started server has at least this share of its capacity.
     pub start_capacity: f64,
     /// And is warm no later than this.
-    pub cold: Ms,
+    pub cold: Duration,
     /// Sent more than this multiple of its present capacity ...
     pub tip_multiple: f64,
     /// ... for this long, a cold server falls over.
-    pub fall: Ms,
+    pub fall: Duration,
     /// Where the list must be asked for: the longest time without asking.
-    pub must_ask_in: Ms,
+    pub must_ask_in: Duration,
     /// Only servers listed as draining are barred; leaving the list proves nothing.
     pub soft_removal: bool,
 }
@@ -210,7 +209,7 @@
     /// Its group.
     pub group: GroupId,
     /// When it last started; none means long ago.
-    pub started: Option<Ms>,
+    pub started: Option<Instant>,
     /// The list takes it for its group's primary.
     pub primary: bool,
     /// Whether it takes requests.
@@ -240,13 +239,13 @@
     /// Its group.
     pub group: GroupId,
     /// Time left before the client abandons this try.
-    pub left: Ms,
+    pub left: Duration,
     /// The client marked it as a repeat.
     pub resent: bool,
     /// Its session, for writes and session reads.
     pub session: Option<SessionKey>,
     /// With carried tokens: how long ago the session's last write was committed.
-    pub last_write_age: Option<Ms>,
+    pub last_write_age: Option<Duration>,
 }
 
 /// A server's role in its group.
@@ -264,7 +263,7 @@
     /// The role it has.
     pub role: Option<Role>,
     /// Every commit up to this time is applied there; for a served write, its commit.
-    pub position: Option<Ms>,
+    pub position: Option<Instant>,
 }
 
 /// What a server says of itself, as of some moments ago.
@@ -273,7 +272,7 @@
     /// The role it had.
     pub role: Option<Role>,
     /// Every commit up to this time was applied there.
-    pub position: Option<Ms>,
+    pub position: Option<Instant>,
 }
 
 /// How an attempt or a probe ended.
@@ -319,7 +318,7 @@
     /// How it ended.
     pub status: Status,
     /// How long ago it was sent.
-    pub elapsed: Ms,
+    pub elapsed: Duration,
     /// The request has its final answer.
     pub finished: bool,
     /// What the answer says of its server.
@@ -372,14 +371,14 @@
         /// Where to.
         server: ServerId,
         /// When it is abandoned.
-        cut_at: Ms,
+        cut_at: Instant,
     },
     /// Final answer: a further try is harmless.
     Refuse {
         /// The request.
         request: RequestId,
         /// When the client should come back.
-        retry_after: Option<Ms>,
+        retry_after: Option<Duration>,
     },
     /// Final answer: failed, and nothing is promised.
     Fail(RequestId),
@@ -392,7 +391,7 @@
     /// Set a timer.
     Timer {
         /// How long from now.
-        delay: Ms,
+        delay: Duration,
         /// Given back when due.
         name: u64,
     },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,18 +5,19 @@
 //! gets back. [`interface`] says who calls what, in which order, and what is promised.
 //!
 //! ```
+//! use std::time::{Duration, Instant};
 //! use yewroute::interface::*;
 //! use yewroute::Router;
 //!
 //! let class = |freshness, effect| Class {
-//!     aim: 300.0,
-//!     deadline: 1000.0,
+//!     aim: Duration::from_millis(300),
+//!     deadline: Duration::from_secs(1),
 //!     worth: 1.0,
 //!     late_worth: 0.0,
 //!     effect,
 //!     freshness,
 //! };
-//! let keyed = Effect::Deduplicated { scope: KeyScope::Group, window: 2000.0 };
+//! let keyed = Effect::Deduplicated { scope: KeyScope::Group, window: Duration::from_secs(2) };
 //! let settings = Settings {
 //!     gateways: 1,
 //!     classes: vec![
@@ -29,16 +30,16 @@
 //!     discovery: Discovery::Automatic,
 //!     limits: Limits {
 //!         max_attempts: 4,
-//!         max_retry_after: 0.0,
+//!         max_retry_after: Duration::ZERO,
 //!         probes: true,
 //!         retry_after: false,
 //!     },
 //!     rules: Rules {
 //!         start_capacity: 0.2,
-//!         cold: 10_000.0,
+//!         cold: Duration::from_secs(10),
 //!         tip_multiple: 2.0,
-//!         fall: 1000.0,
-//!         must_ask_in: 10_000.0,
+//!         fall: Duration::from_secs(1),
+//!         must_ask_in: Duration::from_secs(10),
 //!         soft_removal: false,
 //!     },
 //! };
@@ -53,19 +54,20 @@
 //!     phase: Phase::Serving,
 //! };
 //! let entries = vec![entry(10, true), entry(11, false)];
-//! router.handle(0.0, Event::List { kind: ListKind::Stale, entries }, &mut actions);
+//! let now = Instant::now();
+//! router.handle(now, Event::List { kind: ListKind::Stale, entries }, &mut actions);
 //!
 //! let request = |id, class| Request {
 //!     id: RequestId(id),
 //!     class,
 //!     group: GroupId(1),
-//!     left: 1000.0,
+//!     left: Duration::from_secs(1),
 //!     resent: false,
 //!     session: None,
 //!     last_write_age: None,
 //! };
-//! router.handle(1.0, Event::Request(request(1, 0)), &mut actions);
-//! router.handle(2.0, Event::Request(request(2, 1)), &mut actions);
+//! router.handle(now + Duration::from_millis(1), Event::Request(request(1, 0)), &mut actions);
+//! router.handle(now + Duration::from_millis(2), Event::Request(request(2, 1)), &mut actions);
 //! for action in &actions {
 //!     println!("{action:?}");
 //! }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use fastrand::Rng;
 
@@ -18,28 +19,28 @@
 /// What a server's failures weigh, when half of that is forgotten, and the limits of what counts.
 const FAILED: f64 = 4.0;
 const TURNED_AWAY: f64 = 1.0;
-const BLAME_HALF_MS: Ms = 3000.0;
+const BLAME_HALF: Duration = Duration::from_secs(3);
 const BLAME_LEAST: f64 = 0.5;
 const BLAME_MOST: f64 = 24.0;
 /// An answer is overdue after this many mean latencies of its class, within the two limits.
 const SILENT_LATENCIES: f64 = 4.0;
-const SILENT_MIN_MS: Ms = 100.0;
-const SILENT_MAX_MS: Ms = 800.0;
+const SILENT_MIN: Duration = Duration::from_millis(100);
+const SILENT_MAX: Duration = Duration::from_millis(800);
 /// A server with a full queue is left alone for about so long.
-const FULL_REST_MS: Ms = 200.0;
+const FULL_REST: Duration = Duration::from_millis(200);
 /// Housekeeping period: well under the shortest deadline, so that a waiting request is answered in time.
-const TICK_MS: Ms = 10.0;
+const TICK_EVERY: Duration = Duration::from_millis(10);
 const TICK: u64 = 0;
 const ASK: u64 = 1;
 /// Probing of a group that looks for its primary, and of servers that do not answer: never without a
 /// request.
-const SEARCH_PROBE_MS: Ms = 200.0;
-const DOWN_PROBE_MS: Ms = 1000.0;
+const SEARCH_PROBE: Duration = Duration::from_millis(200);
+const DOWN_PROBE: Duration = Duration::from_secs(1);
 /// How many replicas a read without a known eligible one has probed, and how long it waits for their word.
 const NEWS_PROBES: usize = 2;
-const NEWS_WAIT_MS: Ms = 40.0;
+const NEWS_WAIT: Duration = Duration::from_millis(40);
 /// A replica that is left out is asked again after this time, one for each read.
-const REFRESH_MS: Ms = 100.0;
+const REFRESH: Duration = Duration::from_millis(100);
 /// Share of a new sample in a running mean, and of a rise in the unloaded one, so that no jam passes for
 /// normal.
 const GAIN: f64 = 0.05;
@@ -65,75 +66,84 @@
 /// A cold server's budget is the multiple that tips it over, divided by this, as handshakes come on top.
 const COLD_MARGIN: f64 = 1.2;
 /// The time over which served work is counted.
-const SERVED_WINDOW_MS: Ms = 4000.0;
+const SERVED_WINDOW: Duration = Duration::from_secs(4);
 /// The mean pause before discovery is asked again.
-const ASK_MS: Ms = 2000.0;
+const ASK_PAUSE: Duration = Duration::from_secs(2);
 /// Unheard of for this long is idle; how much more of what is sent then must be lost; how long doubt lasts.
-const IDLE_MS: Ms = 250.0;
+const IDLE: Duration = Duration::from_millis(250);
 const DOUBT: f64 = 0.4;
 const LOST_GAIN: f64 = 0.2;
-const DOUBT_MS: Ms = 8000.0;
+const DOUBT_FOR: Duration = Duration::from_secs(8);
 /// Reads taking this multiple of the unloaded latency raise the pressure, others lower it; last, chance.
 const JAMMED: f64 = 3.5;
 const PRESSURE_UP: f64 = 0.2;
 const PRESSURE_DOWN: f64 = 0.12;
 const PRESSURE_LEAST: f64 = 0.2;
 /// Role claims in reports are this much older than answers at the most.
-const REPORT_AGE_MS: Ms = 500.0;
+const REPORT_AGE: Duration = Duration::from_millis(500);
 /// How many sessions' commits are remembered before those that all members hold are dropped.
 const SESSIONS_KEPT: usize = 20_000;
-const NEVER: Ms = f64::NEG_INFINITY;
+
+/// How long ago a time was; longer than anything for what has never been.
+fn since(now: Instant, at: Option<Instant>) -> Duration {
+    at.map_or(Duration::MAX, |at| now.saturating_duration_since(at))
+}
+
+/// A running mean after one more sample, which has this share in it.
+fn toward(mean: Duration, sample: Duration, share: f64) -> Duration {
+    mean.mul_f64(1.0 - share) + sample.mul_f64(share)
+}
 
 #[derive(Default)]
 struct Server {
     group: GroupId,
     usable: bool,
-    cold_from: Ms,
-    warm_at: Ms,
+    cold_from: Option<Instant>,
+    warm_at: Option<Instant>,
     weight: f64,
     /// What its failures weigh, as of `blamed_at`; when it last answered anything.
     blame: f64,
-    blamed_at: Ms,
-    heard_at: Ms,
+    blamed_at: Option<Instant>,
+    heard_at: Option<Instant>,
     out: u32,
     limit: f64,
     slowness: f64,
-    position: Ms,
-    position_at: Ms,
+    position: Option<Instant>,
+    position_at: Option<Instant>,
     role: Option<Role>,
-    role_at: Ms,
-    overdue_at: Option<Ms>,
+    role_at: Option<Instant>,
+    overdue_at: Option<Instant>,
     /// Nothing is sent until a probe (or, without probes, time) clears it, nor before `retry_at`.
     down: bool,
     refused: bool,
-    retry_at: Ms,
+    retry_at: Option<Instant>,
     probing: bool,
-    /// Work served lately, in milliseconds of unloaded latency for each millisecond, as of `served_at`.
+    /// Work served lately, in unloaded latency for the time it was served in, as of `served_at`.
     served: f64,
-    served_at: Ms,
-    /// Work that a cold server may be sent: below zero until the next send is due.
-    allowance: f64,
-    allowed_at: Ms,
+    served_at: Option<Instant>,
+    /// Work that a cold server has yet to earn before the next send there is due.
+    owed: Duration,
+    owed_at: Option<Instant>,
 }
 
 struct Pending {
     request: Request,
     /// When it stops being worth an attempt: at its aim where a late answer earns nothing.
-    ends: Ms,
-    floor: Ms,
+    ends: Instant,
+    floor: Option<Instant>,
     sends: u32,
     out: Option<u32>,
-    may_have_run: Option<Ms>,
+    may_have_run: Option<Instant>,
     tried: Vec<ServerId>,
     erred: Vec<ServerId>,
-    asked_at: Option<Ms>,
+    asked_at: Option<Instant>,
 }
 
 struct Attempt {
     server: ServerId,
     weight: f64,
     class: usize,
-    sent: Ms,
+    sent: Instant,
     /// Nothing else of this router was out there; and nothing had been heard from there for a while.
     alone: bool,
     idle: bool,
@@ -144,7 +154,7 @@
     members: Vec<ServerId>,
     primary: Option<ServerId>,
     waiting: Vec<RequestId>,
-    probed_at: Option<Ms>,
+    probed_at: Option<Instant>,
     pressure: f64,
 }
 
@@ -156,18 +166,18 @@
     groups: BTreeMap<GroupId, Group>,
     requests: BTreeMap<RequestId, Pending>,
     attempts: BTreeMap<(RequestId, u32), Attempt>,
-    commits: BTreeMap<SessionKey, Ms>,
+    commits: BTreeMap<SessionKey, Instant>,
     /// A session without a remembered commit may have had one up to here.
-    forgotten: Ms,
+    forgotten: Option<Instant>,
     /// Mean latency by class, and what it is on servers without a queue.
-    latency: Vec<f64>,
-    unloaded: Vec<f64>,
-    whole_try: Vec<Ms>,
+    latency: Vec<Duration>,
+    unloaded: Vec<Duration>,
+    whole_try: Vec<Duration>,
     marks: bool,
     /// Shares of the sends after idleness, and of the others, that stayed unanswered.
     idle_lost: f64,
     other_lost: f64,
-    doubt_until: Ms,
+    doubt_until: Option<Instant>,
 }
 
 impl Router {
@@ -177,7 +187,7 @@
     /// Names the settings field that is inconsistent.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         validate::check(&settings)?;
-        let latency: Vec<f64> = settings.classes.iter().map(|c| c.aim / 4.0).collect();
+        let latency: Vec<Duration> = settings.classes.iter().map(|c| c.aim / 4).collect();
         Ok(Self {
             rng: Rng::with_seed(seed),
             servers: BTreeMap::new(),
@@ -185,20 +195,20 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             commits: BTreeMap::new(),
-            forgotten: NEVER,
+            forgotten: None,
             unloaded: latency.clone(),
-            whole_try: vec![0.0; latency.len()],
+            whole_try: vec![Duration::ZERO; latency.len()],
             marks: false,
             latency,
             idle_lost: 0.0,
             other_lost: 0.0,
-            doubt_until: NEVER,
+            doubt_until: None,
             settings,
         })
     }
 
     /// Takes one event at `now` and appends what is to be done.
-    pub fn handle(&mut self, now: Ms, event: Event, out: &mut Vec<Action>) {
+    pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::List { kind, entries } => self.on_list(now, kind, &entries, out),
             Event::Request(request) => self.on_request(now, request, out),
@@ -207,7 +217,7 @@
                 self.requests.remove(&id);
             }
             Event::Timer(TICK) => {
-                out.push(Action::Timer { delay: TICK_MS, name: TICK });
+                out.push(Action::Timer { delay: TICK_EVERY, name: TICK });
                 self.on_tick(now, out);
             }
             // A stream that has started is an attempt still out.
@@ -217,16 +227,16 @@
         }
     }
 
-    fn on_list(&mut self, now: Ms, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
+    fn on_list(&mut self, now: Instant, kind: ListKind, entries: &[Entry], out: &mut Vec<Action>) {
         if kind == ListKind::Broken {
             // Guards against: discovery out of reach. The list held stays; asking again waits with jitter,
             // so that many gateways do not ask in step, and well inside the must-ask limit.
-            let pause = ASK_MS.min(self.settings.rules.must_ask_in / 3.0);
-            out.push(Action::Timer { delay: pause * (0.5 + self.rng.f64()), name: ASK });
+            let pause = ASK_PAUSE.min(self.settings.rules.must_ask_in / 3);
+            out.push(Action::Timer { delay: pause.mul_f64(0.5 + self.rng.f64()), name: ASK });
             return;
         }
         if kind == ListKind::Stale {
-            out.push(Action::Timer { delay: TICK_MS, name: TICK });
+            out.push(Action::Timer { delay: TICK_EVERY, name: TICK });
             if self.settings.discovery == Discovery::Subscribe {
                 out.push(Action::Subscribe);
             }
@@ -243,8 +253,7 @@
         self.on_tick(now, out);
     }
 
-    fn on_entry(&mut self, now: Ms, kind: ListKind, entry: &Entry) {
-        let started = entry.started.unwrap_or(NEVER);
+    fn on_entry(&mut self, now: Instant, kind: ListKind, entry: &Entry) {
         let fresh = !self.servers.contains_key(&entry.server);
         let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry.group, now));
         match entry.phase {
@@ -252,7 +261,7 @@
             Phase::Draining => server.usable = false,
             Phase::Gone => server.usable = self.settings.rules.soft_removal && server.usable,
         }
-        server.chill(started, &self.settings);
+        server.chill(entry.started, &self.settings);
         let group = self.groups.entry(entry.group).or_default();
         if fresh {
             group.members.push(entry.server);
@@ -268,7 +277,7 @@
         }
     }
 
-    fn on_request(&mut self, now: Ms, request: Request, out: &mut Vec<Action>) {
+    fn on_request(&mut self, now: Instant, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         if self.requests.contains_key(&id) {
             return;
@@ -278,14 +287,14 @@
             return;
         };
         let floor = match class.freshness {
-            Freshness::Fresh => now,
+            Freshness::Fresh => Some(now),
             Freshness::Session if self.settings.tokens == Tokens::Carried => {
-                request.last_write_age.filter(|age| *age > 0.0).map_or(NEVER, |age| now - age)
+                request.last_write_age.filter(|age| !age.is_zero()).and_then(|age| now.checked_sub(age))
             }
             Freshness::Session => {
-                request.session.and_then(|key| self.commits.get(&key).copied()).unwrap_or(self.forgotten)
+                request.session.and_then(|key| self.commits.get(&key).copied()).or(self.forgotten)
             }
-            _ => NEVER,
+            _ => None,
         };
         // Guards against: serving repeats whose aim has passed. A client gives each try the same time until
         // its own deadline cuts that short; one with less than was seen before began a whole deadline
@@ -293,11 +302,11 @@
         // own.
         let deadline = now + request.left;
         let whole = &mut self.whole_try[request.class];
-        *whole = whole.max(request.left);
+        *whole = request.left.max(*whole);
         self.marks |= request.resent;
         let share = if request.resent { CUT_MARKED } else { CUT_TRY };
-        let cut = request.left < share * *whole && (request.resent || !self.marks);
-        let began = if cut { (deadline - class.deadline).min(now) } else { now };
+        let cut = request.left < whole.mul_f64(share) && (request.resent || !self.marks);
+        let began = if cut { deadline.checked_sub(class.deadline).map_or(now, |b| b.min(now)) } else { now };
         let useful = if class.late_worth > 0.0 { class.deadline } else { class.aim };
         let group = request.group;
         let pending = Pending {
@@ -339,13 +348,13 @@
         self.rng.f64() < pressure.powf(self.density(p.request.class) / mean)
     }
 
-    /// What an answer is worth for each millisecond of work.
+    /// What an answer is worth for each second of work.
     fn density(&self, class: usize) -> f64 {
-        self.settings.classes[class].worth / self.unloaded[class]
+        self.settings.classes[class].worth / self.unloaded[class].as_secs_f64()
     }
 
     /// Sends a request, keeps it waiting or gives it its final answer.
-    fn dispatch(&mut self, now: Ms, id: RequestId, out: &mut Vec<Action>) {
+    fn dispatch(&mut self, now: Instant, id: RequestId, out: &mut Vec<Action>) {
         let roll = self.rng.u64(..);
         let Some(p) = self.requests.get(&id) else { return };
         if p.out.is_some() {
@@ -356,7 +365,7 @@
         let barred = match (class.effect, p.may_have_run) {
             (Effect::Deduplicated { window, .. }, Some(since)) => {
                 // One tick short: the window is counted from the send, as the servers see it.
-                let last = since + window - TICK_MS;
+                let last = since + window.saturating_sub(TICK_EVERY);
                 ends = ends.min(last);
                 now >= last
             }
@@ -367,7 +376,7 @@
         let members = self.groups.get(&group).map_or(&[][..], |g| &g.members);
         let listed = members.iter().any(|m| self.servers[m].usable);
         // Shed at once what cannot be answered in time any more.
-        let hopeless = now + WORTH_TRYING * self.unloaded[p.request.class] >= ends;
+        let hopeless = now + self.unloaded[p.request.class].mul_f64(WORTH_TRYING) >= ends;
         if barred || !listed || hopeless || p.sends >= self.settings.limits.max_attempts {
             self.finish(id, out);
             return;
@@ -383,12 +392,12 @@
         match target {
             Some(server) => self.send(now, id, server, ends, out),
             // Answered a moment early rather than after the client has left.
-            None if now + 2.0 * TICK_MS >= ends => self.finish(id, out),
+            None if now + 2 * TICK_EVERY >= ends => self.finish(id, out),
             None => self.groups.get_mut(&group).expect("listed").waiting.push(id),
         }
     }
 
-    fn send(&mut self, now: Ms, id: RequestId, target: ServerId, ends: Ms, out: &mut Vec<Action>) {
+    fn send(&mut self, now: Instant, id: RequestId, target: ServerId, ends: Instant, out: &mut Vec<Action>) {
         let p = self.requests.get_mut(&id).expect("caller holds it");
         let class = p.request.class;
         let write = self.settings.classes[class].freshness == Freshness::Write;
@@ -400,11 +409,11 @@
         p.tried.push(target);
         let server = self.servers.get_mut(&target).expect("picked from the list");
         let alone = server.out == 0;
-        let idle = alone && now - server.heard_at > IDLE_MS;
+        let idle = alone && since(now, server.heard_at) > IDLE;
         server.weight += weight;
         server.out += 1;
-        server.allowance -= self.unloaded[class];
-        let patience = (SILENT_LATENCIES * cost).clamp(SILENT_MIN_MS, SILENT_MAX_MS);
+        server.owed += self.unloaded[class];
+        let patience = cost.mul_f64(SILENT_LATENCIES).clamp(SILENT_MIN, SILENT_MAX);
         server.overdue_at = server.overdue_at.or(Some(now + patience));
         self.attempts.insert((id, number), Attempt { server: target, weight, class, sent: now, alone, idle });
         out.push(Action::Send { request: id, server: target, cut_at: ends });
@@ -425,20 +434,20 @@
     }
 
     /// Commits up to here must be seen by a request that is sent now.
-    fn floor(&self, now: Ms, p: &Pending) -> Ms {
+    fn floor(&self, now: Instant, p: &Pending) -> Option<Instant> {
         match self.settings.classes[p.request.class].freshness {
-            Freshness::Bounded(bound) => p.floor.max(now - bound),
+            Freshness::Bounded(bound) => p.floor.max(now.checked_sub(bound)),
             _ => p.floor,
         }
     }
 
-    fn pick_read(&self, now: Ms, p: &Pending, roll: u64) -> Option<ServerId> {
+    fn pick_read(&self, now: Instant, p: &Pending, roll: u64) -> Option<ServerId> {
         let group = &self.groups[&p.request.group];
         let floor = self.floor(now, p);
         let checked = self.settings.when_behind == WhenBehind::Refuses;
         let mut best: Option<(f64, u64, ServerId)> = None;
         let mut crowded = false;
-        let mut ahead: Option<(Ms, ServerId)> = None;
+        let mut ahead: Option<(Instant, ServerId)> = None;
         for member in &group.members {
             let server = &self.servers[member];
             if !server.answers(now) || group.primary == Some(*member) {
@@ -449,9 +458,9 @@
             }
             if !server.reaches(floor, now, checked) {
                 // One that has just turned a read away is not asked again at once by the next.
-                if server.blame(now) == 0.0 && server.position > ahead.map_or(NEVER, |(position, _)| position)
-                {
-                    ahead = Some((server.position, *member));
+                let advanced = server.position.filter(|p| ahead.is_none_or(|(position, _)| *p > position));
+                if let (true, Some(position)) = (server.blame(now) == 0.0, advanced) {
+                    ahead = Some((position, *member));
                 }
                 continue;
             }
@@ -480,7 +489,7 @@
         })
     }
 
-    fn pick_write(&self, now: Ms, p: &Pending) -> Option<ServerId> {
+    fn pick_write(&self, now: Instant, p: &Pending) -> Option<ServerId> {
         let group = &self.groups[&p.request.group];
         if let Some(primary) = group.primary {
             let server = &self.servers[&primary];
@@ -495,12 +504,12 @@
             let server = &self.servers[member];
             // More weight than attempts: a write is out.
             let asked = server.weight > f64::from(server.out) || server.blame(now) > 0.0;
-            let replica = server.role == Some(Role::Replica) && now - server.role_at < REPORT_AGE_MS;
+            let replica = server.role == Some(Role::Replica) && since(now, server.role_at) < REPORT_AGE;
             server.answers(now) && !asked && !p.tried.contains(member) && !replica
         };
-        let position = |member: &&ServerId| self.servers[member].position;
+        let position = |member: &ServerId| self.servers[member].position;
         let members = group.members.iter().filter(asks);
-        members.copied().max_by(|a, b| position(&a).total_cmp(&position(&b)))
+        members.copied().max_by_key(position)
     }
 
     /// Lets cold members earn what they may be sent: what a warm member serves for this router in the mean,
@@ -508,37 +517,37 @@
     /// first is due after a random part of the time that one takes to earn. Guards against: pushing a cold
     /// server over, by one router or by hundreds that hear of its start at once. Also paces servers that
     /// come back from silence. Hurts where the server was warm all along.
-    fn warm_up(&mut self, now: Ms, group: GroupId) {
+    fn warm_up(&mut self, now: Instant, group: GroupId) {
         let Some(group) = self.groups.get(&group) else { return };
         let rules = &self.settings.rules;
         let members = group.members.iter().map(|member| &self.servers[member]);
         let (warm, cold): (Vec<_>, Vec<_>) =
-            members.filter(|s| s.usable && !s.down).partition(|s| now >= s.warm_at);
+            members.filter(|s| s.usable && !s.down).partition(|s| Some(now) >= s.warm_at);
         if cold.is_empty() {
             return;
         }
         let served = warm.iter().map(|s| s.served(now)).sum::<f64>() / f64::max(warm.len() as f64, 1.0);
         // At least one core's worth, shared by the gateways, so that a group of cold servers serves at all.
         let peer = f64::max(served, 1.0 / f64::from(self.settings.gateways));
-        let mean = self.unloaded.iter().sum::<f64>() / self.unloaded.len() as f64;
+        let mean = self.unloaded.iter().sum::<Duration>().div_f64(self.unloaded.len() as f64);
         for member in &group.members {
             let server = self.servers.get_mut(member).expect("listed");
-            if now >= server.warm_at {
+            if Some(now) >= server.warm_at {
                 continue;
             }
-            if server.allowed_at < server.cold_from {
-                server.allowance = -mean * self.rng.f64();
-                server.allowed_at = server.cold_from.max(now);
+            if server.owed_at < server.cold_from {
+                server.owed = mean.mul_f64(self.rng.f64());
+                server.owed_at = server.cold_from.max(Some(now));
             }
-            let since_start = now - server.cold_from;
-            let warmth = rules.start_capacity + (1.0 - rules.start_capacity) * since_start / rules.cold;
-            let earned = (now - server.allowed_at) * peer * warmth * rules.tip_multiple / COLD_MARGIN;
-            server.allowance = (server.allowance + earned).min(0.0);
-            server.allowed_at = now;
+            let warmed = since(now, server.cold_from).div_duration_f64(rules.cold);
+            let warmth = rules.start_capacity + (1.0 - rules.start_capacity) * warmed;
+            let rate = peer * warmth * rules.tip_multiple / COLD_MARGIN;
+            server.owed = server.owed.saturating_sub(since(now, server.owed_at).mul_f64(rate));
+            server.owed_at = Some(now);
         }
     }
 
-    fn on_outcome(&mut self, now: Ms, o: &Outcome, out: &mut Vec<Action>) {
+    fn on_outcome(&mut self, now: Instant, o: &Outcome, out: &mut Vec<Action>) {
         let attempt = self.attempts.remove(&(o.request, o.attempt));
         if let Some(a) = &attempt {
             let server = self.servers.get_mut(&a.server).expect("sent there");
@@ -546,16 +555,16 @@
             server.out -= 1;
             if o.status == Status::Good {
                 let (mean, unloaded) = (&mut self.latency[a.class], &mut self.unloaded[a.class]);
-                *mean += GAIN * (o.elapsed - *mean);
-                *unloaded += if *mean < *unloaded { GAIN } else { CREEP } * (*mean - *unloaded);
-                server.served = server.served(now) + *unloaded / SERVED_WINDOW_MS;
-                server.served_at = now;
+                *mean = toward(*mean, o.elapsed, GAIN);
+                *unloaded = toward(*unloaded, *mean, if *mean < *unloaded { GAIN } else { CREEP });
+                server.served = server.served(now) + unloaded.div_duration_f64(SERVED_WINDOW);
+                server.served_at = Some(now);
             }
             let unloaded = self.unloaded[a.class];
-            server.pace(o.status, o.elapsed / unloaded);
+            server.pace(o.status, o.elapsed.div_duration_f64(unloaded));
             let group = self.groups.get_mut(&server.group).expect("made with the server");
             let least = if o.status == Status::Timeout { CROWDED } else { JAMMED };
-            let jammed = o.elapsed > least * unloaded || o.status == Status::Full;
+            let jammed = o.elapsed > unloaded.mul_f64(least) || o.status == Status::Full;
             if group.primary != Some(a.server) && jammed && a.alone {
                 group.pressure += PRESSURE_UP * (1.0 - group.pressure);
             } else if o.status == Status::Good {
@@ -571,10 +580,10 @@
             let mean = if a.idle { &mut self.idle_lost } else { &mut self.other_lost };
             *mean += LOST_GAIN * (lost - *mean);
             if self.idle_lost > self.other_lost + DOUBT {
-                (self.doubt_until, self.idle_lost) = (now + DOUBT_MS, 0.0);
+                (self.doubt_until, self.idle_lost) = (Some(now + DOUBT_FOR), 0.0);
             }
-            if now < self.doubt_until && self.servers[&a.server].out == 0 && o.status != Status::ConnectFailed
-            {
+            let doubt = Some(now) < self.doubt_until;
+            if doubt && self.servers[&a.server].out == 0 && o.status != Status::ConnectFailed {
                 out.push(Action::Close(a.server));
             }
         }
@@ -587,7 +596,7 @@
             if o.status == Status::Good && write && self.settings.tokens == Tokens::Remembered {
                 if let (Some(key), Some(at)) = (p.request.session, o.note.position) {
                     let commit = self.commits.entry(key).or_insert(at);
-                    *commit = commit.max(at);
+                    *commit = at.max(*commit);
                 }
             }
             // Guards against: requests that fail wherever they go. Errors at two servers accuse the
@@ -626,7 +635,7 @@
     /// Guards against: failures that draw work by shedding it at once, and dead or silent servers. A
     /// refused or broken connection may be a full table or a death: a probe tells. Also catches full queues
     /// and misses. Hurts where a single failure was chance: the server is passed over for some seconds.
-    fn note_status(&mut self, now: Ms, id: ServerId, status: Status, out: &mut Vec<Action>) {
+    fn note_status(&mut self, now: Instant, id: ServerId, status: Status, out: &mut Vec<Action>) {
         let server = self.servers.get_mut(&id).expect("sent there");
         if matches!(status, Status::Good | Status::Miss | Status::Error) {
             server.heard(now, &self.settings);
@@ -637,11 +646,11 @@
             Status::Miss => server.accuse(now, TURNED_AWAY),
             Status::Full => {
                 server.accuse(now, TURNED_AWAY);
-                server.retry_at = now + FULL_REST_MS * (0.5 + self.rng.f64());
+                server.retry_at = Some(now + FULL_REST.mul_f64(0.5 + self.rng.f64()));
             }
             _ => server.accuse(now, FAILED),
         }
-        let silent = status == Status::Timeout && now - server.heard_at >= SILENT_MAX_MS;
+        let silent = status == Status::Timeout && since(now, server.heard_at) >= SILENT_MAX;
         server.refused |= status == Status::ConnectFailed;
         let broken = matches!(status, Status::ConnectFailed | Status::Reset);
         if server.out == 0 {
@@ -654,18 +663,18 @@
         }
     }
 
-    fn learn(&mut self, now: Ms, id: ServerId, note: Note, from_report: bool) {
+    fn learn(&mut self, now: Instant, id: ServerId, note: Note, from_report: bool) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         if let Some(position) = note.position {
-            server.position = server.position.max(position);
-            server.position_at = now;
+            server.position = server.position.max(Some(position));
+            server.position_at = Some(now);
         }
         let Some(role) = note.role else { return };
         // Believe the freshest evidence: a report is some moments old, an answer is not.
-        if from_report && now - server.role_at < REPORT_AGE_MS && server.role.is_some_and(|r| r != role) {
+        if from_report && since(now, server.role_at) < REPORT_AGE && server.role.is_some_and(|r| r != role) {
             return;
         }
-        server.role_at = if from_report { server.role_at } else { now };
+        server.role_at = if from_report { server.role_at } else { Some(now) };
         server.role = Some(role);
         let group = self.groups.get_mut(&server.group).expect("made with the server");
         if role == Role::Primary || group.primary == Some(id) {
@@ -673,15 +682,22 @@
         }
     }
 
-    fn on_probed(&mut self, now: Ms, id: ServerId, status: Status, report: Report, out: &mut Vec<Action>) {
+    fn on_probed(
+        &mut self,
+        now: Instant,
+        id: ServerId,
+        status: Status,
+        report: Report,
+        out: &mut Vec<Action>,
+    ) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.probing = false;
         if status == Status::Good {
-            server.heard_at = now;
+            server.heard_at = Some(now);
             if server.down {
                 server.rise(now, &self.settings);
             } else if server.refused {
-                self.doubt_until = now + DOUBT_MS;
+                self.doubt_until = Some(now + DOUBT_FOR);
             }
             server.refused = false;
             let group = server.group;
@@ -692,19 +708,20 @@
         }
     }
 
-    fn on_tick(&mut self, now: Ms, out: &mut Vec<Action>) {
+    fn on_tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         for group in self.groups.keys().copied().collect::<Vec<_>>() {
             self.retry_waiting(now, group, usize::MAX, out);
             let g = &self.groups[&group];
             let silent = g.primary.is_none_or(|m| !self.servers[&m].answers(now));
-            if silent && !g.waiting.is_empty() && g.probed_at.is_some_and(|at| now - at >= SEARCH_PROBE_MS) {
+            if silent && !g.waiting.is_empty() && g.probed_at.is_some_and(|at| now - at >= SEARCH_PROBE) {
                 self.search(now, group, out);
             }
         }
         if self.commits.len() > SESSIONS_KEPT {
-            let held = self.servers.values().filter(|s| s.usable).map(|s| s.position).fold(now, f64::min);
+            let usable = self.servers.values().filter(|s| s.usable);
+            let held = usable.map(|s| s.position).fold(Some(now), Option::min);
             self.forgotten = self.forgotten.max(held);
-            self.commits.retain(|_, commit| *commit > held);
+            self.commits.retain(|_, commit| Some(*commit) > held);
         }
     }
 
@@ -714,10 +731,10 @@
     /// at the cost of a probe or two for each such read. Acts where probes are allowed and no replica is
     /// known to be eligible; also just after a start. Hurts where replicas lag: the read starts some
     /// milliseconds later.
-    fn asks_for_news(&mut self, now: Ms, id: RequestId, out: &mut Vec<Action>) -> bool {
+    fn asks_for_news(&mut self, now: Instant, id: RequestId, out: &mut Vec<Action>) -> bool {
         let p = &self.requests[&id];
         let floor = self.floor(now, p);
-        if !self.settings.limits.probes || floor == NEVER || p.sends > 0 {
+        if !self.settings.limits.probes || floor.is_none() || p.sends > 0 {
             return false;
         }
         let checked = self.settings.when_behind == WhenBehind::Refuses;
@@ -726,7 +743,7 @@
         let mut asked: Vec<ServerId> = group.members.iter().filter(answers).copied().collect();
         let served = asked.iter().any(|m| self.servers[m].reaches(floor, now, checked));
         // Nobody is asked twice within a moment.
-        let old = |s: &Server| now - s.position_at >= REFRESH_MS && !s.reaches(floor, now, checked);
+        let old = |s: &Server| since(now, s.position_at) >= REFRESH && !s.reaches(floor, now, checked);
         asked.retain(|m| old(&self.servers[m]));
         self.rng.shuffle(&mut asked);
         if served {
@@ -737,7 +754,7 @@
             return false;
         }
         if let Some(at) = p.asked_at {
-            return now - at < NEWS_WAIT_MS && asked.iter().any(|m| self.servers[m].probing);
+            return now - at < NEWS_WAIT && asked.iter().any(|m| self.servers[m].probing);
         }
         self.requests.get_mut(&id).expect("looked up above").asked_at = Some(now);
         asked.sort_by_key(|m| !self.servers[m].probing);
@@ -757,12 +774,12 @@
     }
 
     /// Probes members that are out, when a request of their group shows that they are wanted.
-    fn probe_down(&mut self, now: Ms, group: GroupId, out: &mut Vec<Action>) {
+    fn probe_down(&mut self, now: Instant, group: GroupId, out: &mut Vec<Action>) {
         let Some(group) = self.groups.get(&group) else { return };
-        let due = |m: &&ServerId| self.servers[m].down && now >= self.servers[m].retry_at;
+        let due = |m: &&ServerId| self.servers[m].down && Some(now) >= self.servers[m].retry_at;
         for member in group.members.iter().filter(due).copied().collect::<Vec<_>>() {
             let server = self.servers.get_mut(&member).expect("listed");
-            server.retry_at = now + DOWN_PROBE_MS * (0.5 + self.rng.f64());
+            server.retry_at = Some(now + DOWN_PROBE.mul_f64(0.5 + self.rng.f64()));
             if !self.settings.limits.probes {
                 server.rise(now, &self.settings);
             }
@@ -771,7 +788,7 @@
     }
 
     /// Looks at a group: all of it at first, later the primary believed so far and two members at random.
-    fn search(&mut self, now: Ms, id: GroupId, out: &mut Vec<Action>) {
+    fn search(&mut self, now: Instant, id: GroupId, out: &mut Vec<Action>) {
         let Some(group) = self.groups.get_mut(&id) else { return };
         let mut asked = group.members.clone();
         if group.probed_at.replace(now).is_some() {
@@ -786,7 +803,7 @@
 
     /// Tries a group's waiting requests again until `patience` of them found no place: what is worth most
     /// for its work first, and the newest of those, which has the most time left.
-    fn retry_waiting(&mut self, now: Ms, id: GroupId, patience: usize, out: &mut Vec<Action>) {
+    fn retry_waiting(&mut self, now: Instant, id: GroupId, patience: usize, out: &mut Vec<Action>) {
         self.warm_up(now, id);
         let Some(group) = self.groups.get_mut(&id) else { return };
         let mut queue = std::mem::take(&mut group.waiting);
@@ -804,22 +821,8 @@
 }
 
 impl Server {
-    fn new(group: GroupId, now: Ms) -> Self {
-        Self {
-            group,
-            cold_from: NEVER,
-            warm_at: NEVER,
-            retry_at: NEVER,
-            allowed_at: NEVER,
-            limit: FIRST_LIMIT,
-            slowness: 1.0,
-            position: NEVER,
-            position_at: NEVER,
-            role_at: NEVER,
-            heard_at: NEVER,
-            served_at: now,
-            ..Self::default()
-        }
+    fn new(group: GroupId, now: Instant) -> Self {
+        Self { group, limit: FIRST_LIMIT, slowness: 1.0, served_at: Some(now), ..Self::default() }
     }
 
     /// Guards against: a jam, in which more at once only makes each slower. Also catches servers that are
@@ -840,55 +843,56 @@
     }
 
     /// Whether anything may be sent there now.
-    fn answers(&self, now: Ms) -> bool {
-        let paced = now < self.retry_at || (now < self.warm_at && self.allowance < 0.0);
+    fn answers(&self, now: Instant) -> bool {
+        let cold = Some(now) < self.warm_at;
+        let paced = Some(now) < self.retry_at || (cold && !self.owed.is_zero());
         self.usable && !self.down && !paced && self.overdue_at.is_none_or(|at| now < at)
     }
 
-    fn chill(&mut self, since: Ms, settings: &Settings) {
+    fn chill(&mut self, since: Option<Instant>, settings: &Settings) {
         self.cold_from = self.cold_from.max(since);
-        self.warm_at = self.cold_from + settings.rules.cold;
+        self.warm_at = self.cold_from.and_then(|from| from.checked_add(settings.rules.cold));
     }
 
-    fn blame(&self, now: Ms) -> f64 {
-        let left = self.blame * ((self.blamed_at - now) / BLAME_HALF_MS).exp2();
+    fn blame(&self, now: Instant) -> f64 {
+        let left = self.blame * (-since(now, self.blamed_at).div_duration_f64(BLAME_HALF)).exp2();
         left * f64::from(u8::from(left >= BLAME_LEAST))
     }
 
     /// A known position never goes back, so it is safe as it is. Where servers check for themselves, the
     /// lag last seen is taken to hold.
-    fn reaches(&self, floor: Ms, now: Ms, checked: bool) -> bool {
-        let aged = if checked { self.position + (now - self.position_at) } else { self.position };
-        floor == NEVER || (self.position > NEVER && aged >= floor)
+    fn reaches(&self, floor: Option<Instant>, now: Instant, checked: bool) -> bool {
+        let age = if checked { since(now, self.position_at) } else { Duration::ZERO };
+        floor.is_none() || self.position.map(|position| position + age) >= floor
     }
 
-    fn accuse(&mut self, now: Ms, weight: f64) {
+    fn accuse(&mut self, now: Instant, weight: f64) {
         self.blame = BLAME_MOST.min(self.blame(now) + weight);
-        self.blamed_at = now;
+        self.blamed_at = Some(now);
     }
 
-    fn heard(&mut self, now: Ms, settings: &Settings) {
-        self.heard_at = now;
-        self.overdue_at = (self.out > 0).then_some(now + SILENT_MAX_MS);
+    fn heard(&mut self, now: Instant, settings: &Settings) {
+        self.heard_at = Some(now);
+        self.overdue_at = (self.out > 0).then_some(now + SILENT_MAX);
         if self.down {
             self.rise(now, settings);
         }
     }
 
-    fn fall(&mut self, now: Ms) {
+    fn fall(&mut self, now: Instant) {
         self.down = true;
-        self.retry_at = now + DOWN_PROBE_MS;
+        self.retry_at = Some(now + DOWN_PROBE);
     }
 
     /// Back after silence to a probe too. It may have restarted, so it is cold, whatever the list says yet.
-    fn rise(&mut self, now: Ms, settings: &Settings) {
+    fn rise(&mut self, now: Instant, settings: &Settings) {
         self.down = false;
-        self.retry_at = NEVER;
+        self.retry_at = None;
         self.overdue_at = None;
-        self.chill(now, settings);
+        self.chill(Some(now), settings);
     }
 
-    fn served(&self, now: Ms) -> f64 {
-        self.served * ((self.served_at - now) / SERVED_WINDOW_MS).exp()
+    fn served(&self, now: Instant) -> f64 {
+        self.served * (-since(now, self.served_at).div_duration_f64(SERVED_WINDOW)).exp()
     }
 }
--- a/src/validate.rs
+++ b/src/validate.rs
@@ -1,6 +1,6 @@
 //! Whether settings are consistent.
 
-use crate::interface::{Effect, Freshness, Settings, SettingsError};
+use crate::interface::{Settings, SettingsError};
 
 /// Names the first field that is not.
 pub fn check(settings: &Settings) -> Result<(), SettingsError> {
@@ -10,20 +10,14 @@
     }
     range("gateways", settings.gateways > 0)?;
     for class in &settings.classes {
-        range("classes.aim", class.aim > 0.0)?;
+        range("classes.aim", !class.aim.is_zero())?;
         range("classes.deadline", class.deadline >= class.aim)?;
         range("classes.worth", class.worth >= 0.0)?;
-        if let Effect::Deduplicated { window, .. } = class.effect {
-            range("classes.effect.window", window >= 0.0)?;
-        }
-        if let Freshness::Bounded(bound) = class.freshness {
-            range("classes.freshness.bound", bound >= 0.0)?;
-        }
     }
     range("limits.max_attempts", settings.limits.max_attempts > 0)?;
     let rules = &settings.rules;
     range("rules.start_capacity", rules.start_capacity > 0.0 && rules.start_capacity <= 1.0)?;
-    range("rules.cold", rules.cold > 0.0)?;
-    range("rules.fall", rules.fall > 0.0)?;
+    range("rules.cold", !rules.cold.is_zero())?;
+    range("rules.fall", !rules.fall.is_zero())?;
     range("rules.tip_multiple", rules.tip_multiple > 0.0)
 }
