Bound all buffers and tell a client that has gone from one that ended its sending

Now 32 MiB of held requests, 32 MiB read ahead by all, an answer of at most 66 KiB on each connection. A client that closed its connection was taken for a half-closed one, so the module went on trying for it. A notice, which clients pass over, is answered with a reset if it has gone; the test fails without it (two copies for the client that had gone). A pooled connection to a former address is not used again.

--- a/gateway/src/core/admit.rs
+++ b/gateway/src/core/admit.rs
@@ -2,8 +2,9 @@
 
 use super::{Answer, Ask, Core};
 
-/// Bytes of held requests: well inside the memory limit, with the connections' own buffers beside them.
-const MOST_BYTES: usize = 48 * 1024 * 1024;
+/// Bytes of held requests. Beside them stand what clients' connections have read ahead (as much again), and an
+/// answer of at most 66 KiB on each connection of either side: well inside 192 MB in all.
+const MOST_BYTES: usize = 32 * 1024 * 1024;
 
 impl Core {
     /// The class of a request that is let in, or the answer to one that is not.
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -9,15 +9,17 @@
 use super::wire::{Taken, Wire, CHUNK};
 use crate::core::{Answer, Ask, Body, ClientId, Input};
 use crate::log;
-use crate::proto::pg::frame::LONGEST;
+use crate::proto::pg::frame::LONGEST_QUERY;
 use crate::proto::pg::frontend::{self, Message, Opening};
 use crate::proto::pg::{code, statement};
 use crate::timers::Timers;
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1024;
-/// Read ahead while a request is out: a whole message and a little.
-const MOST_BUFFERED: usize = LONGEST + CHUNK;
+/// Read ahead: a whole message and a little, or while a request is out only a little.
+const MOST_BUFFERED: usize = LONGEST_QUERY + CHUNK;
+/// Read ahead by all clients together.
+const MOST_BUFFERED_BY_ALL: usize = 32 * 1024 * 1024;
 /// A connection that has not said who it is by then is closed.
 const LOGIN_TIMEOUT: Duration = Duration::from_secs(60);
 /// How long a closed connection is given to take its last bytes.
@@ -203,20 +205,40 @@
             self.gone(number, inbox);
             return;
         }
-        if !client.ended && client.buffer.len() < MOST_BUFFERED {
+        if client.reads() {
             match client.wire.read(&mut self.scratch, &mut client.buffer) {
                 Ok(Taken::Some | Taken::Nothing) => {}
-                // It may have closed one direction only, and still wait for its answers.
-                Ok(Taken::End) => client.ended = true,
+                // It may have closed one direction only, and still wait for its answers; or it has gone, and
+                // then the answer to these bytes is a reset.
+                Ok(Taken::End) => {
+                    client.ended = true;
+                    if client.phase == Phase::Busy {
+                        frontend::put_notice(client.wire.out(), "still waiting for the answer");
+                    }
+                }
                 Err(_) => {
                     self.gone(number, inbox);
                     return;
                 }
             }
         }
+        let long = client.buffer.len() > CHUNK && client.phase != Phase::Busy;
+        if long && self.clients.values().map(|c| c.buffer.len()).sum::<usize>() > MOST_BUFFERED_BY_ALL {
+            self.turn_out(number);
+        }
         self.work(now, number, poller, inbox);
     }
 
+    /// Guards against: long messages of many clients, all unfinished, that together fill the memory.
+    fn turn_out(&mut self, number: u64) {
+        let Some(client) = self.clients.get_mut(&number) else { return };
+        let text = "too many bytes of clients";
+        log!("out of memory for clients: one connection closed");
+        frontend::put_error(client.wire.out(), "FATAL", code::OUT_OF_MEMORY, text, None);
+        client.buffer = Vec::new();
+        client.phase = Phase::Closing;
+    }
+
     /// Hands a client its answer.
     pub fn answer(
         &mut self,
@@ -275,8 +297,7 @@
                 return true;
             }
         }
-        let interest =
-            Interest { read: !client.ended && client.buffer.len() < MOST_BUFFERED, write: !written };
+        let interest = Interest { read: client.reads(), write: !written };
         if interest != client.interest {
             client.interest = interest;
             return poller.change(&client.wire, Token::Client(number), interest).is_ok();
@@ -292,6 +313,12 @@
 }
 
 impl Client {
+    /// More bytes are wanted.
+    fn reads(&self) -> bool {
+        let most = if self.phase == Phase::Busy { CHUNK } else { MOST_BUFFERED };
+        !self.ended && self.buffer.len() < most
+    }
+
     /// Takes messages until one has to be waited for.
     fn take_messages(&mut self, now: Instant, number: u64, inbox: &mut VecDeque<Input>) {
         let mut used = 0;
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -1,6 +1,7 @@
 //! Connections to db hosts: a pool for each, one request at a time on each connection.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -55,6 +56,7 @@
 
 struct Conn {
     server: ServerId,
+    addr: SocketAddr,
     wire: Wire,
     state: State,
     buffer: Vec<u8>,
@@ -224,7 +226,7 @@
                 let conn = self.conns.get(&number);
                 // Guards against: a stale connection that ends as a reset. One that the db host has closed
                 // may not have been polled yet.
-                if conn.is_some_and(|conn| conn.wire.quiet()) {
+                if conn.is_some_and(|conn| conn.addr == addr && conn.wire.quiet()) {
                     pool.waiting.pop_front();
                     self.write(number, id, a);
                 } else {
@@ -248,9 +250,16 @@
             match dialled {
                 Ok(wire) => {
                     self.timers.set(a.now + self.connect_timeout, Due::Connect(number));
-                    let (buffer, gather) = (Vec::new(), Gather::default());
-                    let state = State::Connecting;
-                    self.conns.insert(number, Conn { server, wire, state, buffer, gather, writable: false });
+                    let conn = Conn {
+                        server,
+                        addr,
+                        wire,
+                        state: State::Connecting,
+                        buffer: Vec::new(),
+                        gather: Gather::default(),
+                        writable: false,
+                    };
+                    self.conns.insert(number, conn);
                     self.pools.entry(server).or_default().dialing += 1;
                 }
                 Err(error) => {
@@ -460,7 +469,7 @@
         backend::Role::Replica => Role::Replica,
     };
     let probe = matches!(id, JobId::Probe(_));
-    let row = String::from_utf8_lossy(if probe { &reply.value } else { b"" });
+    let row = String::from_utf8_lossy(if probe { reply.value() } else { b"" });
     let load = reply.load.as_deref().unwrap_or(&row);
     let note = HostNote {
         role: reply.role.map(role),
--- a/gateway/src/proto/pg/backend.rs
+++ b/gateway/src/proto/pg/backend.rs
@@ -1,5 +1,7 @@
 //! The db host's side: what it is sent, and what it answers.
 
+use std::ops::Range;
+
 use super::code;
 use super::frame::{self, Frame, Malformed};
 
@@ -54,8 +56,8 @@
     pub verdict: Verdict,
     /// With [`Verdict::Served`]: RowDescription, DataRow and CommandComplete as they came.
     pub messages: Vec<u8>,
-    /// The row's one value.
-    pub value: Vec<u8>,
+    /// Where in them the row's one value is.
+    value_at: Range<usize>,
     /// `role`.
     pub role: Option<Role>,
     /// `applied_ms`: a Unix time in milliseconds.
@@ -64,6 +66,13 @@
     pub load: Option<String>,
 }
 
+impl Reply {
+    /// The row's one value, with [`Verdict::Served`].
+    pub fn value(&self) -> &[u8] {
+        &self.messages[self.value_at.clone()]
+    }
+}
+
 /// What a fed message came to.
 #[derive(Debug, PartialEq)]
 pub enum Step {
@@ -86,7 +95,7 @@
 impl Gather {
     /// Takes the next message of `bytes`, if all of it is there; the number is its length.
     pub fn next(&mut self, bytes: &[u8]) -> Result<Option<(Step, usize)>, Malformed> {
-        let Some(frame) = frame::next(bytes)? else { return Ok(None) };
+        let Some(frame) = frame::next(bytes, frame::LONGEST_ANSWER)? else { return Ok(None) };
         let step = self.take(&frame, &bytes[..frame.len]);
         Ok(Some((step, frame.len)))
     }
@@ -105,8 +114,10 @@
             b'D' => {
                 self.rows += 1;
                 self.reply.messages.extend(raw);
+                let end = self.reply.messages.len();
                 match one_value(frame.body) {
-                    Some(value) => self.reply.value = value.to_vec(),
+                    // The value is the last thing in the row.
+                    Some(value) => self.reply.value_at = end - value.len()..end,
                     None => self.failed = Some(Verdict::Error),
                 }
             }
@@ -145,7 +156,8 @@
         let whole = self.complete && self.described && self.rows == 1;
         reply.verdict = self.failed.unwrap_or(if whole { Verdict::Served } else { Verdict::Error });
         if reply.verdict != Verdict::Served {
-            reply.messages.clear();
+            reply.messages = Vec::new();
+            reply.value_at = 0..0;
         }
         *self = Self::default();
         reply
--- a/gateway/src/proto/pg/frame.rs
+++ b/gateway/src/proto/pg/frame.rs
@@ -2,9 +2,11 @@
 
 use thiserror::Error;
 
-/// The longest message taken from a client or a db host: a value of 64 KiB in hexadecimal, and room for the
-/// statement round it.
-pub const LONGEST: usize = 192 * 1024;
+/// The longest message taken from a client: a value of 64 KiB in hexadecimal, and room for the statement
+/// round it.
+pub const LONGEST_QUERY: usize = 144 * 1024;
+/// The longest message taken from a db host: a value of 64 KiB as it is, and a little.
+pub const LONGEST_ANSWER: usize = 66 * 1024;
 /// The longest startup message, as PostgreSQL has it.
 pub const LONGEST_STARTUP: usize = 10_000;
 
@@ -36,10 +38,10 @@
     }
 }
 
-/// The first message of `bytes`, if all of it is there.
-pub fn next(bytes: &[u8]) -> Result<Option<Frame<'_>>, Malformed> {
+/// The first message of `bytes`, if all of it is there; its length counts up to `longest`.
+pub fn next(bytes: &[u8], longest: usize) -> Result<Option<Frame<'_>>, Malformed> {
     let Some((kind, rest)) = bytes.split_first() else { return Ok(None) };
-    let Some(len) = length(rest, LONGEST)? else { return Ok(None) };
+    let Some(len) = length(rest, longest)? else { return Ok(None) };
     Ok(rest.get(4..len).map(|body| Frame { kind: *kind, body, len: 1 + len }))
 }
 
--- a/gateway/src/proto/pg/frontend.rs
+++ b/gateway/src/proto/pg/frontend.rs
@@ -62,7 +62,7 @@
 
 /// Reads the next message, if all of it is there, and its length.
 pub fn message(bytes: &[u8]) -> Result<Option<(Message<'_>, usize)>, Malformed> {
-    let Some(frame) = frame::next(bytes)? else { return Ok(None) };
+    let Some(frame) = frame::next(bytes, frame::LONGEST_QUERY)? else { return Ok(None) };
     let message = match frame.kind {
         b'Q' => match frame.body.split_last() {
             Some((0, text)) if !text.contains(&0) => Message::Query(text),
@@ -141,16 +141,23 @@
     put_ready(out);
 }
 
+/// Appends a NoticeResponse, which clients pass over.
+pub fn put_notice(out: &mut Vec<u8>, message: &str) {
+    put_fields(out, b'N', &[(b'S', "DEBUG"), (b'V', "DEBUG"), (b'C', "00000"), (b'M', message)]);
+}
+
 /// Appends an ErrorResponse.
 pub fn put_error(out: &mut Vec<u8>, severity: &str, sqlstate: &str, message: &str, detail: Option<&str>) {
-    frame::put(out, b'E', |b| {
-        let fields =
-            [(b'S', Some(severity)), (b'V', Some(severity)), (b'C', Some(sqlstate)), (b'M', Some(message))];
-        for (field, text) in fields.into_iter().chain([(b'D', detail)]) {
-            if let Some(text) = text {
-                b.push(field);
-                frame::put_text(b, text);
-            }
+    let mut fields = vec![(b'S', severity), (b'V', severity), (b'C', sqlstate), (b'M', message)];
+    fields.extend(detail.map(|detail| (b'D', detail)));
+    put_fields(out, b'E', &fields);
+}
+
+fn put_fields(out: &mut Vec<u8>, kind: u8, fields: &[(u8, &str)]) {
+    frame::put(out, kind, |b| {
+        for (field, text) in fields {
+            b.push(*field);
+            frame::put_text(b, text);
         }
         b.push(0);
     });
--- a/gateway/src/proto/pg/mod.rs
+++ b/gateway/src/proto/pg/mod.rs
@@ -15,6 +15,8 @@
     pub const TOO_MANY: &str = "53300";
     /// Failed: whether it took effect is not known.
     pub const UNKNOWN_COMPLETION: &str = "40003";
+    /// There is no room for more bytes of clients.
+    pub const OUT_OF_MEMORY: &str = "53200";
     /// A write met a replica.
     pub const READ_ONLY: &str = "25006";
     /// A read met a replica that is too far behind.
--- a/gateway/src/proto/tests.rs
+++ b/gateway/src/proto/tests.rs
@@ -4,7 +4,7 @@
 
 use super::http::Lines;
 use super::pg::backend::{load_field, put_query, put_startup, Gather, Reply, Step};
-use super::pg::frame::{put, put_text, put_untyped, LONGEST};
+use super::pg::frame::{put, put_text, put_untyped, LONGEST_ANSWER, LONGEST_QUERY};
 use super::pg::frontend::{self, local, message, opening};
 use super::pg::statement::request;
 
@@ -81,7 +81,10 @@
         ("an unknown type", [startup.clone(), framed(b'!', b"")].concat()),
         ("a length below its own", [startup.clone(), b"Q\0\0\0\x03".to_vec()].concat()),
         ("a negative length", [startup.clone(), b"Q\xff\xff\xff\xff".to_vec()].concat()),
-        ("a length over the longest", [&startup[..], b"Q", &(LONGEST as i32 + 1).to_be_bytes()].concat()),
+        (
+            "a length over the longest",
+            [&startup[..], b"Q", &(LONGEST_QUERY as i32 + 1).to_be_bytes()].concat(),
+        ),
         ("a startup over the longest", 10_001_i32.to_be_bytes().to_vec()),
         ("a startup too short for a version", 4_i32.to_be_bytes().to_vec()),
         ("half a message", [startup, b"Q\0\0\0\x09SEL".to_vec()].concat()),
@@ -149,7 +152,7 @@
         format!(
             "{:?} value {} messages {} role {:?} applied {:?} load {:?}",
             reply.verdict,
-            text(&reply.value),
+            text(reply.value()),
             text(&reply.messages),
             reply.role,
             reply.applied_ms,
@@ -216,6 +219,7 @@
         ("an end in the row", served[..served.len() / 2].to_vec()),
         ("a fatal error and the end", error("53300")),
         ("a length below its own", b"T\0\0\0\0".to_vec()),
+        ("a length over the longest", [&b"T"[..], &(LONGEST_ANSWER as i32 + 1).to_be_bytes()].concat()),
     ];
     let mut table = String::new();
     for (name, bytes) in cases {
@@ -288,7 +292,7 @@
 #[test]
 fn what_is_written() {
     type Put = fn(&mut Vec<u8>);
-    let cases: [(&str, Put); 8] = [
+    let cases: [(&str, Put); 9] = [
         ("startup", put_startup),
         ("query", |out| put_query(out, |b| b.extend(b"SHOW load"))),
         ("welcome", |out| frontend::put_welcome(out, 0)),
@@ -298,6 +302,7 @@
         }),
         ("refusal without", |out| frontend::put_refusal(out, None)),
         ("failure", frontend::put_failure),
+        ("notice", |out| frontend::put_notice(out, "waiting")),
         ("empty query", |out| frontend::put_local(out, frontend::Local::Empty)),
     ];
     let mut table = String::new();
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -62,6 +62,7 @@
     Say(Vec<u8>),
     SayLater(Duration, Vec<u8>),
     Break,
+    BreakLater(Duration),
     Nothing,
 }
 
@@ -126,6 +127,10 @@
                 stream.write_all(&bytes).ok()?;
             }
             Do::Break => return None,
+            Do::BreakLater(wait) => {
+                thread::sleep(wait);
+                return None;
+            }
             Do::Nothing => {}
         }
     }
--- a/gateway/tests/rules.rs
+++ b/gateway/tests/rules.rs
@@ -239,3 +239,27 @@
         assert!(text.contains(named), "{text}");
     }
 }
+
+#[test]
+fn a_client_that_has_gone_is_told_from_one_that_only_ended_its_sending() {
+    // The first copy of each request breaks after a while; a second is sent only for a client that is there.
+    let primary = Host::start(|query| match query {
+        "SHOW load" => well(true, query),
+        _ => Do::BreakLater(Duration::from_millis(300)),
+    });
+    let replica = Host::well(false);
+    let gateway = Gateway::pair(&primary, &replica);
+    let copies = |key: &str| primary.asked().iter().filter(|query| query.contains(key)).count();
+    let mut gone = gateway.client();
+    gone.send(&statement("order", 1000, ",k=gone"));
+    while copies("k=gone") == 0 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    drop(gone);
+    let mut there = gateway.client();
+    there.send(&statement("order", 1000, ",k=there"));
+    there.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    assert_eq!(there.answer(), ERROR);
+    assert!(copies("k=there") > 1, "{:?}", primary.asked());
+    assert_eq!(copies("k=gone"), 1, "{:?}", primary.asked());
+}
