Test the watch on a 503 and a malformed list, and the variables over the file

On real sockets: discovery answers 503, then a malformed list, then opens a watch; each call names the version held, and the drain told on the third is kept.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -103,3 +103,34 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = r#"{"name": "n0", "listen": "127.0.0.1:5432", "discovery": "127.0.0.1:8500", "seed": "8c1f",
+        "limits": {}, "known": {"version": 1, "full": true, "servers": []}, "settings": "#;
+
+    fn parse(variables: &[(&str, &str)]) -> Result<Config, Fault> {
+        let text = format!("{FILE}{}}}", include_str!("../tests/common/settings.json"));
+        let told =
+            |name| variables.iter().find(|(key, _)| *key == name).map(|(_, value)| (*value).to_owned());
+        Config::parse(&text, told)
+    }
+
+    #[test]
+    fn variables_outweigh_the_file_and_limits_have_defaults() {
+        let config = parse(&[]).unwrap();
+        assert_eq!((config.name.as_str(), config.seed, config.sockets), ("n0", 0x8c1f, 1024));
+        assert_eq!(config.listen.port(), 5432);
+        let config = parse(&[("EDGE_NAME", "n7"), ("EDGE_LISTEN", "127.0.0.2:6000")]).unwrap();
+        assert_eq!((config.name.as_str(), config.listen.port()), ("n7", 6000));
+        assert_eq!(config.discovery.port(), 8500);
+    }
+
+    #[test]
+    fn a_variable_at_fault_is_named() {
+        let fault = parse(&[("EDGE_DISCOVERY", "nowhere")]).unwrap_err();
+        assert_eq!(fault.key, "EDGE_DISCOVERY");
+    }
+}
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -182,6 +182,8 @@
     child: Child,
     pub addr: SocketAddr,
     pub news: Sender<String>,
+    /// The first lines of the calls that discovery got.
+    pub calls: Arc<Mutex<Vec<String>>>,
     log: Arc<Mutex<String>>,
     _folder: tempfile::TempDir,
 }
@@ -192,11 +194,28 @@
     }
 
     pub fn start_with(known: &str, settings: &str) -> Self {
+        Self::start_after(&[], known, settings)
+    }
+
+    /// Discovery answers the first calls as given, and closes; only then does it open a watch.
+    pub fn start_after(first: &'static [&'static str], known: &str, settings: &str) -> Self {
         let (news, lines) = channel::<String>();
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let discovery_addr = discovery.local_addr().unwrap();
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let kept_calls = Arc::clone(&calls);
         thread::spawn(move || {
-            let (mut stream, _) = discovery.accept().unwrap();
+            let call = || {
+                let (mut stream, _) = discovery.accept().unwrap();
+                let mut line = String::new();
+                BufReader::new(&mut stream).read_line(&mut line).unwrap();
+                kept_calls.lock().unwrap().push(line);
+                stream
+            };
+            for answer in first {
+                let _ = call().write_all(answer.as_bytes());
+            }
+            let mut stream = call();
             let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
             let _ = stream.write_all(head.as_bytes());
             for line in lines {
@@ -226,7 +245,7 @@
                 kept.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        Self { child, addr, news, log, _folder: folder }
+        Self { child, addr, news, calls, log, _folder: folder }
     }
 
     /// One primary and one replica, both well.
