--- a/gateway/tests/rules.rs
+++ b/gateway/tests/rules.rs
@@ -354,3 +354,16 @@
     assert!(copies("k=there") > 1, "{:?}", primary.asked());
     assert_eq!(copies("k=gone"), 1, "{:?}", primary.asked());
 }
+
+#[test]
+fn idle_clients_make_room_for_new_ones_when_descriptors_are_short() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    // Of the 256 descriptors that the configuration allows, clients get 120.
+    let mut idle: Vec<Client> = (0..150).map(|_| gateway.client()).collect();
+    assert_eq!(idle[0].answer(), b"", "the one idle longest was closed");
+    let mut new = gateway.client();
+    assert_eq!(new.ask(&statement("order", 3000, ",k=1")), SERVED);
+    let last = idle.last_mut().unwrap();
+    assert_eq!(last.ask(&statement("order", 3000, ",k=2")), SERVED, "one idle for a short time was kept");
+}
