Refuse by half its time what no server of a group out of reach has seen

The log shows connections to several db hosts timing out from 8.1 s on: a group is out of reach, and the module kept its requests waiting for a place until their aim or deadline, no attempt having reached a server (src/policy.rs, dispatch). The pool was clean: 0 requests on stale connections.

The new test fails without the change (held past 1000 of 2000 ms).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -130,6 +130,9 @@
     request: Request,
     /// When it stops being worth an attempt: at its aim where a late answer earns nothing.
     ends: Instant,
+    /// Until when it waits for a first place; and whether an attempt has reached a server at all.
+    patient: Instant,
+    reached: bool,
     floor: Option<Instant>,
     sends: u32,
     out: Option<u32>,
@@ -300,7 +303,8 @@
         // its own deadline cuts that short; one with less than was seen before began a whole deadline
         // before its end. Hurts where clients give tries of one class different times for reasons of their
         // own.
-        let deadline = now + request.left;
+        let left = request.left;
+        let deadline = now + left;
         let whole = &mut self.whole_try[request.class];
         *whole = request.left.max(*whole);
         self.marks |= request.resent;
@@ -312,6 +316,8 @@
         let pending = Pending {
             request,
             ends: deadline.min(began + useful),
+            patient: now + left / 2,
+            reached: false,
             floor,
             sends: 0,
             out: None,
@@ -382,6 +388,9 @@
             return;
         }
         let needs_primary = matches!(class.freshness, Freshness::Write | Freshness::Fresh);
+        let (reached, patient) = (p.reached, p.patient);
+        let could = |m: &&ServerId| !needs_primary || self.groups[&group].primary == Some(**m);
+        let answered = members.iter().filter(could).any(|m| self.servers[m].answers(now));
         let target = if needs_primary {
             self.pick_write(now, p)
         } else if self.asks_for_news(now, id, out) {
@@ -392,7 +401,12 @@
         match target {
             Some(server) => self.send(now, id, server, ends, out),
             // Answered a moment early rather than after the client has left.
-            None if now + 2 * TICK_EVERY >= ends => self.finish(id, out),
+            // Nor held back: one that no server has seen by half of its time, of a group in which nobody
+            // answers, is told to come again while its client can. Guards against: holding requests of a
+            // group that is out of reach. Hurts where the group comes back in the second half.
+            None if now + 2 * TICK_EVERY >= (if reached || answered { ends } else { ends.min(patient) }) => {
+                self.finish(id, out);
+            }
             None => self.groups.get_mut(&group).expect("listed").waiting.push(id),
         }
     }
@@ -615,6 +629,7 @@
                 self.requests.remove(&o.request);
             } else if p.out == Some(o.attempt) {
                 p.out = None;
+                p.reached |= !matches!(o.status, Status::ConnectFailed | Status::NotSent);
                 if !o.status.never_ran() {
                     p.may_have_run = p.may_have_run.or(attempt.map(|a| a.sent)).or(Some(now));
                 }
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -316,3 +316,21 @@
     let to = |server| all.iter().filter(|s| **s == server).count();
     assert_eq!((to(1), to(0)), (4, 2));
 }
+
+#[test]
+fn a_request_that_reached_no_server_of_a_silent_group_is_refused_by_half_of_its_time() {
+    let mut g = Gateway::start(settings(), 0);
+    let start = g.now;
+    let (id, out) = g.request(WRITE);
+    assert_eq!(sends(&out), [(id, 0)]);
+    // It is tried once more before the probe tells that nobody is there.
+    assert_eq!(sends(&g.outcome(id, 0, 0, Status::ConnectFailed)), [(id, 0)]);
+    g.play(Event::Probed { server: ServerId(0), status: Status::ConnectFailed, report: Report::default() });
+    assert!(sends(&g.outcome(id, 1, 0, Status::ConnectFailed)).is_empty());
+    let mut done = Vec::new();
+    while done.is_empty() {
+        done = finals(&g.tick(ms(10)));
+        assert!(g.now < start + ms(1000), "held for more than half of its 2000 ms");
+    }
+    assert!(matches!(done[..], [Action::Refuse { request, .. }] if request == id), "{done:?}");
+}
