Take the byte budgets from limits.memory_mb

A sixth of the memory each for held requests and for bytes read ahead (32 MiB at 192 MB, as before); under 32 MB is refused at the start with the key. Test: more bytes than may be held are refused until some are answered.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -14,6 +14,10 @@
 /// Descriptors without which nothing can be served: listener, poller, watch, signals, standard streams, and
 /// a few connections.
 const LEAST_SOCKETS: usize = 32;
+/// Memory under which nothing sensible can be held, in MB.
+const LEAST_MEMORY: usize = 32;
+/// The parts of the memory that held requests may take, and what clients' connections have read ahead.
+const PARTS: usize = 6;
 
 /// Why there is no configuration.
 #[derive(Debug, Error)]
@@ -42,6 +46,8 @@
     pub seed: u64,
     /// File descriptors that may be held.
     pub sockets: usize,
+    /// Bytes that held requests may take, and as many again that clients' connections may have read ahead.
+    pub most_bytes: usize,
     /// The list of db hosts as last known.
     pub known: Members,
     /// The settings.
@@ -63,6 +69,12 @@
 struct Limits {
     #[serde(default = "sockets")]
     sockets: usize,
+    #[serde(default = "memory")]
+    memory_mb: usize,
+}
+
+fn memory() -> usize {
+    192
 }
 
 fn sockets() -> usize {
@@ -92,12 +104,16 @@
         if file.limits.sockets < LEAST_SOCKETS {
             return Err(Fault::at("limits.sockets", format!("must be at least {LEAST_SOCKETS}")));
         }
+        if file.limits.memory_mb < LEAST_MEMORY {
+            return Err(Fault::at("limits.memory_mb", format!("must be at least {LEAST_MEMORY}")));
+        }
         Ok(Self {
             name: variable("EDGE_NAME").unwrap_or(file.name),
             listen: address("EDGE_LISTEN", file.listen)?,
             discovery: address("EDGE_DISCOVERY", file.discovery)?,
             seed,
             sockets: file.limits.sockets,
+            most_bytes: file.limits.memory_mb.saturating_mul(1024 * 1024) / PARTS,
             known: file.known,
             deployment: Deployment::from_json(file.settings.get()).map_err(|f| f.inside("settings"))?,
         })
@@ -122,6 +138,7 @@
     fn variables_outweigh_the_file_and_limits_have_defaults() {
         let config = parse(&[]).unwrap();
         assert_eq!((config.name.as_str(), config.seed, config.sockets), ("n0", 0x8c1f, 1024));
+        assert_eq!(config.most_bytes, 32 * 1024 * 1024);
         assert_eq!(config.listen.port(), 5432);
         let config = parse(&[("EDGE_NAME", "n7"), ("EDGE_LISTEN", "127.0.0.2:6000")]).unwrap();
         assert_eq!((config.name.as_str(), config.listen.port()), ("n7", 6000));
--- a/gateway/src/core/admit.rs
+++ b/gateway/src/core/admit.rs
@@ -2,10 +2,6 @@
 
 use super::{Answer, Ask, Core};
 
-/// Bytes of held requests. Beside them stand what clients' connections have read ahead (as much again), and an
-/// answer of at most 66 KiB on each connection of either side: well inside 192 MB in all.
-const MOST_BYTES: usize = 32 * 1024 * 1024;
-
 impl Core {
     /// The class of a request that is let in, or the answer to one that is not.
     pub(super) fn admit(&self, ask: &Ask) -> Result<usize, Answer> {
@@ -15,7 +11,7 @@
         let class = self.deployment.class_names.iter().position(|name| *name == ask.class);
         // Guards against: running out of memory in a jam. Refusing is harmless, nothing has been sent.
         let full =
-            self.held.len() >= self.deployment.max_open || self.bytes + ask.body.text.len() > MOST_BYTES;
+            self.held.len() >= self.deployment.max_open || self.bytes + ask.body.text.len() > self.most_bytes;
         match class {
             Some(class) if !full => Ok(class),
             // An unlisted class can never be served here, but asking elsewhere does no harm.
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -195,7 +195,9 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     taken: u128,
+    /// Bytes of held requests, and the most there may be.
     bytes: usize,
+    most_bytes: usize,
 }
 
 impl Core {
@@ -205,6 +207,7 @@
         clock: Clock,
         deployment: Deployment,
         seed: u64,
+        most_bytes: usize,
         known: Members,
         effects: &mut Vec<Effect>,
     ) -> Result<Self, SettingsError> {
@@ -222,6 +225,7 @@
             actions: Vec::new(),
             taken: 0,
             bytes: 0,
+            most_bytes,
         };
         core.begin(now, known, effects);
         Ok(core)
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -55,7 +55,7 @@
         };
         let deployment = Deployment::from_json(SETTINGS).unwrap();
         let mut effects = Vec::new();
-        let core = Core::new(start, clock, deployment, 7, known, &mut effects).unwrap();
+        let core = Core::new(start, clock, deployment, 7, 1000, known, &mut effects).unwrap();
         (Self { core, start, now: start }, effects)
     }
 
@@ -184,6 +184,23 @@
     assert!(matches!(answers(&effects)[..], [(4, Answer::Refused { .. })]), "{effects:?}");
 }
 
+#[test]
+fn more_bytes_than_may_be_held_are_refused_until_some_are_answered() {
+    let (mut b, _) = Bench::new();
+    let long = || {
+        let mut ask = ask("order", 3000);
+        ask.body.text.resize(600, b' ');
+        ask
+    };
+    let effects = b.give(Input::Ask(ClientId(1), long()));
+    let (attempt, _) = starts(&effects)[0];
+    let effects = b.give(Input::Ask(ClientId(2), long()));
+    assert!(matches!(answers(&effects)[..], [(2, Answer::Refused { .. })]), "{effects:?}");
+    b.end(attempt, Status::Good);
+    let effects = b.give(Input::Ask(ClientId(2), long()));
+    assert_eq!(answers(&effects), []);
+}
+
 #[test]
 fn a_client_that_leaves_is_owed_nothing_and_its_room_is_free_again() {
     let (mut b, _) = Bench::new();
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -18,8 +18,6 @@
 const BACKLOG: i32 = 1024;
 /// Read ahead: a whole message and a little, or while a request is out only a little.
 const MOST_BUFFERED: usize = LONGEST_QUERY + CHUNK;
-/// Read ahead by all clients together.
-const MOST_BUFFERED_BY_ALL: usize = 32 * 1024 * 1024;
 /// A connection that has not said who it is by then is closed.
 const LOGIN_TIMEOUT: Duration = Duration::from_secs(60);
 /// How long a closed connection is given to take its last bytes.
@@ -67,13 +65,14 @@
     timers: Timers<Due>,
     accepted: u64,
     most: usize,
+    most_bytes: usize,
     draining: bool,
     scratch: Vec<u8>,
 }
 
 impl Clients {
-    /// Listens, for at most `most` connections.
-    pub fn listen(addr: SocketAddr, most: usize, poller: &Poller) -> io::Result<Self> {
+    /// Listens, for at most `most` connections that have read at most `most_bytes` ahead together.
+    pub fn listen(addr: SocketAddr, most: usize, most_bytes: usize, poller: &Poller) -> io::Result<Self> {
         let listener = TcpListener::bind(addr)?;
         listener.set_nonblocking(true)?;
         rustix::net::listen(&listener, BACKLOG)?;
@@ -85,6 +84,7 @@
             timers: Timers::new(),
             accepted: 0,
             most,
+            most_bytes,
             draining: false,
             scratch: vec![0; CHUNK],
         })
@@ -223,7 +223,7 @@
             }
         }
         let long = client.buffer.len() > CHUNK && client.phase != Phase::Busy;
-        if long && self.clients.values().map(|c| c.buffer.len()).sum::<usize>() > MOST_BUFFERED_BY_ALL {
+        if long && self.clients.values().map(|c| c.buffer.len()).sum::<usize>() > self.most_bytes {
             self.turn_out(number);
         }
         self.work(now, number, poller, inbox);
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -90,14 +90,22 @@
         let usable = config.sockets - RESERVED;
         let most_hosts = usable / 2;
         let listen = config.listen;
-        let clients = Clients::listen(listen, usable - most_hosts, &poller)
+        let clients = Clients::listen(listen, usable - most_hosts, config.most_bytes, &poller)
             .map_err(|error| RunError::Listen(listen, error))?;
         let deployment = config.deployment;
         let longest_deadline = deployment.module.classes.iter().map(|class| class.deadline).max();
         let longest_deadline = longest_deadline.unwrap_or_default();
         let hosts = Hosts::new(now, most_hosts, deployment.connect_timeout, deployment.keepalive);
         let mut effects = Vec::new();
-        let core = Core::new(now, Clock::start(), deployment, config.seed, config.known, &mut effects)?;
+        let core = Core::new(
+            now,
+            Clock::start(),
+            deployment,
+            config.seed,
+            config.most_bytes,
+            config.known,
+            &mut effects,
+        )?;
         log!("{} listens on {}", config.name, clients.addr()?);
         Ok(Self {
             poller,
