Read the configuration again on SIGHUP and move the watch at once

Checked: net/signals.rs registered SIGTERM alone, so SIGHUP took its default action. Ruled out: the watch, which was well until then. Now: SIGHUP reads the file again, checks it whole and keeps what is in force on any fault. Discovery and limits change at once; EDGE_DISCOVERY does not outweigh the file then. List and requests out go on. Tests: a reload on real sockets (faulty files, new discovery, a request out, one in a drain), and the variables.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -81,16 +81,36 @@
     1024
 }
 
+/// The file's text.
+fn text() -> Result<String, ConfigError> {
+    let path = env::var("EDGE_CONFIG").map_err(|_| ConfigError::Unset("EDGE_CONFIG"))?;
+    fs::read_to_string(&path).map_err(|e| ConfigError::File(path, e))
+}
+
+/// The variables that still count at a reload.
+fn variable_of_reload(
+    name: &'static str,
+    variable: impl Fn(&'static str) -> Option<String>,
+) -> Option<String> {
+    variable(name).filter(|_| name != "EDGE_DISCOVERY")
+}
+
 impl Config {
     /// Reads variables and file.
     ///
     /// # Errors
     /// Names the variable or key at fault.
     pub fn read() -> Result<Self, ConfigError> {
-        let path = env::var("EDGE_CONFIG").map_err(|_| ConfigError::Unset("EDGE_CONFIG"))?;
-        let text = fs::read_to_string(&path).map_err(|e| ConfigError::File(path, e))?;
-        let variable = |name: &'static str| env::var(name).ok();
-        Ok(Self::parse(&text, variable)?)
+        Ok(Self::parse(&text()?, |name| env::var(name).ok())?)
+    }
+
+    /// Reads the file again, for a reload. Guards against: `EDGE_DISCOVERY`, which is as it was at the start,
+    /// outweighing the address that the new file names.
+    ///
+    /// # Errors
+    /// Names the variable or key at fault.
+    pub fn read_again() -> Result<Self, ConfigError> {
+        Ok(Self::parse(&text()?, |name| variable_of_reload(name, |name| env::var(name).ok()))?)
     }
 
     /// Reads the file's text; a variable outweighs the key it stands for.
@@ -145,6 +165,16 @@
         assert_eq!(config.discovery.port(), 8500);
     }
 
+    #[test]
+    fn at_a_reload_the_file_says_where_discovery_is() {
+        let told =
+            |name| (name == "EDGE_DISCOVERY" || name == "EDGE_LISTEN").then(|| "127.0.0.9:1".to_owned());
+        let text = format!("{FILE}{}}}", include_str!("../tests/common/settings.json"));
+        let config = Config::parse(&text, |name| variable_of_reload(name, told)).unwrap();
+        assert_eq!(config.discovery.to_string(), "127.0.0.1:8500");
+        assert_eq!(config.listen.to_string(), "127.0.0.9:1");
+    }
+
     #[test]
     fn a_variable_at_fault_is_named() {
         let fault = parse(&[("EDGE_DISCOVERY", "nowhere")]).unwrap_err();
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -262,6 +262,16 @@
     pub fn directory(&self) -> &Directory {
         &self.directory
     }
+
+    /// The settings in force.
+    pub fn deployment(&self) -> &Deployment {
+        &self.deployment
+    }
+
+    /// Bytes that held requests may take from now on.
+    pub fn limit(&mut self, most_bytes: usize) {
+        self.most_bytes = most_bytes;
+    }
 }
 
 impl Directory {
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -90,6 +90,11 @@
         })
     }
 
+    /// Connections that may be open, and bytes read ahead, from now on.
+    pub fn limit(&mut self, most: usize, most_bytes: usize) {
+        (self.most, self.most_bytes) = (most, most_bytes);
+    }
+
     /// Where clients connect.
     pub fn addr(&self) -> io::Result<SocketAddr> {
         self.listener.as_ref().map_or(Err(ErrorKind::NotConnected.into()), TcpListener::local_addr)
--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -44,6 +44,21 @@
         }
     }
 
+    /// Goes on at another address, at once; at the same one the watch stays as it is.
+    pub fn move_to(
+        &mut self,
+        now: Instant,
+        addr: SocketAddr,
+        since: u64,
+        poller: &Poller,
+        inbox: &mut VecDeque<Input>,
+    ) {
+        if self.addr != addr {
+            self.addr = addr;
+            self.watch(now, since, poller, inbox);
+        }
+    }
+
     fn open(&self, now: Instant, since: u64, poller: &Poller) -> io::Result<Watch> {
         let mut wire = Wire::dial(self.addr)?;
         let path = format!("/catalog/members?follow=1&since={since}");
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Connections that may be open from now on.
+    pub fn limit(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// Starts an attempt.
     pub fn start(
         &mut self,
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -9,6 +9,7 @@
 
 use std::collections::VecDeque;
 use std::io;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use thiserror::Error;
@@ -40,12 +41,18 @@
     Settings(#[from] SettingsError),
     /// The listener.
     #[error("cannot listen on {0}: {1}")]
-    Listen(std::net::SocketAddr, io::Error),
+    Listen(SocketAddr, io::Error),
     /// The poller or the signals.
     #[error("{0}")]
     Io(#[from] io::Error),
 }
 
+/// How many connections clients and db hosts may have.
+fn shares(config: &Config) -> (usize, usize) {
+    let usable = config.sockets - RESERVED;
+    (usable - usable / 2, usable / 2)
+}
+
 struct Gateway {
     poller: Poller,
     clients: Clients,
@@ -53,6 +60,9 @@
     discovery: Discovery,
     signals: Signals,
     core: Core,
+    /// As they were at the start; they stay so.
+    name: String,
+    listen: SocketAddr,
     inbox: VecDeque<Input>,
     effects: Vec<Effect>,
     /// Since SIGTERM: when the listener closes, and when nothing can be owed any more.
@@ -87,10 +97,9 @@
         let poller = Poller::new()?;
         let signals = Signals::new()?;
         poller.add(&signals, Token::Signals, Interest::READ)?;
-        let usable = config.sockets - RESERVED;
-        let most_hosts = usable / 2;
+        let (most_clients, most_hosts) = shares(&config);
         let listen = config.listen;
-        let clients = Clients::listen(listen, usable - most_hosts, config.most_bytes, &poller)
+        let clients = Clients::listen(listen, most_clients, config.most_bytes, &poller)
             .map_err(|error| RunError::Listen(listen, error))?;
         let deployment = config.deployment;
         let longest_deadline = deployment.module.classes.iter().map(|class| class.deadline).max();
@@ -106,7 +115,8 @@
             config.known,
             &mut effects,
         )?;
-        log!("{} listens on {}", config.name, clients.addr()?);
+        let addr = clients.addr()?;
+        log!("{} listens on {addr}", config.name);
         Ok(Self {
             poller,
             clients,
@@ -114,6 +124,8 @@
             discovery: Discovery::new(config.discovery),
             signals,
             core,
+            name: config.name,
+            listen,
             inbox: VecDeque::new(),
             effects,
             drain_at: None,
@@ -146,7 +158,11 @@
         match event.token {
             Token::Listener => self.clients.accept(now, &self.poller),
             Token::Signals => {
-                if self.signals.take() && self.drain_at.is_none() {
+                let came = self.signals.take();
+                if came.reload {
+                    self.reload(now);
+                }
+                if came.terminate && self.drain_at.is_none() {
                     log!("SIGTERM: draining");
                     self.drain_at = Some(now + NOTICE);
                     self.stop_at = Some(now + NOTICE + self.longest_deadline + LEEWAY);
@@ -165,6 +181,30 @@
         }
     }
 
+    /// Reads the configuration again and takes what can change under way: where discovery is, and the limits.
+    /// The list held and all that is out go on. Guards against: a faulty file, which changes nothing.
+    fn reload(&mut self, now: Instant) {
+        let config = match Config::read_again() {
+            Ok(config) => config,
+            Err(error) => {
+                log!("SIGHUP: the configuration in force stays: {error}");
+                return;
+            }
+        };
+        log!("SIGHUP: configuration read again, discovery at {}", config.discovery);
+        let (most_clients, most_hosts) = shares(&config);
+        self.clients.limit(most_clients, config.most_bytes);
+        self.hosts.limit(most_hosts);
+        self.core.limit(config.most_bytes);
+        if (&config.name, config.listen, &config.deployment)
+            != (&self.name, self.listen, self.core.deployment())
+        {
+            log!("SIGHUP: a new name, listen or settings count from the next start");
+        }
+        let since = self.core.directory().version();
+        self.discovery.move_to(now, config.discovery, since, &self.poller, &mut self.inbox);
+    }
+
     fn tick(&mut self, now: Instant) {
         let (hosts, mut around) = self.hosts(now);
         hosts.tick(&mut around);
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Long enough for anything that comes at all.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -28,6 +28,15 @@
     Some((head[0], body))
 }
 
+/// Waits for something that comes soon; `told` is said when it does not.
+pub fn until(come: impl Fn() -> bool, told: impl Fn() -> String) {
+    let start = Instant::now();
+    while !come() {
+        assert!(start.elapsed() < PATIENCE, "{}", told());
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
 pub fn unix_ms() -> u128 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
 }
@@ -177,36 +186,25 @@
     list(41, true, &entries)
 }
 
-/// The gateway, and discovery, which passes on the lines it is given.
-pub struct Gateway {
-    child: Child,
+/// Discovery, which passes on the lines it is given.
+pub struct Discovery {
     pub addr: SocketAddr,
     pub news: Sender<String>,
-    /// The first lines of the calls that discovery got.
+    /// The first lines of the calls that it got.
     pub calls: Arc<Mutex<Vec<String>>>,
-    log: Arc<Mutex<String>>,
-    _folder: tempfile::TempDir,
 }
 
-impl Gateway {
-    pub fn start(known: &str) -> Self {
-        Self::start_with(known, include_str!("settings.json"))
-    }
-
-    pub fn start_with(known: &str, settings: &str) -> Self {
-        Self::start_after(&[], known, settings)
-    }
-
-    /// Discovery answers the first calls as given, and closes; only then does it open a watch.
-    pub fn start_after(first: &'static [&'static str], known: &str, settings: &str) -> Self {
+impl Discovery {
+    /// Answers the first calls as given, and closes; only then does it open a watch.
+    pub fn start(first: &'static [&'static str]) -> Self {
         let (news, lines) = channel::<String>();
-        let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
-        let discovery_addr = discovery.local_addr().unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
         let calls = Arc::new(Mutex::new(Vec::new()));
         let kept_calls = Arc::clone(&calls);
         thread::spawn(move || {
             let call = || {
-                let (mut stream, _) = discovery.accept().unwrap();
+                let (mut stream, _) = listener.accept().unwrap();
                 let mut line = String::new();
                 BufReader::new(&mut stream).read_line(&mut line).unwrap();
                 kept_calls.lock().unwrap().push(line);
@@ -222,16 +220,47 @@
                 let _ = stream.write_all(format!("{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes());
             }
         });
+        Self { addr, news, calls }
+    }
+}
+
+/// The gateway and its discovery.
+pub struct Gateway {
+    child: Child,
+    pub addr: SocketAddr,
+    pub news: Sender<String>,
+    /// The first lines of the calls that discovery got.
+    pub calls: Arc<Mutex<Vec<String>>>,
+    log: Arc<Mutex<String>>,
+    /// Where discovery is at the start.
+    pub discovery: SocketAddr,
+    config: String,
+    folder: tempfile::TempDir,
+}
+
+impl Gateway {
+    pub fn start(known: &str) -> Self {
+        Self::start_with(known, include_str!("settings.json"))
+    }
+
+    pub fn start_with(known: &str, settings: &str) -> Self {
+        Self::start_after(&[], known, settings)
+    }
+
+    /// Discovery answers the first calls as given, and closes; only then does it open a watch.
+    pub fn start_after(first: &'static [&'static str], known: &str, settings: &str) -> Self {
+        let Discovery { addr: discovery_addr, news, calls } = Discovery::start(first);
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("config.json");
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery_addr}","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{known},"settings":{settings}}}"#
         );
-        std::fs::write(&path, config).unwrap();
+        std::fs::write(&path, &config).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_yewroute"))
             .env_clear()
             .env("EDGE_CONFIG", path)
+            .env("EDGE_DISCOVERY", discovery_addr.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -245,7 +274,7 @@
                 kept.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        Self { child, addr, news, calls, log, _folder: folder }
+        Self { child, addr, news, calls, log, discovery: discovery_addr, config, folder }
     }
 
     /// One primary and one replica, both well.
@@ -261,8 +290,24 @@
     }
 
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts `to` in the place of `from` in the configuration it was started with, and sends SIGHUP.
+    pub fn reload(&self, from: &str, to: &str) {
+        assert!(self.config.contains(from), "{from}");
+        std::fs::write(self.folder.path().join("config.json"), self.config.replace(from, to)).unwrap();
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+    }
+
+    /// Waits until the log has `text`.
+    pub fn logs(&self, text: &str) {
+        until(|| self.log().contains(text), || self.log());
     }
 
     pub fn wait(&mut self) -> ExitStatus {
--- a/gateway/tests/rules.rs
+++ b/gateway/tests/rules.rs
@@ -243,6 +243,39 @@
     assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
 }
 
+#[test]
+fn sighup_moves_the_watch_at_once_and_a_faulty_file_changes_nothing() {
+    let primary = Host::start(|query| match query {
+        query if query.contains("k=1") => Do::SayLater(Duration::from_millis(600), served("primary")),
+        query => well(true, query),
+    });
+    let replica = Host::well(false);
+    let mut gateway = Gateway::pair(&primary, &replica);
+    let mut out = gateway.client();
+    out.send(&statement("order", 3000, ",k=1"));
+    for (from, to, said) in [
+        (r#""sockets":256"#, r#""sockets":"few""#, "the configuration in force stays: limits.sockets: "),
+        (r#""seed":"8c1f"#, r#""seed":"8c1f","#, "the configuration in force stays: "),
+    ] {
+        gateway.reload(from, to);
+        gateway.logs(said);
+    }
+    // EDGE_DISCOVERY still names the old one.
+    let new = Discovery::start(&[]);
+    let named = format!(r#""discovery":"{}""#, gateway.discovery);
+    gateway.reload(&named, &format!(r#""discovery":"{}""#, new.addr));
+    until(|| !new.calls.lock().unwrap().is_empty(), || gateway.log());
+    assert_eq!(*new.calls.lock().unwrap(), ["GET /catalog/members?follow=1&since=41 HTTP/1.1\r\n"]);
+    new.news.send(list(42, false, &[entry("s-b", &replica, "replica", "Terminating", 0)])).unwrap();
+    assert_eq!(out.answer(), SERVED, "what was out has gone on");
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
+    assert_eq!((primary.asked().len(), replica.asked().len()), (2, 0), "the new one's news counts");
+    gateway.terminate();
+    gateway.reload(r#""seed":"8c1f"#, r#""seed":"8c20"#);
+    assert!(gateway.wait().success(), "{}", gateway.log());
+}
+
 #[test]
 fn sigterm_answers_all_it_has_taken_and_exits_cleanly() {
     let primary = Host::start(|query| match query {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -49,7 +49,7 @@
 }
 
 /// All that the settings say, for the module and for what surrounds it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Deployment {
     /// The module's share.
     pub module: Settings,
