Close clients that say nothing whole, let crowds give way, turn away open ids

Checked: a trace of what clients send. Crowds connect and say nothing; net/clients.rs gave them 60 s and evict() looked at idle connections only. The trace also shows open ids sent again by others (served, core/admit.rs never looked at ids) and unlisted classes (refused as if asking elsewhere could help). Ruled out: memory (1 MB) and CPU (0.06 s in a second). Now: 2 s for the first query and for an unfinished message, 10 s for a client that takes no answers; where connections are short, silent ones give way after 100 ms, idle ones after 2 s. Open ids and unlisted classes get 22023 and go nowhere. A wait beyond the class's deadline is cut to it, so that its timer goes.

--- a/gateway/src/core/admit.rs
+++ b/gateway/src/core/admit.rs
@@ -7,15 +7,19 @@
     pub(super) fn admit(&self, ask: &Ask) -> Result<usize, Answer> {
         let limits = &self.deployment.module.limits;
         let retry_after = limits.retry_after.then_some(limits.max_retry_after);
-        let refused = Answer::Refused { retry_after };
         let class = self.deployment.class_names.iter().position(|name| *name == ask.class);
         // Guards against: running out of memory in a jam. Refusing is harmless, nothing has been sent.
         let full =
             self.held.len() >= self.deployment.max_open || self.bytes + ask.body.text.len() > self.most_bytes;
         match class {
-            Some(class) if !full => Ok(class),
-            // An unlisted class can never be served here, but asking elsewhere does no harm.
-            _ => Err(refused),
+            None => Err(Answer::Invalid("no such class")),
+            // Guards against: a client that sends another's open request once more. It would get what is not
+            // its own, and a second copy would go out.
+            Some(_) if self.names.contains(&ask.name) => {
+                Err(Answer::Invalid("a request of this id is open already"))
+            }
+            Some(_) if full => Err(Answer::Refused { retry_after }),
+            Some(class) => Ok(class),
         }
     }
 }
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -15,7 +15,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
@@ -58,6 +58,8 @@
 /// A client's request, whatever protocol it came by.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Ask {
+    /// The client's own name for it; no two open at once have the same.
+    pub name: Vec<u8>,
     /// The name of its class.
     pub class: String,
     /// How long the client will wait.
@@ -86,6 +88,8 @@
     },
     /// Failed: it may have taken effect.
     Failed,
+    /// It is no request that could ever be served, and why; nothing was sent for it.
+    Invalid(&'static str),
 }
 
 /// What a db host says of itself along with an answer.
@@ -171,6 +175,7 @@
 
 struct Held {
     client: ClientId,
+    name: Vec<u8>,
     body: Rc<Body>,
     sends: u32,
     out: Option<AttemptId>,
@@ -189,6 +194,7 @@
     directory: Directory,
     held: HashMap<RequestId, Held>,
     by_client: HashMap<ClientId, RequestId>,
+    names: HashSet<Vec<u8>>,
     attempts: HashMap<AttemptId, Attempt>,
     timers: Timers<Due>,
     /// Events for the module that its own actions gave rise to.
@@ -219,6 +225,7 @@
             directory: Directory::default(),
             held: HashMap::new(),
             by_client: HashMap::new(),
+            names: HashSet::new(),
             attempts: HashMap::new(),
             timers: Timers::new(),
             events: VecDeque::new(),
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -36,6 +36,7 @@
     fn release(&mut self, id: RequestId) -> Option<Held> {
         let held = self.held.remove(&id)?;
         self.by_client.remove(&held.client);
+        self.names.remove(&held.name);
         self.bytes -= held.body.text.len();
         Some(held)
     }
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -23,20 +23,24 @@
         };
         // Clients repeat their own ids when they send once more on a new connection; ours never come twice.
         self.taken += 1;
+        // Guards against: timers and db hosts' work kept for longer than any client of the class waits.
+        let wait = ask.wait.min(self.deployment.module.classes[class].deadline);
         let id = RequestId(self.taken);
         let request = Request {
             id,
             class,
             group: GroupId(ask.group),
-            left: ask.wait,
+            left: wait,
             resent: ask.resent,
             session: self.deployment.sessions[class].then(|| session(&ask.key)),
             last_write_age: ask.after.map(|after| self.age(now, after)),
         };
         self.bytes += ask.body.text.len();
-        self.held.insert(id, Held { client, body: Rc::new(ask.body), sends: 0, out: None });
+        self.names.insert(ask.name.clone());
+        let held = Held { client, name: ask.name, body: Rc::new(ask.body), sends: 0, out: None };
+        self.held.insert(id, held);
         self.by_client.insert(client, id);
-        self.timers.set(now + ask.wait + OVERDUE, Due::Overdue(id));
+        self.timers.set(now + wait + OVERDUE, Due::Overdue(id));
         self.route(now, Event::Request(request), effects);
     }
 
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -18,10 +18,20 @@
 const BACKLOG: i32 = 1024;
 /// Read ahead: a whole message and a little, or while a request is out only a little.
 const MOST_BUFFERED: usize = LONGEST_QUERY + CHUNK;
-/// A connection that has not said who it is by then is closed.
-const LOGIN_TIMEOUT: Duration = Duration::from_secs(60);
+/// Answers that wait to be written, beyond which no further message is taken.
+const MOST_UNWRITTEN: usize = CHUNK;
+/// A connection on which no query has come whole by then is closed, and so is one that leaves a message
+/// unfinished for so long.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// A client that has taken none of its answers for so long is given up.
+const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a closed connection is given to take its last bytes.
 const LINGER: Duration = Duration::from_secs(1);
+/// How often those times are looked after.
+const SWEEP: Duration = Duration::from_millis(200);
+/// Where descriptors are short, connections give way after so long: such as have not said a word, and idle ones.
+const SILENT: Duration = Duration::from_millis(100);
+const IDLE: Duration = Duration::from_secs(2);
 /// How long accepting rests when it failed for want of descriptors.
 const REST: Duration = Duration::from_millis(50);
 
@@ -38,13 +48,12 @@
     /// Nothing more is taken; closed once all is written.
     Closing,
     /// All is written; waiting for the client to close.
-    Lingering,
+    Lingering(Instant),
 }
 
 #[derive(Clone, Copy)]
 enum Due {
-    Login(u64),
-    Linger(u64),
+    Sweep,
     Accept,
 }
 
@@ -55,6 +64,12 @@
     /// The client sends no more; it may still read.
     ended: bool,
     interest: Interest,
+    accepted: Instant,
+    /// A query has come whole.
+    asked: bool,
+    /// Since when a message lies unfinished, and since when the client has taken none of its answers.
+    unfinished: Option<Instant>,
+    stuck: Option<Instant>,
 }
 
 /// All clients' connections, and the listener.
@@ -72,16 +87,24 @@
 
 impl Clients {
     /// Listens, for at most `most` connections that have read at most `most_bytes` ahead together.
-    pub fn listen(addr: SocketAddr, most: usize, most_bytes: usize, poller: &Poller) -> io::Result<Self> {
+    pub fn listen(
+        now: Instant,
+        addr: SocketAddr,
+        most: usize,
+        most_bytes: usize,
+        poller: &Poller,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(addr)?;
         listener.set_nonblocking(true)?;
         rustix::net::listen(&listener, BACKLOG)?;
         poller.add(&listener, Token::Listener, Interest::READ)?;
+        let mut timers = Timers::new();
+        timers.set(now + SWEEP, Due::Sweep);
         Ok(Self {
             listener: Some(listener),
             listening: true,
             clients: HashMap::new(),
-            timers: Timers::new(),
+            timers,
             accepted: 0,
             most,
             most_bytes,
@@ -103,7 +126,7 @@
     /// Takes the connections that wait.
     pub fn accept(&mut self, now: Instant, poller: &Poller) {
         while let Some(listener) = &self.listener {
-            if self.clients.len() >= self.most && !evict(&mut self.clients) {
+            if self.clients.len() >= self.most && !evict(now, &mut self.clients) {
                 log!("out of client connections: {} open, all busy", self.clients.len());
                 self.rest(now, poller);
                 return;
@@ -124,9 +147,12 @@
                                 buffer: Vec::new(),
                                 ended: false,
                                 interest: Interest::READ,
+                                accepted: now,
+                                asked: false,
+                                unfinished: None,
+                                stuck: None,
                             };
                             self.clients.insert(number, client);
-                            self.timers.set(now + LOGIN_TIMEOUT, Due::Login(number));
                         }
                         Err(error) => log!("cannot take a client's connection: {error}"),
                     }
@@ -136,7 +162,7 @@
                 Err(error) => {
                     // Guards against: a busy loop when descriptors have run out (EMFILE).
                     log!("cannot accept: {error}");
-                    if !evict(&mut self.clients) {
+                    if !evict(now, &mut self.clients) {
                         self.rest(now, poller);
                         return;
                     }
@@ -176,16 +202,12 @@
         self.timers.next()
     }
 
-    pub fn tick(&mut self, now: Instant, poller: &Poller) {
+    pub fn tick(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
         while let Some(due) = self.timers.due(now) {
             match due {
-                Due::Login(number) => {
-                    if self.clients.get(&number).is_some_and(|client| client.phase == Phase::Opening) {
-                        self.clients.remove(&number);
-                    }
-                }
-                Due::Linger(number) => {
-                    self.clients.remove(&number);
+                Due::Sweep => {
+                    self.sweep(now, poller, inbox);
+                    self.timers.set(now + SWEEP, Due::Sweep);
                 }
                 Due::Accept => {
                     if let (false, Some(listener)) = (self.listening, &self.listener) {
@@ -197,6 +219,22 @@
         }
     }
 
+    /// Guards against: connections kept open by clients that say nothing, stop within a message, or never
+    /// take their answers.
+    fn sweep(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        let overdue = |client: &Client| client.overdue(now);
+        let numbers = self.clients.iter().filter(|(_, client)| overdue(client)).map(|(number, _)| *number);
+        for number in numbers.collect::<Vec<_>>() {
+            match self.clients.get_mut(&number) {
+                Some(client) if client.unfinished.is_some() && client.takes() && client.stuck.is_none() => {
+                    client.turn_out(code::PROTOCOL_VIOLATION, "a message was not finished in time");
+                    self.work(now, number, poller, inbox);
+                }
+                _ => self.gone(number, inbox),
+            }
+        }
+    }
+
     pub fn ready(
         &mut self,
         now: Instant,
@@ -228,22 +266,16 @@
             }
         }
         let long = client.buffer.len() > CHUNK && client.phase != Phase::Busy;
+        // Guards against: long messages of many clients, all unfinished, that together fill the memory.
         if long && self.clients.values().map(|c| c.buffer.len()).sum::<usize>() > self.most_bytes {
-            self.turn_out(number);
+            if let Some(client) = self.clients.get_mut(&number) {
+                log!("out of memory for clients: one connection closed");
+                client.turn_out(code::OUT_OF_MEMORY, "too many bytes of clients");
+            }
         }
         self.work(now, number, poller, inbox);
     }
 
-    /// Guards against: long messages of many clients, all unfinished, that together fill the memory.
-    fn turn_out(&mut self, number: u64) {
-        let Some(client) = self.clients.get_mut(&number) else { return };
-        let text = "too many bytes of clients";
-        log!("out of memory for clients: one connection closed");
-        frontend::put_error(client.wire.out(), "FATAL", code::OUT_OF_MEMORY, text, None);
-        client.buffer = Vec::new();
-        client.phase = Phase::Closing;
-    }
-
     /// Hands a client its answer.
     pub fn answer(
         &mut self,
@@ -262,6 +294,7 @@
             }
             Answer::Refused { retry_after } => frontend::put_refusal(out, retry_after),
             Answer::Failed => frontend::put_failure(out),
+            Answer::Invalid(why) => frontend::put_invalid(out, why),
         }
         client.phase = Phase::Idle(now);
         self.work(now, number, poller, inbox);
@@ -292,7 +325,13 @@
     /// Writes, closes if it is time, and asks to be woken for what is next; false if the connection is broken.
     fn settle(&mut self, now: Instant, number: u64, poller: &Poller) -> bool {
         let Some(client) = self.clients.get_mut(&number) else { return true };
+        let before = client.wire.unwritten();
         let Ok(written) = client.wire.flush() else { return false };
+        client.stuck = match client.stuck {
+            _ if written => None,
+            Some(since) if client.wire.unwritten() == before => Some(since),
+            _ => Some(now),
+        };
         if client.phase == Phase::Closing && written {
             if client.ended {
                 self.clients.remove(&number);
@@ -300,11 +339,10 @@
             }
             // Guards against: an answer lost to a reset, which closing with unread bytes would cause.
             client.wire.end_sending();
-            client.phase = Phase::Lingering;
+            client.phase = Phase::Lingering(now);
             client.buffer = Vec::new();
-            self.timers.set(now + LINGER, Due::Linger(number));
         }
-        if client.phase == Phase::Lingering {
+        if matches!(client.phase, Phase::Lingering(_)) {
             client.buffer.clear();
             if client.ended {
                 self.clients.remove(&number);
@@ -327,6 +365,33 @@
 }
 
 impl Client {
+    /// It has kept its connection for longer than it may as things stand.
+    fn overdue(&self, now: Instant) -> bool {
+        let older = |since: Option<Instant>, than| since.is_some_and(|since| now - since >= than);
+        let silent = !self.asked && now - self.accepted >= MESSAGE_TIMEOUT;
+        older(self.stuck, STUCK_TIMEOUT)
+            || match self.phase {
+                Phase::Opening | Phase::Idle(_) | Phase::Skipping => {
+                    self.stuck.is_none() && (silent || older(self.unfinished, MESSAGE_TIMEOUT))
+                }
+                Phase::Busy | Phase::Closing => false,
+                Phase::Lingering(since) => now - since >= LINGER,
+            }
+    }
+
+    /// Says why, and closes once that is written.
+    fn turn_out(&mut self, sqlstate: &str, why: &str) {
+        frontend::put_error(self.wire.out(), "FATAL", sqlstate, why, None);
+        self.buffer = Vec::new();
+        self.unfinished = None;
+        self.phase = Phase::Closing;
+    }
+
+    /// Nothing has come that is not read yet, or it would not be taken anyway.
+    fn silent(&self) -> bool {
+        matches!(self.phase, Phase::Lingering(_)) || self.wire.quiet()
+    }
+
     /// More bytes are wanted.
     fn reads(&self) -> bool {
         let most = if self.phase == Phase::Busy { CHUNK } else { MOST_BUFFERED };
@@ -343,7 +408,7 @@
         let (mut used, mut stalled) = (0, false);
         while self.takes() {
             // Guards against: answers piling up for a client that sends and never reads.
-            stalled = self.wire.unwritten() >= MOST_BUFFERED;
+            stalled = self.wire.unwritten() >= MOST_UNWRITTEN;
             if stalled {
                 break;
             }
@@ -357,12 +422,15 @@
                 Ok(None) => break,
                 Err(why) => {
                     log!("closed a client's connection: {why}");
-                    frontend::put_error(self.wire.out(), "FATAL", code::PROTOCOL_VIOLATION, &why, None);
-                    self.phase = Phase::Closing;
+                    self.turn_out(code::PROTOCOL_VIOLATION, &why);
+                    used = 0;
                 }
             }
         }
         self.buffer.drain(..used);
+        let unfinished = !self.buffer.is_empty() && self.takes() && !stalled;
+        self.unfinished = if used > 0 { None } else { self.unfinished }.filter(|_| unfinished);
+        self.unfinished = self.unfinished.or(unfinished.then_some(now));
         if self.buffer.is_empty() && self.buffer.capacity() > 2 * CHUNK {
             self.buffer = Vec::new();
         }
@@ -409,11 +477,15 @@
                 self.phase = Phase::Skipping;
             }
             (Message::Query(text), _) => match frontend::local(text) {
-                Some(local) => frontend::put_local(out, local),
+                Some(local) => {
+                    frontend::put_local(out, local);
+                    self.asked = true;
+                }
                 None => {
                     let ask = ask(text).map_err(|e| e.to_string())?;
                     inbox.push_back(Input::Ask(ClientId(number), ask));
                     self.phase = Phase::Busy;
+                    self.asked = true;
                 }
             },
         }
@@ -421,13 +493,30 @@
     }
 }
 
-/// Closes the connection that has been idle longest.
-fn evict(clients: &mut HashMap<u64, Client>) -> bool {
-    let idle = clients.iter().filter_map(|(number, client)| match client.phase {
-        Phase::Idle(since) => Some((since, *number)),
+/// Closes a connection that nothing is owed on: one that is over, else the one that has been silent for longest
+/// since it came, else the one idle longest.
+///
+/// Guards against: crowds that connect and say nothing, which would keep usual clients out. One that has sent
+/// something which is not read yet is spared.
+fn evict(now: Instant, clients: &mut HashMap<u64, Client>) -> bool {
+    let place = |client: &Client| match client.phase {
+        Phase::Lingering(since) => Some((0, since)),
+        Phase::Opening if client.buffer.is_empty() => Some((1, client.accepted)),
+        Phase::Idle(since) if client.buffer.is_empty() && client.stuck.is_none() => Some((2, since)),
         _ => None,
-    });
-    let Some((_, number)) = idle.min() else { return false };
+    };
+    let due = |(rank, since)| match rank {
+        0 => true,
+        1 => now - since >= SILENT,
+        _ => now - since >= IDLE,
+    };
+    let mut places: Vec<_> = clients
+        .iter()
+        .filter_map(|(number, client)| Some((place(client).filter(|place| due(*place))?, *number)))
+        .collect();
+    places.sort_unstable();
+    let spare = |number: &u64| clients.get(number).is_some_and(|client| client.silent());
+    let Some(number) = places.into_iter().map(|(_, number)| number).find(spare) else { return false };
     clients.remove(&number);
     true
 }
@@ -436,6 +525,7 @@
 fn ask(text: &[u8]) -> Result<Ask, statement::Malformed> {
     let request = statement::request(text)?;
     Ok(Ask {
+        name: request.id.as_bytes().to_vec(),
         class: request.class.to_owned(),
         wait: Duration::from_millis(request.wait_ms.into()),
         group: request.group,
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -99,7 +99,7 @@
         poller.add(&signals, Token::Signals, Interest::READ)?;
         let (most_clients, most_hosts) = shares(&config);
         let listen = config.listen;
-        let clients = Clients::listen(listen, most_clients, config.most_bytes, &poller)
+        let clients = Clients::listen(now, listen, most_clients, config.most_bytes, &poller)
             .map_err(|error| RunError::Listen(listen, error))?;
         let deployment = config.deployment;
         let longest_deadline = deployment.module.classes.iter().map(|class| class.deadline).max();
@@ -208,7 +208,7 @@
     fn tick(&mut self, now: Instant) {
         let (hosts, mut around) = self.hosts(now);
         hosts.tick(&mut around);
-        self.clients.tick(now, &self.poller);
+        self.clients.tick(now, &self.poller, &mut self.inbox);
         self.discovery.tick(now, &mut self.inbox);
         // What has come counts before what is overdue.
         self.settle(now);
--- a/gateway/src/proto/pg/frontend.rs
+++ b/gateway/src/proto/pg/frontend.rs
@@ -170,6 +170,12 @@
     put_ready(out);
 }
 
+/// Appends the answer to a request that can never be served as it is.
+pub fn put_invalid(out: &mut Vec<u8>, why: &str) {
+    put_error(out, "ERROR", code::INVALID_VALUE, why, None);
+    put_ready(out);
+}
+
 /// Appends the failure of a request.
 pub fn put_failure(out: &mut Vec<u8>) {
     put_error(out, "ERROR", code::UNKNOWN_COMPLETION, "failed: whether it took effect is not known", None);
--- a/gateway/src/proto/pg/mod.rs
+++ b/gateway/src/proto/pg/mod.rs
@@ -9,6 +9,8 @@
 pub mod code {
     /// The client broke the protocol.
     pub const PROTOCOL_VIOLATION: &str = "08P01";
+    /// A value that no request may have.
+    pub const INVALID_VALUE: &str = "22023";
     /// A message that this gateway does not take.
     pub const NOT_SUPPORTED: &str = "0A000";
     /// Refused: a further try is harmless. From a db host: turned away unseen.
--- a/gateway/src/proto/pg/statement.rs
+++ b/gateway/src/proto/pg/statement.rs
@@ -24,6 +24,8 @@
 /// What the comment and the statement say.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Request<'a> {
+    /// `id`: the client's name for the request.
+    pub id: &'a str,
     /// `c`: the name of the class.
     pub class: &'a str,
     /// `d`: the milliseconds the client waits.
@@ -62,12 +64,12 @@
     let offset = body.as_ptr() as usize - text.as_ptr() as usize + start + 2;
 
     let (mut class, mut wait, mut group, mut after, mut resent, mut id) =
-        (None, None, None, None, false, false);
+        (None, None, None, None, false, None);
     for pair in comment.split(',') {
         let Some((name, value)) = pair.split_once('=') else { continue };
         let value = value.trim_end();
         match name.trim() {
-            "id" => id = !value.is_empty(),
+            "id" => id = Some(value).filter(|value| !value.is_empty()),
             "c" => class = Some(value),
             "d" => {
                 let at = offset + (value.as_ptr() as usize - comment.as_ptr() as usize);
@@ -79,11 +81,10 @@
             _ => {}
         }
     }
-    if !id {
-        return Err(Malformed::Missing("id"));
-    }
+    let id = id.ok_or(Malformed::Missing("id"))?;
     let (wait_ms, wait_at) = wait.ok_or(Malformed::Missing("d"))?;
     Ok(Request {
+        id,
         class: class.ok_or(Malformed::Missing("c"))?,
         wait_ms,
         wait_at,
--- a/gateway/src/proto/tests.rs
+++ b/gateway/src/proto/tests.rs
@@ -126,8 +126,8 @@
                 let key = text(r.key);
                 writeln!(
                     table,
-                    "{case}\n  class {} wait {wait} group {} after {:?} resent {} key {key}",
-                    r.class, r.group, r.after, r.resent
+                    "{case}\n  id {} class {} wait {wait} group {} after {:?} resent {} key {key}",
+                    r.id, r.class, r.group, r.after, r.resent
                 )
                 .unwrap();
             }
@@ -292,7 +292,7 @@
 #[test]
 fn what_is_written() {
     type Put = fn(&mut Vec<u8>);
-    let cases: [(&str, Put); 9] = [
+    let cases: [(&str, Put); 10] = [
         ("startup", put_startup),
         ("query", |out| put_query(out, |b| b.extend(b"SHOW load"))),
         ("welcome", |out| frontend::put_welcome(out, 0)),
@@ -302,6 +302,7 @@
         }),
         ("refusal without", |out| frontend::put_refusal(out, None)),
         ("failure", frontend::put_failure),
+        ("no request", |out| frontend::put_invalid(out, "no such class")),
         ("notice", |out| frontend::put_notice(out, "waiting")),
         ("empty query", |out| frontend::put_local(out, frontend::Local::Empty)),
     ];
