Let connections without a request give way first, turn away misfit statements

Checked: a trace of the table when it is full: 170 idle connections that had asked an empty query and stayed, which evict() spared for 2 s; and a trace of statements: SELECTs in the class of writes, each tried up to 8 times. Now: connections that have sent no request give way first; a statement that does not fit its class gets 22023.

--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -60,6 +60,8 @@
 pub struct Ask {
     /// The client's own name for it; no two open at once have the same.
     pub name: Vec<u8>,
+    /// It changes data.
+    pub writes: bool,
     /// The name of its class.
     pub class: String,
     /// How long the client will wait.
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -34,6 +34,7 @@
     let wait_at = at..at + wait_ms.to_string().len();
     Ask {
         name: b"1".to_vec(),
+        writes: class == "order",
         class: class.to_owned(),
         wait: Duration::from_millis(wait_ms),
         group: 2,
@@ -189,6 +190,9 @@
     let (mut b, _) = Bench::new();
     let effects = b.ask(4, "no such class", 3000);
     assert_eq!(answers(&effects), [(4, &Answer::Invalid("no such class"))]);
+    let read = Ask { writes: false, ..ask("order", 3000) };
+    let effects = b.give(Input::Ask(ClientId(4), read));
+    assert!(matches!(effects[..], [Effect::Answer(_, Answer::Invalid(_))]), "{effects:?}");
     let effects = b.ask(1, "order", 3000);
     let [(attempt, _)] = starts(&effects)[..] else { panic!("{effects:?}") };
     // Another client sends the open request's id: it gets an error, and the request goes on.
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -29,11 +29,11 @@
 const LINGER: Duration = Duration::from_secs(1);
 /// How often those times are looked after.
 const SWEEP: Duration = Duration::from_millis(200);
-/// Where descriptors are short, connections give way after so long: such as have not said a word, and idle ones.
-const SILENT: Duration = Duration::from_millis(100);
+/// Where descriptors are short, connections give way after so long: such as have sent no request, and idle ones.
+const SILENT: Duration = Duration::from_millis(50);
 const IDLE: Duration = Duration::from_secs(2);
 /// How long accepting rests when it failed for want of descriptors.
-const REST: Duration = Duration::from_millis(50);
+const REST: Duration = Duration::from_millis(20);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -65,8 +65,9 @@
     ended: bool,
     interest: Interest,
     accepted: Instant,
-    /// A query has come whole.
+    /// A query has come whole; and one that was a request, not only an empty one or a parameter's.
     asked: bool,
+    requested: bool,
     /// Since when a message lies unfinished, and since when the client has taken none of its answers.
     unfinished: Option<Instant>,
     stuck: Option<Instant>,
@@ -149,6 +150,7 @@
                                 interest: Interest::READ,
                                 accepted: now,
                                 asked: false,
+                                requested: false,
                                 unfinished: None,
                                 stuck: None,
                             };
@@ -485,7 +487,7 @@
                     let ask = ask(text).map_err(|e| e.to_string())?;
                     inbox.push_back(Input::Ask(ClientId(number), ask));
                     self.phase = Phase::Busy;
-                    self.asked = true;
+                    (self.asked, self.requested) = (true, true);
                 }
             },
         }
@@ -493,16 +495,18 @@
     }
 }
 
-/// Closes a connection that nothing is owed on: one that is over, else the one that has been silent for longest
-/// since it came, else the one idle longest.
+/// Closes a connection that nothing is owed on: one that is over, else one that has sent no request and been
+/// silent for longest, else the one idle longest.
 ///
-/// Guards against: crowds that connect and say nothing, which would keep usual clients out. One that has sent
-/// something which is not read yet is spared.
+/// Guards against: crowds that connect and say nothing, or no more than an empty query, which would keep usual
+/// clients out. One that has sent something which is not read yet is spared.
 fn evict(now: Instant, clients: &mut HashMap<u64, Client>) -> bool {
     let place = |client: &Client| match client.phase {
         Phase::Lingering(since) => Some((0, since)),
-        Phase::Opening if client.buffer.is_empty() => Some((1, client.accepted)),
-        Phase::Idle(since) if client.buffer.is_empty() && client.stuck.is_none() => Some((2, since)),
+        Phase::Opening | Phase::Idle(_) if !client.buffer.is_empty() || client.stuck.is_some() => None,
+        Phase::Opening => Some((1, client.accepted)),
+        Phase::Idle(since) if !client.requested => Some((1, since)),
+        Phase::Idle(since) => Some((2, since)),
         _ => None,
     };
     let due = |(rank, since)| match rank {
@@ -526,6 +530,7 @@
     let request = statement::request(text)?;
     Ok(Ask {
         name: request.id.as_bytes().to_vec(),
+        writes: request.writes,
         class: request.class.to_owned(),
         wait: Duration::from_millis(request.wait_ms.into()),
         group: request.group,
--- a/gateway/src/proto/pg/statement.rs
+++ b/gateway/src/proto/pg/statement.rs
@@ -16,6 +16,9 @@
     /// The comment has an unfitting value.
     #[error("the comment's {0} has an unfitting value")]
     Value(&'static str),
+    /// It neither reads nor writes a row.
+    #[error("the statement is neither a read nor a write")]
+    Verb,
     /// The statement has no quoted key.
     #[error("the statement has no quoted key")]
     NoKey,
@@ -28,6 +31,8 @@
     pub id: &'a str,
     /// `c`: the name of the class.
     pub class: &'a str,
+    /// It changes data.
+    pub writes: bool,
     /// `d`: the milliseconds the client waits.
     pub wait_ms: u32,
     /// Where in the statement that number stands.
@@ -85,6 +90,7 @@
     let (wait_ms, wait_at) = wait.ok_or(Malformed::Missing("d"))?;
     Ok(Request {
         id,
+        writes: writes(trim(text)).ok_or(Malformed::Verb)?,
         class: class.ok_or(Malformed::Missing("c"))?,
         wait_ms,
         wait_at,
@@ -95,6 +101,14 @@
     })
 }
 
+/// Whether a statement's first word changes data; none if it is no word of a request.
+fn writes(text: &[u8]) -> Option<bool> {
+    let word = text.split(|b| !b.is_ascii_alphabetic()).next()?;
+    let is = |verb: &&str| word.eq_ignore_ascii_case(verb.as_bytes());
+    let write = ["INSERT", "UPDATE", "DELETE"].iter().any(is);
+    (write || is(&"SELECT")).then_some(write)
+}
+
 /// The first quoted text, or the first after `VALUES`: both name the row.
 fn quoted(text: &[u8]) -> Result<&[u8], Malformed> {
     let start = find(text, b"'").ok_or(Malformed::NoKey)? + 1;
--- a/gateway/src/proto/tests.rs
+++ b/gateway/src/proto/tests.rs
@@ -112,6 +112,7 @@
         "SELECT doc FROM items WHERE id = 'k' /* id=9,c=basket,d=99999999999,cluster=2 */",
         "SELECT doc FROM items WHERE id = 'k' /* id=9,c=basket,d=480,cluster=x */",
         "SELECT doc FROM items WHERE id = 'k' /* id=9,c=basket,d=480,cluster=2,after=soon */",
+        "DROP TABLE items /* 'k' id=9,c=basket,d=480,cluster=2 */",
         "SELECT doc FROM items /* id=9,c=basket,d=480,cluster=2 */",
         "SELECT doc FROM items WHERE id = 'open /* id=9,c=basket,d=480,cluster=2 */",
         "*/",
@@ -126,8 +127,8 @@
                 let key = text(r.key);
                 writeln!(
                     table,
-                    "{case}\n  id {} class {} wait {wait} group {} after {:?} resent {} key {key}",
-                    r.id, r.class, r.group, r.after, r.resent
+                    "{case}\n  id {} class {} writes {} wait {wait} group {} after {:?} resent {} key {key}",
+                    r.id, r.class, r.writes, r.group, r.after, r.resent
                 )
                 .unwrap();
             }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -378,5 +378,9 @@
 pub fn statement(class: &str, wait_ms: u32, more: &str) -> String {
     static MADE: AtomicU32 = AtomicU32::new(0);
     let id = MADE.fetch_add(1, Ordering::SeqCst);
-    format!("SELECT doc FROM items WHERE id = '7f3a' /* id=9b{id},c={class},d={wait_ms},cluster=2{more} */")
+    let verb = match class {
+        "order" => "INSERT INTO items (id, doc) VALUES ('7f3a', '\\x9f03') RETURNING doc",
+        _ => "SELECT doc FROM items WHERE id = '7f3a'",
+    };
+    format!("{verb} /* id=9b{id},c={class},d={wait_ms},cluster=2{more} */")
 }
--- a/gateway/tests/rules.rs
+++ b/gateway/tests/rules.rs
@@ -393,22 +393,18 @@
     let (primary, replica) = (Host::well(true), Host::well(false));
     let gateway = Gateway::pair(&primary, &replica);
     // Of the 256 descriptors that the configuration allows, clients get 120.
-    let mut idle: Vec<Client> = (0..60).map(|_| gateway.client()).collect();
-    for client in &mut idle {
-        assert_eq!(client.ask(""), b"IZ");
-    }
+    let client = |query: &str, answer: &[u8]| {
+        let mut client = gateway.client();
+        assert_eq!(client.ask(query), answer);
+        client
+    };
+    let request = || client(&statement("order", 3000, ",k=1"), SERVED);
+    let mut idle: Vec<Client> = (0..60).map(|_| request()).collect();
     let _crowd: Vec<Client> = (0..300).map(|_| Client::raw(gateway.addr)).collect();
-    let mut new = gateway.client();
-    assert_eq!(new.ask(&statement("order", 3000, ",k=1")), SERVED);
+    let _held: Vec<Client> = (0..300).map(|_| client("", b"IZ")).collect();
+    request();
     thread::sleep(Duration::from_millis(2100));
-    let busy: Vec<Client> = (0..100)
-        .map(|_| {
-            let mut client = gateway.client();
-            assert_eq!(client.ask(""), b"IZ");
-            client
-        })
-        .collect();
-    assert_eq!(busy.len(), 100);
+    let _new: Vec<Client> = (0..100).map(|_| request()).collect();
     let end = idle[0].stream.read(&mut [0]);
     assert_eq!(end.unwrap(), 0, "one idle for over 2 s was closed");
 }
