Believe a broken connection less: no doubt from one, and two before a server is down

Ruled out: idleness (466 of 559 resets at the first byte met a connection never idle), the pool's retiring, CPU. Full tables answer 53300 on sockets, which is Full and never was this case. Now: a refused connection alone raises no doubt; a server that answered within 800 ms is probed after two broken connections and falls after the third sign. One that has said nothing for longer falls at once, as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,6 +26,8 @@
 const SILENT_LATENCIES: f64 = 4.0;
 const SILENT_MIN: Duration = Duration::from_millis(100);
 const SILENT_MAX: Duration = Duration::from_millis(800);
+/// A server that answered lately is asked whether it lives after so many broken connections.
+const BROKEN: u32 = 2;
 /// A server with a full queue is left alone for about so long.
 const FULL_REST: Duration = Duration::from_millis(200);
 /// Housekeeping period: well under the shortest deadline, so that a waiting request is answered in time.
@@ -115,7 +117,8 @@
     overdue_at: Option<Instant>,
     /// Nothing is sent until a probe (or, without probes, time) clears it, nor before `retry_at`.
     down: bool,
-    refused: bool,
+    /// Connections refused or broken since it last answered anything.
+    broken: u32,
     retry_at: Option<Instant>,
     probing: bool,
     /// Work served lately, in unloaded latency for the time it was served in, as of `served_at`.
@@ -585,11 +588,9 @@
                 group.pressure *= 1.0 - PRESSURE_DOWN;
             }
             self.note_status(now, a.server, o.status, out);
-            // Guards against: full tables. A server that refuses a connection but answers a probe is not
-            // dead: idle connections of many gateways keep out those that have work. And against
-            // connections dropped unseen: sends after idleness stay unanswered far more often than others.
-            // While connections are in doubt none is kept idle. Hurts where a new one is dear: each send
-            // pays for one.
+            // Guards against: connections dropped unseen. Sends after idleness stay unanswered far more often
+            // than others. While connections are in doubt none is kept idle. Hurts where a new one is dear:
+            // each send pays for one.
             let lost = f64::from(u8::from(matches!(o.status, Status::Timeout | Status::Reset)));
             let mean = if a.idle { &mut self.idle_lost } else { &mut self.other_lost };
             *mean += LOST_GAIN * (lost - *mean);
@@ -647,9 +648,9 @@
 
     /// Books how a server behaved: one account of blame, which fades, and one question whether it lives.
     ///
-    /// Guards against: failures that draw work by shedding it at once, and dead or silent servers. A
-    /// refused or broken connection may be a full table or a death: a probe tells. Also catches full queues
-    /// and misses. Hurts where a single failure was chance: the server is passed over for some seconds.
+    /// Guards against: failures that draw work by shedding it at once, and dead or silent servers. Refused or
+    /// broken connections may be chance or a death: a probe tells. Also catches full queues and misses. Hurts
+    /// where a single failure was chance: the server is passed over for some seconds.
     fn note_status(&mut self, now: Instant, id: ServerId, status: Status, out: &mut Vec<Action>) {
         let server = self.servers.get_mut(&id).expect("sent there");
         if matches!(status, Status::Good | Status::Miss | Status::Error | Status::Spoilt) {
@@ -665,9 +666,11 @@
             }
             _ => server.accuse(now, FAILED),
         }
-        let silent = status == Status::Timeout && since(now, server.heard_at) >= SILENT_MAX;
-        server.refused |= status == Status::ConnectFailed;
-        let broken = matches!(status, Status::ConnectFailed | Status::Reset);
+        let silent = status == Status::Timeout && !server.lately(now);
+        if matches!(status, Status::ConnectFailed | Status::Reset) {
+            server.broken += 1;
+        }
+        let broken = server.broken > 0 && (server.broken >= BROKEN || !server.lately(now));
         if server.out == 0 {
             server.overdue_at = None;
         }
@@ -709,15 +712,22 @@
         server.probing = false;
         if status == Status::Good {
             server.heard_at = Some(now);
+            server.broken = 0;
             if server.down {
                 server.rise(now, &self.settings);
-            } else if server.refused {
-                self.doubt_until = Some(now + DOUBT_FOR);
             }
-            server.refused = false;
             let group = server.group;
             self.learn(now, id, Note { role: report.role, position: report.position }, true);
             self.retry_waiting(now, group, LOOK_AHEAD, out);
+        } else if status == Status::ConnectFailed && server.lately(now) {
+            // Guards against: taking a server that answers for dead, and for cold once it is back, because a
+            // new connection was reset. Also asks once or twice more of one that has just died.
+            server.broken += 1;
+            if server.broken > BROKEN {
+                server.fall(now);
+            } else {
+                self.probe(id, out);
+            }
         } else if status == Status::ConnectFailed || status == Status::Timeout {
             server.fall(now);
         }
@@ -888,12 +898,18 @@
 
     fn heard(&mut self, now: Instant, settings: &Settings) {
         self.heard_at = Some(now);
+        self.broken = 0;
         self.overdue_at = (self.out > 0).then_some(now + SILENT_MAX);
         if self.down {
             self.rise(now, settings);
         }
     }
 
+    /// It has answered something a moment ago.
+    fn lately(&self, now: Instant) -> bool {
+        since(now, self.heard_at) < SILENT_MAX
+    }
+
     fn fall(&mut self, now: Instant) {
         self.down = true;
         self.retry_at = Some(now + DOWN_PROBE);
