Give up attempts on silent connections early and blame no server for them

Now: what may be repeated is given up after ten mean latencies at an uncrowded server while another try is worth it; when what was sent later has been served, the server is not blamed for it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -28,6 +28,8 @@
 const SILENT_MAX: Duration = Duration::from_millis(800);
 /// A server that answered lately is asked whether it lives after so many broken connections.
 const BROKEN: u32 = 2;
+/// An attempt at a server that is not crowded is taken for lost after this many mean latencies.
+const LOST_LATENCIES: f64 = 10.0;
 /// A server with a full queue is left alone for about so long.
 const FULL_REST: Duration = Duration::from_millis(200);
 /// Housekeeping period: well under the shortest deadline, so that a waiting request is answered in time.
@@ -124,6 +126,8 @@
     /// Work served lately, in unloaded latency for the time it was served in, as of `served_at`.
     served: f64,
     served_at: Option<Instant>,
+    /// When the latest of the attempts that it has served was sent.
+    served_sent: Option<Instant>,
     /// Work that a cold server has yet to earn before the next send there is due.
     owed: Duration,
     owed_at: Option<Instant>,
@@ -153,6 +157,8 @@
     /// Nothing else of this router was out there; and nothing had been heard from there for a while.
     alone: bool,
     idle: bool,
+    /// It is given up before its request's time ends.
+    early: bool,
 }
 
 #[derive(Default)]
@@ -432,8 +438,22 @@
         server.owed += self.unloaded[class];
         let patience = cost.mul_f64(SILENT_LATENCIES).clamp(SILENT_MIN, SILENT_MAX);
         server.overdue_at = server.overdue_at.or(Some(now + patience));
-        self.attempts.insert((id, number), Attempt { server: target, weight, class, sent: now, alone, idle });
-        out.push(Action::Send { request: id, server: target, cut_at: ends });
+        // Guards against: waiting out a request's time on a connection that has fallen silent. What may be
+        // repeated is given up, at a server that is not crowded, after many mean latencies, while another try
+        // is still worth it. Hurts where a class has long requests by nature: one in some hundreds runs twice.
+        let lost_at = now + cost.mul_f64(LOST_LATENCIES).max(SILENT_MIN);
+        let again = lost_at + self.unloaded[class].mul_f64(2.0 * WORTH_TRYING) < ends;
+        let first = p.may_have_run.unwrap_or(now);
+        let safe = match self.settings.classes[class].effect {
+            Effect::Idempotent => true,
+            Effect::Deduplicated { window, .. } => lost_at < first + window / 2,
+            Effect::AtMostOnce => false,
+        };
+        let cut_at = if safe && again && server.slowness < CROWDED { lost_at } else { ends };
+        let early = cut_at < ends;
+        let attempt = Attempt { server: target, weight, class, sent: now, alone, idle, early };
+        self.attempts.insert((id, number), attempt);
+        out.push(Action::Send { request: id, server: target, cut_at });
     }
 
     /// Final answer for a request without an attempt out: refused where a further try is harmless.
@@ -576,18 +596,23 @@
                 *unloaded = toward(*unloaded, *mean, if *mean < *unloaded { GAIN } else { CREEP });
                 server.served = server.served(now) + unloaded.div_duration_f64(SERVED_WINDOW);
                 server.served_at = Some(now);
+                server.served_sent = server.served_sent.max(Some(a.sent));
             }
+            // Guards against: taking a lost connection for a slow server. It was given up early, and what was
+            // sent later has been served, so it was not waiting its turn.
+            let lost = o.status == Status::Timeout && a.early && Some(a.sent) < server.served_sent;
+            let status = if lost { Status::NotSent } else { o.status };
             let unloaded = self.unloaded[a.class];
-            server.pace(o.status, o.elapsed.div_duration_f64(unloaded));
+            server.pace(status, o.elapsed.div_duration_f64(unloaded));
             let group = self.groups.get_mut(&server.group).expect("made with the server");
             let least = if o.status == Status::Timeout { CROWDED } else { JAMMED };
-            let jammed = o.elapsed > unloaded.mul_f64(least) || o.status == Status::Full;
+            let jammed = !lost && o.elapsed > unloaded.mul_f64(least) || o.status == Status::Full;
             if group.primary != Some(a.server) && jammed && a.alone {
                 group.pressure += PRESSURE_UP * (1.0 - group.pressure);
             } else if o.status == Status::Good {
                 group.pressure *= 1.0 - PRESSURE_DOWN;
             }
-            self.note_status(now, a.server, o.status, out);
+            self.note_status(now, a.server, status, out);
             // Guards against: connections dropped unseen. Sends after idleness stay unanswered far more often
             // than others. While connections are in doubt none is kept idle. Hurts where a new one is dear:
             // each send pays for one.
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -341,3 +341,42 @@
     }
     assert!(matches!(done[..], [Action::Refuse { request, .. }] if request == id), "{done:?}");
 }
+
+#[test]
+fn an_attempt_lost_on_a_silent_connection_is_given_up_early_and_blames_no_server() {
+    let mut g = Gateway::start(settings(), 2);
+    let serve = |g: &mut Gateway| {
+        let (id, out) = g.request(ANY);
+        let server = sends(&out)[0].1;
+        g.now += ms(1);
+        g.outcome(id, 0, server, Status::Good);
+        server
+    };
+    // Latencies of 20 ms in the mean, from 100 ms at first.
+    for _ in 0..200 {
+        serve(&mut g);
+    }
+    let cut = |out: &[Action], now| {
+        let send = |a: &Action| match a {
+            Action::Send { cut_at, .. } => Some(*cut_at - now),
+            _ => None,
+        };
+        out.iter().find_map(send).unwrap()
+    };
+    let (lost, out) = g.request(ANY);
+    let server = sends(&out)[0].1;
+    assert!((ms(200)..ms(220)).contains(&cut(&out, g.now)), "{:?}", cut(&out, g.now));
+    let (once, out) = g.request(ONCE);
+    assert!(cut(&out, g.now) > ms(1900), "what must not run twice is waited for");
+    g.outcome(once, 0, 0, Status::Good);
+    // Others, sent later, are served there in the meantime: with one out at each, chance decides.
+    let (held, out) = g.request(ANY);
+    assert_eq!(sends(&out), [(held, 3 - server)]);
+    assert!((0..50).any(|_| serve(&mut g) == server));
+    g.outcome(held, 0, 3 - server, Status::Good);
+    g.now += ms(200);
+    let out = g.outcome(lost, 0, server, Status::Timeout);
+    assert_eq!(sends(&out), [(lost, 3 - server)], "once more, elsewhere");
+    g.outcome(lost, 1, 3 - server, Status::Good);
+    assert!((0..20).any(|_| serve(&mut g) == server), "it goes on being asked");
+}
