--- a/src/policy.rs
+++ b/src/policy.rs
@@ -440,7 +440,7 @@
         server.overdue_at = server.overdue_at.or(Some(now + patience));
         // Guards against: waiting out a request's time on a connection that has fallen silent. What may be
         // repeated is given up, at a server that is not crowded, after many mean latencies, while another try
-        // is still worth it. Hurts where a class has long requests by nature: one in some hundreds runs twice.
+        // is still worth it. Hurts where a class has long requests by nature: a few in a thousand run twice.
         let lost_at = now + cost.mul_f64(LOST_LATENCIES).max(SILENT_MIN);
         let again = lost_at + self.unloaded[class].mul_f64(2.0 * WORTH_TRYING) < ends;
         let first = p.may_have_run.unwrap_or(now);
