--- a/gateway/src/proto/pg/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -4,8 +4,8 @@
 
 use thiserror::Error;
 
-use super::code;
-use super::frame::{self, Frame};
+use crate::code;
+use crate::frame::{self, Frame};
 
 /// The longest errors and notices, parameters and descriptions, and tags, as their lengths count; and the most
 /// bytes of a whole answer.
--- a/gateway/src/proto/pg/frontend.rs
+++ b/crates/pgwire/src/frontend.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use super::frame::{self, Malformed};
-use super::{code, statement};
+use crate::frame::{self, Malformed};
+use crate::{code, statement};
 
 const VERSION_MAJOR: i32 = 3;
 const SSL_REQUEST: i32 = 80_877_103;
--- a/gateway/src/proto/pg/mod.rs
+++ b/crates/pgwire/src/lib.rs
@@ -1,4 +1,4 @@
-//! PostgreSQL's wire protocol, version 3, simple queries.
+//! PostgreSQL's wire protocol, version 3, without I/O: simple and extended queries, both sides.
 
 pub mod backend;
 pub mod frame;
--- a/gateway/src/proto/mod.rs
+++ b/gateway/src/proto/mod.rs
@@ -3,6 +3,6 @@
 
 pub mod catalog;
 pub mod http;
-pub mod pg;
+pub use yewroute_pgwire as pg;
 #[cfg(test)]
 mod tests;
