--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run demo bench
 
 build:
 	cargo build --release --locked --workspace
@@ -10,5 +10,13 @@
 	cargo fmt --all --check
 	cargo clippy --locked --workspace --all-targets -- -D warnings
 
+# The main job against stand-ins on loopback; ends by itself.
+demo:
+	cargo run --release --locked -p yewroute-gateway -- demo
+
+# Long measurements, not part of the tests.
+bench:
+	cargo bench --locked -p yewroute-pgwire
+
 run: build
 	exec target/release/yewroute
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,244 @@
+//! The operator's file: a Starlark script that calls a function for each matter it wants to settle, evaluated and
+//! checked whole. What it does not name keeps its default, and without a file all of it is off.
+//!
+//! ```
+//! let file = "postgres(extended = True)\nhosts(protocol = 'extended', statements_per_connection = 64)\n";
+//! let edge = yewroute_edge::Edge::parse("edge.star", file.to_owned()).unwrap();
+//! assert!(edge.postgres.extended && edge.hosts.extended);
+//!
+//! let fault = yewroute_edge::Edge::parse("edge.star", "postgres(extended = 3)".to_owned()).unwrap_err();
+//! assert_eq!((fault.line, fault.column), (1, 1));
+//! ```
+
+mod vocabulary;
+
+use std::fs;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::Path;
+use std::time::Duration;
+
+use starlark::environment::{GlobalsBuilder, Module};
+use starlark::eval::Evaluator;
+use starlark::syntax::{AstModule, Dialect};
+use thiserror::Error;
+
+/// The longest file, in bytes.
+const LONGEST: u64 = 64 * 1024;
+/// Guards against: a script that never ends, which would stop a gateway that reads it at a reload. Calls and turns
+/// of loops; what is in the limit takes a few milliseconds.
+const TICKS: u64 = 100_000;
+/// Guards against: a script that fills the memory.
+const HEAP: usize = 4 * 1024 * 1024;
+const CALLS: usize = 50;
+
+/// What is wrong with a file, and where.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{file}:{line}:{column}: {problem}")]
+pub struct Fault {
+    /// The file.
+    pub file: String,
+    /// The line, counted from 1; 0 if the file could not be read.
+    pub line: usize,
+    /// The column, counted from 1; 0 if the file could not be read.
+    pub column: usize,
+    /// What is wrong, on one line.
+    pub problem: String,
+}
+
+/// Extended queries of clients, set by `postgres(…)`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Postgres {
+    /// They are carried; otherwise they get 0A000.
+    pub extended: bool,
+    /// Named statements that a client may have prepared.
+    pub statements_per_client: usize,
+    /// Portals that a client may have open.
+    pub portals_per_client: usize,
+    /// Bytes of names, parameters and held-back rows of a client.
+    pub client_bytes: usize,
+    /// Bytes of all statements together.
+    pub statement_table_bytes: usize,
+    /// A pipeline that neither goes on nor gets its Sync for so long is given up.
+    pub pipeline_idle: Duration,
+}
+
+impl Default for Postgres {
+    fn default() -> Self {
+        Self {
+            extended: false,
+            statements_per_client: 512,
+            portals_per_client: 64,
+            client_bytes: 512 * 1024,
+            statement_table_bytes: 4 * 1024 * 1024,
+            pipeline_idle: Duration::from_secs(10),
+        }
+    }
+}
+
+/// What db hosts understand, set by `hosts(…)`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hosts {
+    /// Extended queries too.
+    pub extended: bool,
+    /// Statements that a connection to a db host may have prepared.
+    pub statements_per_connection: usize,
+}
+
+impl Default for Hosts {
+    fn default() -> Self {
+        Self { extended: false, statements_per_connection: 128 }
+    }
+}
+
+/// All that the operator's file settles.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Edge {
+    /// `postgres(…)`.
+    pub postgres: Postgres,
+    /// `hosts(…)`.
+    pub hosts: Hosts,
+}
+
+impl std::fmt::Display for Edge {
+    /// Every key and its value, in the file's own form.
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (postgres, hosts) = (&self.postgres, &self.hosts);
+        let truth = |value| if value { "True" } else { "False" };
+        writeln!(f, "postgres(\n    extended = {},", truth(postgres.extended))?;
+        writeln!(f, "    statements_per_client = {},", postgres.statements_per_client)?;
+        writeln!(f, "    portals_per_client = {},", postgres.portals_per_client)?;
+        writeln!(f, "    client_kib = {},", postgres.client_bytes / 1024)?;
+        writeln!(f, "    statement_table_kib = {},", postgres.statement_table_bytes / 1024)?;
+        writeln!(f, "    pipeline_idle_ms = {},\n)", postgres.pipeline_idle.as_millis())?;
+        let protocol = if hosts.extended { "extended" } else { "simple" };
+        writeln!(f, "hosts(\n    protocol = \"{protocol}\",")?;
+        write!(f, "    statements_per_connection = {},\n)", hosts.statements_per_connection)
+    }
+}
+
+impl Edge {
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// Says what is wrong with it and where.
+    pub fn read(path: &Path) -> Result<Self, Fault> {
+        let name = path.display().to_string();
+        let fault = |problem: String| Fault { file: name.clone(), line: 0, column: 0, problem };
+        let size = fs::metadata(path).map_err(|e| fault(e.to_string()))?.len();
+        if size > LONGEST {
+            return Err(fault(format!("{size} bytes long, {LONGEST} are allowed")));
+        }
+        let text = fs::read_to_string(path).map_err(|e| fault(e.to_string()))?;
+        Self::parse(&name, text)
+    }
+
+    /// Reads a file's text; `name` is what faults call it.
+    ///
+    /// # Errors
+    /// Says what is wrong with it and where.
+    pub fn parse(name: &str, text: String) -> Result<Self, Fault> {
+        // Guards against: a panic of the interpreter's, as on a text of over 4 GiB. It is the script's fault and must
+        // not stop a gateway that runs.
+        catch_unwind(AssertUnwindSafe(|| evaluate(name, text))).unwrap_or_else(|_| {
+            let problem = "the script made the interpreter panic".to_owned();
+            Err(Fault { file: name.to_owned(), line: 0, column: 0, problem })
+        })
+    }
+}
+
+fn evaluate(name: &str, text: String) -> Result<Edge, Fault> {
+    let fault = |error: &starlark::Error| located(name, error);
+    let ast = AstModule::parse(name, text, &Dialect::Standard).map_err(|e| fault(&e))?;
+    let globals = GlobalsBuilder::standard().with(vocabulary::vocabulary).build();
+    let declared = vocabulary::Declared::default();
+    Module::with_temp_heap(|module| {
+        let mut eval = Evaluator::new(&module);
+        eval.extra = Some(&declared);
+        // They fail only on zero or a second call.
+        let limits = eval.set_max_tick_count(TICKS).and(eval.set_max_heap_size(HEAP));
+        limits.and(eval.set_max_callstack_size(CALLS)).map_err(starlark::Error::new_other)?;
+        eval.eval_module(ast, &globals).map(|_| ())
+    })
+    .map_err(|e| fault(&e))?;
+    Ok(vocabulary::edge(&declared))
+}
+
+/// An error of the script's, on one line.
+fn located(name: &str, error: &starlark::Error) -> Fault {
+    let at = error.span().map(|span| span.resolve_span().begin);
+    let problem = error.without_diagnostic().to_string();
+    Fault {
+        file: name.to_owned(),
+        line: at.map_or(0, |at| at.line + 1),
+        column: at.map_or(0, |at| at.column + 1),
+        // What follows the first line are causes and, in a debugger's environment, a backtrace.
+        problem: problem.lines().map(str::trim).find(|line| !line.is_empty()).unwrap_or_default().to_owned(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(text: &str) -> Result<Edge, Fault> {
+        Edge::parse("edge.star", text.to_owned())
+    }
+
+    fn fault(text: &str) -> String {
+        parse(text).unwrap_err().to_string()
+    }
+
+    #[test]
+    fn what_is_not_named_keeps_its_default_and_nothing_is_on_without_a_word() {
+        assert_eq!(parse("").unwrap(), Edge::default());
+        let edge =
+            parse("def kib(mib):\n    return mib * 1024\npostgres(statement_table_kib = kib(2))\n").unwrap();
+        assert!(edge.postgres.extended, "who settles it wants it");
+        assert_eq!(edge.postgres.statement_table_bytes, 2 * 1024 * 1024);
+        assert_eq!(edge.postgres.statements_per_client, Postgres::default().statements_per_client);
+        assert_eq!(edge.hosts, Hosts::default());
+    }
+
+    #[test]
+    fn a_fault_names_file_line_column_and_key() {
+        for (text, wanted) in [
+            ("hosts(protocol = 'extended')\npostgres(extended = \n", "edge.star:3:1: "),
+            ("x = 1\nhosts(protocol = 'binary')", "edge.star:2:1: hosts: protocol: \"binary\" is neither"),
+            (
+                "postgres(portals_per_client = 0)",
+                "edge.star:1:1: postgres: portals_per_client: 0 is not within 1 and",
+            ),
+            ("  \npostgres(port = 5)", "edge.star:2:1: "),
+            ("hosts()\n\nhosts()", "edge.star:3:1: hosts: settled already in line 1"),
+            ("fail('not today')", "edge.star:1:1: fail: not today"),
+            ("postgress()", "edge.star:1:1: Variable `postgress` not found"),
+        ] {
+            let told = fault(text);
+            assert!(told.starts_with(wanted), "{text}: {told}");
+            assert!(!told.contains('\n'), "{told}");
+        }
+        assert!(fault("postgres(port = 5)").contains("port"));
+    }
+
+    #[test]
+    fn a_script_without_an_end_is_stopped() {
+        let endless = "def f():\n    for a in range(1000000000):\n        pass\nf()";
+        assert!(fault(endless).contains("100000"), "{}", fault(endless));
+        let deep = "def f(n):\n    return f(n + 1)\nf(0)";
+        assert!(fault(deep).contains("overflow"), "{}", fault(deep));
+    }
+
+    #[test]
+    fn a_file_that_is_not_there_or_too_long_is_a_fault() {
+        let missing = Edge::read(Path::new("/nowhere/edge.star")).unwrap_err();
+        assert_eq!((missing.line, missing.file.as_str()), (0, "/nowhere/edge.star"));
+    }
+
+    #[test]
+    fn the_shipped_file_turns_extended_queries_on_both_sides() {
+        let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/edge.star");
+        let edge = Edge::read(&path).unwrap();
+        assert!(edge.postgres.extended && edge.hosts.extended);
+        assert_eq!(parse(&edge.to_string()).unwrap(), edge, "what is printed says the same");
+    }
+}
--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -44,6 +44,10 @@
     Miss,
     /// Turned away unseen.
     TurnedAway,
+    /// The statement of an extended query is at fault, on any db host: the error is here, as it came.
+    Rejected,
+    /// The prepared statement is not there: it never ran.
+    Lost,
     /// An error, or an answer that is none.
     #[default]
     Error,
@@ -63,8 +67,11 @@
 pub struct Reply {
     /// How the query was taken.
     pub verdict: Verdict,
-    /// With [`Verdict::Served`]: RowDescription, DataRow and CommandComplete as they came.
+    /// With [`Verdict::Served`]: RowDescription, DataRow and CommandComplete as they came, or what describes a
+    /// statement; with [`Verdict::Rejected`]: ErrorResponse.
     pub messages: Vec<u8>,
+    /// ParseComplete has come.
+    pub parsed: bool,
     /// Where in them the row's one value is.
     value_at: Range<usize>,
     /// `role`.
@@ -121,15 +128,60 @@
     Description,
     Row,
     Complete,
+    /// In answer to an extended query: what [`Script`] says.
+    Extended(Part),
+    /// A simple query in place of an extended one: as many rows and columns as there are.
+    Loose,
     /// Nothing but ready is missing.
     Ready,
 }
 
+/// What the answer to an extended query is made of, in this order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Part {
+    /// CloseComplete.
+    Closed = 1,
+    /// ParseComplete.
+    Parsed = 2,
+    /// ParameterDescription.
+    Parameters = 4,
+    /// RowDescription or NoData.
+    Columns = 8,
+    /// BindComplete.
+    Bound = 16,
+    /// Rows and CommandComplete.
+    Rows = 32,
+}
+
+/// Which parts are to come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Script(u8);
+
+impl Script {
+    /// The same with one part more.
+    #[must_use]
+    pub fn with(self, part: Part) -> Self {
+        Self(self.0 | part as u8)
+    }
+
+    /// Takes the next part off.
+    fn next(&mut self) -> Stage {
+        use Part::{Bound, Closed, Columns, Parameters, Parsed, Rows};
+        let next =
+            [Closed, Parsed, Parameters, Columns, Bound, Rows].into_iter().find(|p| self.0 & *p as u8 != 0);
+        let Some(part) = next else { return Stage::Ready };
+        self.0 &= !(part as u8);
+        Stage::Extended(part)
+    }
+}
+
 /// Gathers one answer after the other, the welcome first.
 #[derive(Debug, Default)]
 pub struct Gather {
     reply: Reply,
     stage: Stage,
+    script: Script,
     failed: Option<Verdict>,
     /// Something that it says of itself cannot be read.
     unreadable: bool,
@@ -137,6 +189,27 @@
 }
 
 impl Gather {
+    /// What was sent is an extended query; its answer has these parts.
+    pub fn expect(&mut self, mut script: Script) {
+        self.stage = script.next();
+        self.script = script;
+    }
+
+    /// What was sent is a simple query with any number of rows and columns.
+    pub fn expect_loose(&mut self) {
+        self.stage = Stage::Loose;
+    }
+
+    /// What is waited for has begun to come; `rest` is what is there and not taken yet. That a statement was parsed
+    /// and bound may be told long before it has run.
+    pub fn under_way(&self, rest: &[u8]) -> bool {
+        match self.stage {
+            Stage::Extended(Part::Rows) => !self.reply.messages.is_empty() || !rest.is_empty(),
+            Stage::Extended(_) => false,
+            _ => true,
+        }
+    }
+
     /// Takes the next message of `bytes`, if all of it is there; the number is its length.
     ///
     /// Guards against: waiting for a body that will never come. Type and length are checked as soon as they
@@ -169,7 +242,15 @@
         let longest = match (kind, self.stage) {
             (b'N', _) => LONGEST_SAYING,
             (b'S', _) => LONGEST_PARAMETER,
-            (b'E', Stage::Welcome | Stage::Description) => LONGEST_SAYING,
+            (b'E', Stage::Welcome | Stage::Description | Stage::Loose | Stage::Extended(_)) => LONGEST_SAYING,
+            (b'3', Stage::Extended(Part::Closed))
+            | (b'1', Stage::Extended(Part::Parsed))
+            | (b'2', Stage::Extended(Part::Bound))
+            | (b'n', Stage::Extended(Part::Columns)) => 4,
+            (b't', Stage::Extended(Part::Parameters)) => LONGEST_SAYING,
+            (b'T', Stage::Extended(Part::Columns) | Stage::Loose) => LONGEST_SAYING,
+            (b'D', Stage::Extended(Part::Rows)) => frame::LONGEST_ANSWER,
+            (b'C', Stage::Extended(Part::Rows) | Stage::Loose) => LONGEST_TAG,
             (b'R', Stage::Welcome) => 8,
             (b'K', Stage::Welcome) => 12,
             (b'v', Stage::Welcome) => LONGEST_SAYING,
@@ -185,6 +266,20 @@
     /// Takes a message that is in place; none if its inside does not fit.
     fn take(&mut self, frame: &Frame<'_>, raw: &[u8]) -> Option<Step> {
         match frame.kind {
+            b'E' if matches!(self.stage, Stage::Extended(_) | Stage::Loose) => {
+                let verdict = rejection(error_code(frame.body)?, self.stage);
+                self.failed = Some(verdict);
+                self.reply.messages.clear();
+                if verdict == Verdict::Rejected {
+                    self.reply.messages.extend(raw);
+                }
+                self.stage = Stage::Ready;
+            }
+            b'T' | b'D' | b'C' | b't' | b'n' | b'1' | b'2' | b'3'
+                if matches!(self.stage, Stage::Extended(_) | Stage::Loose) =>
+            {
+                self.take_part(frame, raw)?;
+            }
             // Anything but "ok" asks for a password, which there is none of.
             b'R' => (frame.body == [0; 4]).then_some(())?,
             b'T' => {
@@ -227,6 +322,33 @@
         Some(Step::More)
     }
 
+    /// Takes a part of the answer to an extended query.
+    fn take_part(&mut self, frame: &Frame<'_>, raw: &[u8]) -> Option<()> {
+        let keep = match frame.kind {
+            b'T' => columns(frame.body).map(|_| true)?,
+            b'D' => values(frame.body).map(|_| true)?,
+            b'C' => {
+                let mut body = frame.body;
+                let tag = frame::take_text(&mut body).filter(|_| body.is_empty())?;
+                std::str::from_utf8(tag).ok()?;
+                true
+            }
+            b't' => parameters(frame.body).map(|_| true)?,
+            b'n' => true,
+            _ => frame.body.is_empty().then_some(false)?,
+        };
+        self.reply.parsed |= frame.kind == b'1';
+        if keep {
+            self.reply.messages.extend(raw);
+        }
+        self.stage = match (frame.kind, self.stage) {
+            (b'D', stage) => stage,
+            (b'T', Stage::Loose) => Stage::Extended(Part::Rows),
+            _ => self.script.next(),
+        };
+        Some(())
+    }
+
     fn parameter(&mut self, mut body: &[u8]) -> Option<()> {
         let name = frame::take_text(&mut body)?;
         let value = frame::take_text(&mut body).filter(|_| body.is_empty())?;
@@ -252,7 +374,7 @@
         let mut reply = std::mem::take(&mut self.reply);
         let served = self.stage == Stage::Ready && self.failed.is_none();
         reply.verdict = self.failed.unwrap_or(if served { Verdict::Served } else { Verdict::Error });
-        if reply.verdict != Verdict::Served {
+        if !matches!(reply.verdict, Verdict::Served | Verdict::Rejected) {
             reply.messages = Vec::new();
             reply.value_at = 0..0;
         }
@@ -311,6 +433,76 @@
     }
 }
 
+/// The formats and types of a RowDescription's columns, each with where its format stands in the body.
+pub fn columns(body: &[u8]) -> Option<Vec<Column>> {
+    /// Table, column, type, size, modifier and format.
+    const FIXED: usize = 18;
+    let (count, mut rest) = body.split_first_chunk::<2>()?;
+    let mut columns = Vec::new();
+    for _ in 0..u16::from_be_bytes(*count) {
+        frame::take_text(&mut rest)?;
+        let (fixed, tail) = rest.split_first_chunk::<FIXED>()?;
+        let format_at = body.len() - tail.len() - 2;
+        let kind = u32::from_be_bytes([fixed[6], fixed[7], fixed[8], fixed[9]]);
+        columns.push(Column { kind, binary: fixed[17] == 1, format_at });
+        rest = tail;
+    }
+    rest.is_empty().then_some(columns)
+}
+
+/// A column, as RowDescription tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Column {
+    /// The number of its type.
+    pub kind: u32,
+    /// Its values come in binary.
+    pub binary: bool,
+    /// Where in the body its format stands, two bytes.
+    pub format_at: usize,
+}
+
+/// The values of a DataRow.
+pub fn values(body: &[u8]) -> Option<Vec<Option<&[u8]>>> {
+    let (count, mut rest) = body.split_first_chunk::<2>()?;
+    let mut values = Vec::new();
+    for _ in 0..u16::from_be_bytes(*count) {
+        let (len, tail) = rest.split_first_chunk::<4>()?;
+        let value = match i32::from_be_bytes(*len) {
+            -1 => None,
+            len => Some(tail.get(..usize::try_from(len).ok()?)?),
+        };
+        rest = &tail[value.map_or(0, <[u8]>::len)..];
+        values.push(value);
+    }
+    rest.is_empty().then_some(values)
+}
+
+/// The types that a ParameterDescription tells.
+pub fn parameters(body: &[u8]) -> Option<Vec<u32>> {
+    let (count, rest) = body.split_first_chunk::<2>()?;
+    let types: Vec<u32> =
+        rest.chunks_exact(4).map(|t| u32::from_be_bytes([t[0], t[1], t[2], t[3]])).collect();
+    let fits = rest.len() % 4 == 0 && types.len() == usize::from(u16::from_be_bytes(*count));
+    fits.then_some(types)
+}
+
+/// How an extended query was taken that got an error while this stage was waited for.
+fn rejection(sqlstate: &[u8], stage: Stage) -> Verdict {
+    /// Classes of errors that lie in the statement or its values: any db host would say the same, and nothing
+    /// has taken effect.
+    const OWN: [&[u8]; 5] = [b"0A", b"22", b"23", b"42", b"44"];
+    match verdict_of(sqlstate) {
+        Verdict::Error
+            if sqlstate == code::NO_STATEMENT.as_bytes()
+                && matches!(stage, Stage::Extended(Part::Bound | Part::Parameters)) =>
+        {
+            Verdict::Lost
+        }
+        Verdict::Error if sqlstate.get(..2).is_some_and(|class| OWN.contains(&class)) => Verdict::Rejected,
+        verdict => verdict,
+    }
+}
+
 fn verdict_of(sqlstate: &[u8]) -> Verdict {
     let is = |code: &str| sqlstate == code.as_bytes();
     if is(code::READ_ONLY) || is(code::BEHIND) {
--- a/crates/pgwire/src/frontend.rs
+++ b/crates/pgwire/src/frontend.rs
@@ -52,8 +52,8 @@
     Terminate,
     /// The end of a run of extended-query messages.
     Sync,
-    /// Part of the extended query protocol.
-    Extended,
+    /// Part of the extended query protocol: its type and body.
+    Extended(u8, &'a [u8]),
     /// A query whose text has no end.
     Unterminated,
     /// No message that a client may send here.
@@ -70,7 +70,7 @@
         },
         b'X' => Message::Terminate,
         b'S' => Message::Sync,
-        b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => Message::Extended,
+        b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => Message::Extended(frame.kind, frame.body),
         other => Message::Unknown(other),
     };
     Ok(Some((message, frame.len)))
@@ -132,13 +132,12 @@
     frame::put(out, b'Z', |b| b.push(b'I'));
 }
 
-/// Appends the answer to a statement that is answered here.
+/// Appends the answer to a statement that is answered here, without ReadyForQuery.
 pub fn put_local(out: &mut Vec<u8>, local: Local) {
     match local {
         Local::Empty => frame::put(out, b'I', |_| {}),
         Local::Parameter(tag) => frame::put(out, b'C', |b| frame::put_text(b, tag)),
     }
-    put_ready(out);
 }
 
 /// Appends a NoticeResponse, which clients pass over.
@@ -167,17 +166,14 @@
 pub fn put_refusal(out: &mut Vec<u8>, retry_after: Option<Duration>) {
     let detail = retry_after.map(|span| span.as_millis().to_string());
     put_error(out, "ERROR", code::TOO_MANY, "refused: too busy, try again later", detail.as_deref());
-    put_ready(out);
 }
 
 /// Appends the answer to a request that can never be served as it is.
 pub fn put_invalid(out: &mut Vec<u8>, why: &str) {
     put_error(out, "ERROR", code::INVALID_VALUE, why, None);
-    put_ready(out);
 }
 
 /// Appends the failure of a request.
 pub fn put_failure(out: &mut Vec<u8>) {
     put_error(out, "ERROR", code::UNKNOWN_COMPLETION, "failed: whether it took effect is not known", None);
-    put_ready(out);
 }
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -1,9 +1,16 @@
 //! PostgreSQL's wire protocol, version 3, without I/O: simple and extended queries, both sides.
 
 pub mod backend;
+pub mod bind;
+pub mod exchange;
 pub mod frame;
 pub mod frontend;
+pub mod lexer;
+pub mod request;
+pub mod session;
 pub mod statement;
+pub mod table;
+pub mod template;
 
 /// SQLSTATEs that this gateway writes or reads.
 pub mod code {
@@ -17,6 +24,22 @@
     pub const TOO_MANY: &str = "53300";
     /// Failed: whether it took effect is not known.
     pub const UNKNOWN_COMPLETION: &str = "40003";
+    /// No prepared statement of this name.
+    pub const NO_STATEMENT: &str = "26000";
+    /// No portal of this name.
+    pub const NO_PORTAL: &str = "34000";
+    /// A prepared statement of this name is there already.
+    pub const DUPLICATE_STATEMENT: &str = "42P05";
+    /// A portal of this name is there already.
+    pub const DUPLICATE_PORTAL: &str = "42P03";
+    /// A portal that has run and cannot run again.
+    pub const PORTAL_DONE: &str = "55000";
+    /// More statements, portals or bytes than a client may have.
+    pub const LIMIT: &str = "53400";
+    /// The text is no statement.
+    pub const SYNTAX: &str = "42601";
+    /// A pipeline without its Sync.
+    pub const IDLE_IN_PIPELINE: &str = "25P03";
     /// There is no room for more bytes of clients.
     pub const OUT_OF_MEMORY: &str = "53200";
     /// A write met a replica.
--- /dev/null
+++ b/crates/pgwire/src/session.rs
@@ -0,0 +1,689 @@
+//! What a client has prepared and bound, and the order of its answers.
+//!
+//! Messages go in one after the other; none is taken while a request is out, so answers keep the order of the
+//! messages whatever db hosts do. One Execute is one request.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hashbrown::HashMap;
+
+use crate::backend::{columns, parameters, values};
+use crate::bind::{self, text_form, Bind, Bound, NotBound};
+use crate::exchange::Dialect;
+use crate::frame;
+use crate::frontend::{self, Local, Message};
+use crate::request::{Body, Wanted};
+use crate::statement::Malformed;
+use crate::table::{Description, Lease, NotTaken, Table};
+use crate::template::Purpose;
+use crate::{backend, code};
+
+/// What extended queries may take of one client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Named statements.
+    pub statements: usize,
+    /// Portals.
+    pub portals: usize,
+    /// Bytes: of names, of parameters, of rows that wait behind a row limit, and of statements used only once.
+    pub bytes: usize,
+}
+
+/// How extended queries are carried.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// They are; else all of them get 0A000.
+    pub extended: bool,
+    /// What db hosts speak.
+    pub hosts: Dialect,
+    /// What a client may take.
+    pub limits: Limits,
+}
+
+/// The final answer to a request, from elsewhere.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Final {
+    /// What a db host said.
+    Served(Vec<u8>),
+    /// Refused; a further try is harmless, after this time.
+    Refused(Option<Duration>),
+    /// Failed: it may have taken effect.
+    Failed,
+    /// It can never be served, and why.
+    Invalid(&'static str),
+}
+
+/// What became of a message.
+#[derive(Debug)]
+pub enum Took {
+    /// Answered, as far as there is anything to answer yet.
+    Done,
+    /// A request: nothing more is taken until it has its answer.
+    Ask(Wanted),
+    /// The client says goodbye.
+    Close,
+}
+
+/// The book-keeping of a portal or statement, about.
+const ENTRY: usize = 64;
+
+#[derive(Debug)]
+struct Portal {
+    bound: Rc<Bound>,
+    run: Run,
+}
+
+#[derive(Debug)]
+enum Run {
+    Not,
+    /// Rows that a limit has held back, whole messages, and the tag that comes after them.
+    Part {
+        rows: Vec<u8>,
+        from: usize,
+        tag: Vec<u8>,
+    },
+    Done,
+}
+
+/// Whose answer is waited for.
+#[derive(Debug, Default)]
+enum Waiting {
+    #[default]
+    Nothing,
+    Simple,
+    /// Of this portal, up to so many rows; 0 is all. With the description before them, if it is asked for.
+    Execute {
+        portal: Box<[u8]>,
+        limit: usize,
+        describe: bool,
+    },
+    /// A statement's description, or a portal's.
+    Describe {
+        statement: Lease,
+        portal: Option<Rc<Bound>>,
+    },
+}
+
+/// The state of one client.
+#[derive(Debug)]
+pub struct Session {
+    terms: Terms,
+    statements: HashMap<Box<[u8]>, Lease>,
+    unnamed: Option<Lease>,
+    portals: HashMap<Box<[u8]>, Portal>,
+    bytes: usize,
+    skipping: bool,
+    open: bool,
+    /// A portal whose description waits for its Execute, as its db host cannot describe.
+    deferred: Option<Box<[u8]>>,
+    waiting: Waiting,
+}
+
+type Fault = (&'static str, String);
+
+impl Session {
+    /// A client that has nothing yet.
+    #[must_use]
+    pub fn new(terms: Terms) -> Self {
+        Self {
+            terms,
+            statements: HashMap::new(),
+            unnamed: None,
+            portals: HashMap::new(),
+            bytes: 0,
+            skipping: false,
+            open: false,
+            deferred: None,
+            waiting: Waiting::Nothing,
+        }
+    }
+
+    /// A Sync is owed by the client.
+    #[must_use]
+    pub fn open(&self) -> bool {
+        self.open
+    }
+
+    /// It holds something that would be lost with its connection.
+    #[must_use]
+    pub fn holds(&self) -> bool {
+        !self.statements.is_empty()
+    }
+
+    /// Bytes that are charged to this client.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Takes a message and appends what it is answered at once.
+    ///
+    /// # Errors
+    /// What breaks the protocol so that the connection must end.
+    pub fn take(
+        &mut self,
+        message: &Message<'_>,
+        table: &mut Table,
+        out: &mut Vec<u8>,
+    ) -> Result<Took, String> {
+        match message {
+            Message::Terminate => return Ok(Took::Close),
+            Message::Unterminated => return Err("a query without an end".to_owned()),
+            Message::Unknown(kind) => return Err(format!("unknown message type {kind:#04x}")),
+            Message::Sync => {
+                if self.deferred.take().is_some() && !self.skipping {
+                    self.fail(out, cannot_describe());
+                }
+                self.sync(out);
+            }
+            _ if self.skipping => {}
+            Message::Extended(..) if !self.terms.extended => {
+                self.fail(out, (code::NOT_SUPPORTED, "extended queries are not supported".to_owned()));
+            }
+            Message::Query(text) => return self.query(text, out),
+            Message::Extended(kind, body) => {
+                self.open = true;
+                let took = match kind {
+                    // A description that waits is for the very next message to bring.
+                    b'E' => self.execute(body, out),
+                    _ if self.deferred.is_some() => Err(cannot_describe()),
+                    b'P' => self.parse(body, table, out),
+                    b'B' => self.bind(body, out),
+                    b'D' => self.describe(body, out),
+                    b'C' => self.close(body, out),
+                    _ => Ok(Took::Done),
+                };
+                match took {
+                    Ok(took) => return Ok(took),
+                    Err(fault) => self.fail(out, fault),
+                }
+            }
+        }
+        Ok(Took::Done)
+    }
+
+    fn fail(&mut self, out: &mut Vec<u8>, (sqlstate, why): Fault) {
+        frontend::put_error(out, "ERROR", sqlstate, &why, None);
+        self.skip();
+    }
+
+    fn skip(&mut self) {
+        self.skipping = true;
+        self.open = true;
+        self.deferred = None;
+    }
+
+    /// All portals end with the transaction, and with them what they hold.
+    fn sync(&mut self, out: &mut Vec<u8>) {
+        (self.skipping, self.open) = (false, false);
+        for (name, portal) in std::mem::take(&mut self.portals) {
+            self.bytes -= cost_of_portal(&name, &portal);
+        }
+        frontend::put_ready(out);
+    }
+
+    fn query(&mut self, text: &[u8], out: &mut Vec<u8>) -> Result<Took, String> {
+        if self.deferred.is_some() {
+            self.fail(out, cannot_describe());
+            return Ok(Took::Done);
+        }
+        if let Some(unnamed) = self.unnamed.take() {
+            self.bytes -= cost_of_statement(b"", &unnamed);
+        }
+        self.drop_portal(b"");
+        if let Some(local) = frontend::local(text) {
+            frontend::put_local(out, local);
+            frontend::put_ready(out);
+            return Ok(Took::Done);
+        }
+        let wanted = Wanted::simple(text).map_err(|e| e.to_string())?;
+        self.waiting = Waiting::Simple;
+        Ok(Took::Ask(wanted))
+    }
+
+    fn parse(&mut self, body: &[u8], table: &mut Table, out: &mut Vec<u8>) -> Result<Took, Fault> {
+        let (name, text, types) =
+            parse(body).ok_or((code::PROTOCOL_VIOLATION, "malformed Parse".to_owned()))?;
+        if name.is_empty() {
+            if let Some(unnamed) = self.unnamed.take() {
+                self.bytes -= cost_of_statement(b"", &unnamed);
+            }
+        } else if self.statements.contains_key(name) {
+            let name = name.escape_ascii();
+            return Err((code::DUPLICATE_STATEMENT, format!("prepared statement \"{name}\" already exists")));
+        } else if self.statements.len() >= self.terms.limits.statements {
+            let most = self.terms.limits.statements;
+            return Err((code::LIMIT, format!("more than {most} prepared statements of one client")));
+        }
+        let lease = table.lease(text, &types).map_err(|why| (sqlstate_of(&why), why.to_string()))?;
+        self.charge(cost_of_statement(name, &lease))?;
+        if name.is_empty() {
+            self.unnamed = Some(lease);
+        } else {
+            self.statements.insert(name.into(), lease);
+        }
+        frame::put(out, b'1', |_| {});
+        Ok(Took::Done)
+    }
+
+    /// Guards against: one client that fills the memory with what it prepares or binds.
+    fn charge(&mut self, bytes: usize) -> Result<(), Fault> {
+        if self.bytes + bytes > self.terms.limits.bytes {
+            let most = self.terms.limits.bytes;
+            return Err((code::LIMIT, format!("statements and portals of one client over {most} bytes")));
+        }
+        self.bytes += bytes;
+        Ok(())
+    }
+
+    fn statement(&self, name: &[u8]) -> Result<&Lease, Fault> {
+        let found = if name.is_empty() { self.unnamed.as_ref() } else { self.statements.get(name) };
+        found.ok_or_else(|| match name {
+            b"" => (code::NO_STATEMENT, "unnamed prepared statement does not exist".to_owned()),
+            name => {
+                (code::NO_STATEMENT, format!("prepared statement \"{}\" does not exist", name.escape_ascii()))
+            }
+        })
+    }
+
+    fn bind(&mut self, body: &[u8], out: &mut Vec<u8>) -> Result<Took, Fault> {
+        let malformed = |why: NotBound| (code::PROTOCOL_VIOLATION, why.to_string());
+        let bind: Bind<'_> = bind::bind(body).map_err(malformed)?;
+        let statement = self.statement(bind.statement)?.clone();
+        let name: Box<[u8]> = bind.portal.into();
+        if name.is_empty() {
+            self.drop_portal(b"");
+        } else if self.portals.contains_key(&name) {
+            let name = name.escape_ascii();
+            return Err((code::DUPLICATE_PORTAL, format!("portal \"{name}\" already exists")));
+        }
+        if self.portals.len() >= self.terms.limits.portals {
+            return Err((
+                code::LIMIT,
+                format!("more than {} portals of one client", self.terms.limits.portals),
+            ));
+        }
+        let bound = Bound::new(statement, bind).map_err(|why| (sqlstate_of_bind(&why), why.to_string()))?;
+        if self.terms.hosts == Dialect::Simple {
+            let form = bound.put_simple(&mut Vec::new(), Duration::ZERO);
+            form.map_err(|why| (sqlstate_of_bind(&why), why.to_string()))?;
+        }
+        let portal = Portal { bound: Rc::new(bound), run: Run::Not };
+        self.charge(cost_of_portal(&name, &portal))?;
+        self.portals.insert(name, portal);
+        frame::put(out, b'2', |_| {});
+        Ok(Took::Done)
+    }
+
+    fn drop_portal(&mut self, name: &[u8]) {
+        if let Some(portal) = self.portals.remove(name) {
+            self.bytes -= cost_of_portal(name, &portal);
+        }
+    }
+
+    fn describe(&mut self, body: &[u8], out: &mut Vec<u8>) -> Result<Took, Fault> {
+        let (kind, name) = named(body, "Describe")?;
+        let (statement, portal) = if kind == b'S' {
+            (self.statement(name)?.clone(), None)
+        } else {
+            let bound = &self.portals.get(name).ok_or_else(|| no_portal(name))?.bound;
+            (bound.statement.clone(), Some(Rc::clone(bound)))
+        };
+        if let Some(known) = known_description(&statement) {
+            put_description(out, &known, portal.as_deref());
+        } else if self.terms.hosts == Dialect::Extended {
+            let wanted = Wanted::description(statement.clone());
+            self.waiting = Waiting::Describe { statement, portal };
+            return Ok(Took::Ask(wanted));
+        } else if portal.is_some() {
+            self.deferred = Some(name.into());
+        } else {
+            return Err(cannot_describe());
+        }
+        Ok(Took::Done)
+    }
+
+    fn close(&mut self, body: &[u8], out: &mut Vec<u8>) -> Result<Took, Fault> {
+        let (kind, name) = named(body, "Close")?;
+        if kind == b'P' {
+            self.drop_portal(name);
+        } else {
+            let closed = if name.is_empty() { self.unnamed.take() } else { self.statements.remove(name) };
+            if let Some(closed) = closed {
+                self.bytes -= cost_of_statement(name, &closed);
+                // Its portals go with it.
+                let own = |portal: &Portal| portal.bound.statement.same(&closed);
+                let gone =
+                    self.portals.iter().filter(|(_, portal)| own(portal)).map(|(name, _)| name.clone());
+                for name in gone.collect::<Vec<_>>() {
+                    self.drop_portal(&name);
+                }
+            }
+        }
+        frame::put(out, b'3', |_| {});
+        Ok(Took::Done)
+    }
+
+    fn execute(&mut self, body: &[u8], out: &mut Vec<u8>) -> Result<Took, Fault> {
+        let malformed = || (code::PROTOCOL_VIOLATION, "malformed Execute".to_owned());
+        let mut rest = body;
+        let name = frame::take_text(&mut rest).ok_or_else(malformed)?;
+        let limit = i32::from_be_bytes(rest.try_into().map_err(|_| malformed())?);
+        // None or less than none is no limit.
+        let limit = usize::try_from(limit).unwrap_or(0);
+        let describe = match self.deferred.take() {
+            Some(deferred) if *deferred != *name => return Err(cannot_describe()),
+            deferred => deferred.is_some(),
+        };
+        let portal = self.portals.get_mut(name).ok_or_else(|| no_portal(name))?;
+        let template = match &portal.bound.statement.purpose {
+            Purpose::Local(local) => {
+                frontend::put_local(out, *local);
+                return Ok(Took::Done);
+            }
+            Purpose::Request(template) => template,
+        };
+        match &mut portal.run {
+            Run::Part { .. } => {
+                let before = cost_of_portal(name, portal);
+                portal.serve(limit, out);
+                self.bytes = self.bytes + cost_of_portal(name, portal) - before;
+                return Ok(Took::Done);
+            }
+            Run::Done if template.writes => {
+                let name = name.escape_ascii();
+                return Err((code::PORTAL_DONE, format!("portal \"{name}\" cannot be run anymore")));
+            }
+            Run::Done => {
+                frame::put(out, b'C', |b| frame::put_text(b, "SELECT 0"));
+                return Ok(Took::Done);
+            }
+            Run::Not => {}
+        }
+        let Some(filled) = &portal.bound.filled else { return Err(malformed()) };
+        let wanted = Wanted {
+            id: filled.id.clone(),
+            scope: Some((filled.class.clone(), filled.group)),
+            writes: template.writes,
+            wait: filled.wait,
+            key: filled.key.clone(),
+            after: filled.after,
+            resent: filled.resent,
+            body: Body::Execute(Rc::clone(&portal.bound)),
+        };
+        // Whatever comes of it, it has had its one answer then.
+        portal.run = Run::Done;
+        self.waiting = Waiting::Execute { portal: name.into(), limit, describe };
+        Ok(Took::Ask(wanted))
+    }
+
+    /// Takes the answer to the request that was asked for last, and appends what the client is to read.
+    pub fn answered(&mut self, answer: Final, table: &mut Table, out: &mut Vec<u8>) {
+        let waiting = std::mem::take(&mut self.waiting);
+        let simple = matches!(waiting, Waiting::Simple);
+        match (answer, waiting) {
+            (Final::Served(messages), Waiting::Nothing | Waiting::Simple) => out.extend(messages),
+            (Final::Served(messages), _) if messages.first() == Some(&b'E') => {
+                self.outdate(&messages, table);
+                out.extend(messages);
+                self.skip();
+            }
+            (Final::Served(messages), Waiting::Execute { portal, limit, describe }) => {
+                if let Err(fault) = self.rows(&portal, messages, limit, describe, out) {
+                    self.fail(out, fault);
+                }
+            }
+            (Final::Served(messages), Waiting::Describe { statement, portal }) => {
+                match description(&messages) {
+                    Some(description) => {
+                        put_description(out, &description, portal.as_deref());
+                        table.describe(&statement, Some(description));
+                    }
+                    None => self.fail(out, (code::UNKNOWN_COMPLETION, "no description came".to_owned())),
+                }
+            }
+            (Final::Refused(retry_after), _) => frontend::put_refusal(out, retry_after),
+            (Final::Failed, _) => frontend::put_failure(out),
+            (Final::Invalid(why), _) => frontend::put_invalid(out, why),
+        }
+        if simple {
+            // A simple query ends the pipeline that it stands in, as a Sync would.
+            self.sync(out);
+        }
+    }
+
+    /// An error that speaks of the schema: what is known of the statement's columns may no longer hold.
+    fn outdate(&mut self, messages: &[u8], table: &mut Table) {
+        let sqlstate = messages.get(5..).and_then(backend::error_code).unwrap_or_default();
+        if ![b"0A000", b"42P01", b"42703"].iter().any(|code| sqlstate == *code) {
+            return;
+        }
+        for portal in self.portals.values().filter(|portal| matches!(portal.run, Run::Done)) {
+            table.outdate(&portal.bound.statement);
+        }
+    }
+
+    /// Passes on the rows of an answer, up to the limit, and keeps the rest.
+    fn rows(
+        &mut self,
+        name: &[u8],
+        messages: Vec<u8>,
+        limit: usize,
+        describe: bool,
+        out: &mut Vec<u8>,
+    ) -> Result<(), Fault> {
+        let spoilt =
+            || (code::UNKNOWN_COMPLETION, "the answer cannot be passed on in the form asked for".to_owned());
+        let Some(portal) = self.portals.get_mut(name) else { return Ok(()) };
+        let (messages, head) = portal.in_form(messages).ok_or_else(spoilt)?;
+        if describe {
+            match head {
+                Some(head) => out.extend(head),
+                None => frame::put(out, b'n', |_| {}),
+            }
+        }
+        let tag_at = last_message(&messages).ok_or_else(spoilt)?;
+        let before = cost_of_portal(name, portal);
+        if limit == 0 {
+            out.extend(messages);
+            return Ok(());
+        }
+        portal.run = Run::Part { from: 0, tag: messages[tag_at..].to_vec(), rows: messages };
+        if let Run::Part { rows, .. } = &mut portal.run {
+            rows.truncate(tag_at);
+        }
+        portal.serve(limit, out);
+        let after = cost_of_portal(name, portal);
+        self.bytes = self.bytes + after - before;
+        if self.bytes > self.terms.limits.bytes {
+            let most = self.terms.limits.bytes;
+            return Err((code::LIMIT, format!("rows behind a row limit over {most} bytes of one client")));
+        }
+        Ok(())
+    }
+}
+
+impl Portal {
+    /// Puts rows up to the limit, then that there are more or the tag.
+    fn serve(&mut self, limit: usize, out: &mut Vec<u8>) {
+        let Run::Part { rows, from, tag } = &mut self.run else { return };
+        let (start, mut count) = (*from, 0);
+        while let (true, Some(len)) = (limit == 0 || count < limit, message_len(&rows[*from..])) {
+            *from += len;
+            count += 1;
+        }
+        out.extend(&rows[start..*from]);
+        if limit > 0 && count == limit {
+            frame::put(out, b's', |_| {});
+            return;
+        }
+        // A SELECT's tag counts the rows of its last part; any other statement's counts all of them.
+        if tag.get(5..12) == Some(b"SELECT ") {
+            frame::put(out, b'C', |b| frame::put_text(b, &format!("SELECT {count}")));
+        } else {
+            out.extend(tag.iter());
+        }
+        self.run = Run::Done;
+    }
+
+    /// The rows and the tag in the formats that the client wants, and the description apart. A db host that takes
+    /// simple queries only has chosen the formats itself; none if one has no text form here.
+    fn in_form(&self, mut messages: Vec<u8>) -> Option<(Vec<u8>, Option<Vec<u8>>)> {
+        if messages.first() != Some(&b'T') {
+            return Some((messages, None));
+        }
+        let len = message_len(&messages)?;
+        let rows = messages.split_off(len);
+        let mut head = messages;
+        let columns = columns(&head[5..])?;
+        if columns.iter().enumerate().all(|(n, column)| column.binary == self.bound.result_binary(n)) {
+            return Some((rows, Some(head)));
+        }
+        columns.iter().for_each(|column| head[5 + column.format_at..][..2].copy_from_slice(&[0, 0]));
+        let (mut out, mut at) = (Vec::with_capacity(rows.len() * 2), 0);
+        while let Some(len) = message_len(&rows[at..]) {
+            let raw = &rows[at..at + len];
+            at += len;
+            if raw[0] != b'D' {
+                out.extend(raw);
+                continue;
+            }
+            let values = values(&raw[5..])?;
+            let text = |(n, value): (usize, &Option<&'_ [u8]>)| {
+                let column = columns.get(n)?;
+                Some(match value {
+                    Some(value) if column.binary => Some(text_form(column.kind, value)?.into_owned()),
+                    value => value.map(<[u8]>::to_vec),
+                })
+            };
+            let texts: Vec<_> = values.iter().enumerate().map(text).collect::<Option<_>>()?;
+            frame::put(&mut out, b'D', |b| {
+                b.extend(&raw[5..7]);
+                for text in texts {
+                    let len = text.as_ref().map_or(-1, |text| i32::try_from(text.len()).unwrap_or(i32::MAX));
+                    b.extend(len.to_be_bytes());
+                    b.extend(text.unwrap_or_default());
+                }
+            });
+        }
+        Some((out, Some(head)))
+    }
+}
+
+/// The length of the message that begins `bytes`, which holds whole messages only.
+fn message_len(bytes: &[u8]) -> Option<usize> {
+    let length = frame::length(bytes.get(1..)?, frame::LONGEST_ANSWER).ok()??;
+    (bytes.len() > length).then_some(1 + length)
+}
+
+fn last_message(bytes: &[u8]) -> Option<usize> {
+    let (mut at, mut last) = (0, None);
+    while let Some(len) = message_len(&bytes[at..]) {
+        last = Some(at);
+        at += len;
+    }
+    last
+}
+
+fn cost_of_portal(name: &[u8], portal: &Portal) -> usize {
+    let rest = match &portal.run {
+        Run::Part { rows, tag, .. } => rows.len() + tag.len(),
+        _ => 0,
+    };
+    name.len() + portal.bound.bytes() + rest + ENTRY
+}
+
+fn cost_of_statement(name: &[u8], lease: &Lease) -> usize {
+    let own = if lease.number().is_some() { 0 } else { lease.text.len() + lease.types.len() * 4 };
+    name.len() + own + ENTRY
+}
+
+/// Name, text and declared types.
+fn parse(body: &[u8]) -> Option<(&[u8], &[u8], Vec<u32>)> {
+    let mut rest = body;
+    let name = frame::take_text(&mut rest)?;
+    let text = frame::take_text(&mut rest)?;
+    Some((name, text, parameters(rest)?))
+}
+
+/// What Describe and Close name: `S` or `P`, and the name.
+fn named<'a>(body: &'a [u8], message: &str) -> Result<(u8, &'a [u8]), Fault> {
+    let parts = || {
+        let (kind, mut rest) = body.split_first()?;
+        let name = frame::take_text(&mut rest)?;
+        (matches!(kind, b'S' | b'P') && rest.is_empty()).then_some((*kind, name))
+    };
+    parts().ok_or_else(|| (code::PROTOCOL_VIOLATION, format!("malformed {message}")))
+}
+
+fn no_portal(name: &[u8]) -> Fault {
+    (code::NO_PORTAL, format!("portal \"{}\" does not exist", name.escape_ascii()))
+}
+
+fn cannot_describe() -> Fault {
+    let why = "db hosts that take simple queries only cannot describe a statement before it has run";
+    (code::NOT_SUPPORTED, why.to_owned())
+}
+
+fn sqlstate_of(why: &NotTaken) -> &'static str {
+    match why {
+        NotTaken::Malformed(Malformed::Verb) => code::NOT_SUPPORTED,
+        NotTaken::Malformed(Malformed::NotOne) => code::SYNTAX,
+        NotTaken::Malformed(_) => code::INVALID_VALUE,
+        NotTaken::TooMany(_) => code::LIMIT,
+        NotTaken::Full(_) => code::OUT_OF_MEMORY,
+    }
+}
+
+fn sqlstate_of_bind(why: &NotBound) -> &'static str {
+    match why {
+        NotBound::Message(_) | NotBound::Count(..) => code::PROTOCOL_VIOLATION,
+        NotBound::Told(_) | NotBound::Parameter(..) => code::INVALID_VALUE,
+        NotBound::NotSimple(_) => code::NOT_SUPPORTED,
+    }
+}
+
+/// What is known without asking: all that is answered here returns no rows.
+fn known_description(statement: &Lease) -> Option<Rc<Description>> {
+    match statement.purpose {
+        Purpose::Local(Local::Empty | Local::Parameter(_)) => {
+            Some(Rc::new(Description { parameters: statement.types.to_vec(), row: None }))
+        }
+        Purpose::Request(_) => statement.description(),
+    }
+}
+
+/// Reads the messages of a description.
+fn description(messages: &[u8]) -> Option<Description> {
+    let (first, second) = messages.split_at_checked(message_len(messages)?)?;
+    let parameters = (first[0] == b't').then(|| parameters(&first[5..]))??;
+    let row = match second.first()? {
+        b'T' => Some(second[5..].to_vec()),
+        b'n' => None,
+        _ => return None,
+    };
+    Some(Description { parameters, row })
+}
+
+/// A statement's description, or a portal's with the formats that were bound.
+fn put_description(out: &mut Vec<u8>, description: &Description, portal: Option<&Bound>) {
+    if portal.is_none() {
+        frame::put(out, b't', |b| {
+            b.extend(u16::try_from(description.parameters.len()).unwrap_or(u16::MAX).to_be_bytes());
+            description.parameters.iter().for_each(|kind| b.extend(kind.to_be_bytes()));
+        });
+    }
+    let Some(row) = &description.row else {
+        frame::put(out, b'n', |_| {});
+        return;
+    };
+    frame::put(out, b'T', |b| {
+        let start = b.len();
+        b.extend(row);
+        for (n, column) in columns(row).unwrap_or_default().into_iter().enumerate() {
+            let binary = portal.is_some_and(|portal| portal.result_binary(n));
+            b[start + column.format_at..][..2].copy_from_slice(&u16::from(binary).to_be_bytes());
+        }
+    });
+}
--- a/crates/pgwire/src/statement.rs
+++ b/crates/pgwire/src/statement.rs
@@ -22,6 +22,9 @@
     /// The statement has no quoted key.
     #[error("the statement has no quoted key")]
     NoKey,
+    /// A quote or comment has no end, or there are several statements.
+    #[error("the text is not one whole statement")]
+    NotOne,
 }
 
 /// What the comment and the statement say.
@@ -47,9 +50,12 @@
     pub key: &'a [u8],
 }
 
+fn idle(b: &u8) -> bool {
+    b.is_ascii_whitespace() || *b == b';'
+}
+
 /// Without the white space and semicolons round it.
 pub fn trim(text: &[u8]) -> &[u8] {
-    let idle = |b: &u8| b.is_ascii_whitespace() || *b == b';';
     let start = text.iter().position(|b| !idle(b)).unwrap_or(text.len());
     let end = text.iter().rposition(|b| !idle(b)).map_or(start, |last| last + 1);
     &text[start..end]
@@ -59,21 +65,33 @@
     text.windows(part.len()).position(|window| window == part)
 }
 
-/// Reads a statement.
-pub fn request(text: &[u8]) -> Result<Request<'_>, Malformed> {
+/// What stands before the closing comment, and the inside of the comment.
+pub(crate) fn closing_comment(text: &[u8]) -> Result<(&[u8], &str), Malformed> {
+    let start = text.iter().position(|b| !idle(b)).unwrap_or(text.len());
     let body = trim(text).strip_suffix(b"*/").ok_or(Malformed::NoComment)?;
     // The comment is the last thing in the statement: its start is sought from the end, so that nothing
     // quoted before it can pass for one, and no long value is searched.
-    let start = body.windows(2).rposition(|w| w == b"/*").ok_or(Malformed::NoComment)?;
-    let comment = std::str::from_utf8(&body[start + 2..]).map_err(|_| Malformed::NoComment)?;
-    let offset = body.as_ptr() as usize - text.as_ptr() as usize + start + 2;
+    let at = body.windows(2).rposition(|w| w == b"/*").ok_or(Malformed::NoComment)?;
+    let comment = std::str::from_utf8(&body[at + 2..]).map_err(|_| Malformed::NoComment)?;
+    Ok((&text[..start + at], comment))
+}
+
+/// The names and values of a comment.
+pub(crate) fn pairs(comment: &str) -> impl Iterator<Item = (&str, &str)> {
+    comment
+        .split(',')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.trim(), value.trim_end()))
+}
 
+/// Reads a statement.
+pub fn request(text: &[u8]) -> Result<Request<'_>, Malformed> {
+    let (before, comment) = closing_comment(text)?;
+    let offset = before.len() + 2;
     let (mut class, mut wait, mut group, mut after, mut resent, mut id) =
         (None, None, None, None, false, None);
-    for pair in comment.split(',') {
-        let Some((name, value)) = pair.split_once('=') else { continue };
-        let value = value.trim_end();
-        match name.trim() {
+    for (name, value) in pairs(comment) {
+        match name {
             "id" => id = Some(value).filter(|value| !value.is_empty()),
             "c" => class = Some(value),
             "d" => {
@@ -97,12 +115,12 @@
         group: group.ok_or(Malformed::Missing("cluster"))?,
         after,
         resent,
-        key: quoted(&body[..start])?,
+        key: quoted(before)?,
     })
 }
 
 /// Whether a statement's first word changes data; none if it is no word of a request.
-fn writes(text: &[u8]) -> Option<bool> {
+pub(crate) fn writes(text: &[u8]) -> Option<bool> {
     let word = text.split(|b| !b.is_ascii_alphabetic()).next()?;
     let is = |verb: &&str| word.eq_ignore_ascii_case(verb.as_bytes());
     let write = ["INSERT", "UPDATE", "DELETE"].iter().any(is);
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,14 @@
+//! Stand-ins for what surrounds a gateway: db hosts that speak simple and extended queries, discovery, and clients.
+//!
+//! They run on loopback, on ports that the system picks, a thread for each connection; what they do is scripted by
+//! whoever starts them. They hold to the protocols' published pages and know nothing of the gateway's insides.
+
+pub mod answers;
+pub mod client;
+pub mod discovery;
+pub mod host;
+
+pub use answers::{frame, read_frame, report, rows, served, served_value, unix_ms};
+pub use client::{startup, Client};
+pub use discovery::{entry, list, pair, Discovery};
+pub use host::{well, Do, Executed, Host};
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -3,10 +3,12 @@
 use std::env;
 use std::fs;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use thiserror::Error;
+use yewroute_edge::Edge;
 use yewroute_settings::{parse, Deployment, Fault};
 
 use crate::proto::catalog::Members;
@@ -31,6 +33,12 @@
     /// A key of the file, or a variable that stands for one.
     #[error("{0}")]
     Fault(#[from] Fault),
+    /// The operator's file.
+    #[error("{0}")]
+    Edge(#[from] yewroute_edge::Fault),
+    /// The operator's file wants more than the limits have.
+    #[error("{0}: {1}")]
+    TooMuch(String, String),
 }
 
 /// The whole configuration.
@@ -53,6 +61,10 @@
     pub known: Members,
     /// The settings.
     pub deployment: Deployment,
+    /// Where the operator's file is, and what it settles.
+    pub edge_file: Option<PathBuf>,
+    /// As without a file if there is none.
+    pub edge: Edge,
 }
 
 #[derive(Deserialize)]
@@ -101,8 +113,8 @@
     ///
     /// # Errors
     /// Names the variable or key at fault.
-    pub fn read() -> Result<Self, ConfigError> {
-        Ok(Self::parse(&text()?, |name| env::var(name).ok())?)
+    pub fn read(edge: Option<PathBuf>) -> Result<Self, ConfigError> {
+        Self::parse(&text()?, |name| env::var(name).ok())?.with_edge(edge)
     }
 
     /// Reads the file again, for a reload. Guards against: `EDGE_DISCOVERY`, which is as it was at the start,
@@ -110,8 +122,23 @@
     ///
     /// # Errors
     /// Names the variable or key at fault.
-    pub fn read_again() -> Result<Self, ConfigError> {
-        Ok(Self::parse(&text()?, |name| variable_of_reload(name, |name| env::var(name).ok()))?)
+    pub fn read_again(edge: Option<PathBuf>) -> Result<Self, ConfigError> {
+        Self::parse(&text()?, |name| variable_of_reload(name, |name| env::var(name).ok()))?.with_edge(edge)
+    }
+
+    /// Takes the operator's file, if there is one, and holds it against the limits.
+    fn with_edge(mut self, file: Option<PathBuf>) -> Result<Self, ConfigError> {
+        let Some(file) = file else { return Ok(self) };
+        self.edge = Edge::read(&file)?;
+        let table = self.edge.postgres.statement_table_bytes;
+        if self.edge.postgres.extended && table > self.most_bytes {
+            let (table, most) = (table / 1024, self.most_bytes / 1024);
+            let problem =
+                format!("postgres: statement_table_kib: {table} is over {most}, a sixth of limits.memory_mb");
+            return Err(ConfigError::TooMuch(file.display().to_string(), problem));
+        }
+        self.edge_file = Some(file);
+        Ok(self)
     }
 
     /// Reads the file's text; a variable outweighs the key it stands for.
@@ -137,6 +164,8 @@
             most_bytes: file.limits.memory_mb.saturating_mul(1024 * 1024) / PARTS,
             known: file.known,
             deployment: Deployment::from_json(file.settings.get()).map_err(|f| f.inside("settings"))?,
+            edge_file: None,
+            edge: Edge::default(),
         })
     }
 }
--- a/gateway/src/core/admit.rs
+++ b/gateway/src/core/admit.rs
@@ -1,31 +1,43 @@
 //! Sees whether a request can be held at all.
 
-use yewroute::interface::Freshness;
+use yewroute::interface::{Effect, Freshness};
 
-use super::{Answer, Ask, Core};
+use super::{Answer, Ask, Core, Payload, Scope};
 
-impl Core {
-    /// The class of a request that is let in, or the answer to one that is not.
-    pub(super) fn admit(&self, ask: &Ask) -> Result<usize, Answer> {
+impl<B: Payload> Core<B> {
+    /// The class and group of a request that is let in, or the answer to one that is not.
+    pub(super) fn admit(&self, ask: &Ask<B>) -> Result<(usize, u64), Answer> {
         let (limits, classes) = (&self.deployment.module.limits, &self.deployment.module.classes);
         let retry_after = limits.retry_after.then_some(limits.max_retry_after);
-        let class = self.deployment.class_names.iter().position(|name| *name == ask.class);
+        let placed = match &ask.scope {
+            Scope::Class(class, group) => {
+                let class = self.deployment.class_names.iter().position(|name| name == class);
+                class.map(|class| (class, *group)).ok_or(Answer::Invalid("no such class"))
+            }
+            // The least demanding reads there are, and the first group that has a server.
+            Scope::Anyone => {
+                let reads = |f: Freshness| matches!(f, Freshness::Any | Freshness::Bounded(_));
+                let class = classes.iter().position(|c| c.effect == Effect::Idempotent && reads(c.freshness));
+                let class = class.ok_or(Answer::Invalid("no class of reads that may be old"))?;
+                let group = self.directory.first_group().ok_or(Answer::Refused { retry_after })?;
+                Ok((class, group))
+            }
+        };
         // Guards against: running out of memory in a jam. Refusing is harmless, nothing has been sent.
         let full =
-            self.held.len() >= self.deployment.max_open || self.bytes + ask.body.text.len() > self.most_bytes;
-        match class {
-            None => Err(Answer::Invalid("no such class")),
+            self.held.len() >= self.deployment.max_open || self.bytes + ask.body.bytes() > self.most_bytes;
+        match placed? {
             // Guards against: attempts spent on what no db host can use.
-            Some(class) if ask.writes != (classes[class].freshness == Freshness::Write) => {
+            (class, _) if ask.writes != (classes[class].freshness == Freshness::Write) => {
                 Err(Answer::Invalid("the statement does not fit its class"))
             }
             // Guards against: a client that sends another's open request once more. It would get what is not
             // its own, and a second copy would go out.
-            Some(_) if self.names.contains(&ask.name) => {
+            _ if self.names.contains(&ask.name) => {
                 Err(Answer::Invalid("a request of this id is open already"))
             }
-            Some(_) if full => Err(Answer::Refused { retry_after }),
-            Some(class) => Ok(class),
+            _ if full => Err(Answer::Refused { retry_after }),
+            placed => Ok(placed),
         }
     }
 }
--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -4,12 +4,12 @@
 
 use yewroute::interface::{Event, ListKind, Note, Outcome, Report, ServerId, Status};
 
-use super::{Answer, AttemptId, Core, Effect, Ended, HostNote};
+use super::{Answer, AttemptId, Core, Effect, Ended, HostNote, Payload};
 use crate::clock::Clock;
 use crate::proto::catalog::Members;
 
-impl Core {
-    pub(super) fn book(&mut self, now: Instant, id: AttemptId, ended: Ended, effects: &mut Vec<Effect>) {
+impl<B: Payload> Core<B> {
+    pub(super) fn book(&mut self, now: Instant, id: AttemptId, ended: Ended, effects: &mut Vec<Effect<B>>) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         let (request, number) = id;
         if ended.status == Status::Good {
@@ -41,20 +41,20 @@
         now: Instant,
         server: ServerId,
         ended: &Ended,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<Effect<B>>,
     ) {
         let event =
             Event::Probed { server, status: ended.status, report: report(now, &ended.note, &self.clock) };
         self.route(now, event, effects);
     }
 
-    pub(super) fn book_members(&mut self, now: Instant, members: Members, effects: &mut Vec<Effect>) {
+    pub(super) fn book_members(&mut self, now: Instant, members: Members, effects: &mut Vec<Effect<B>>) {
         let kind = if members.full { ListKind::Whole } else { ListKind::Patch };
         let entries = self.directory.learn(&members, &self.clock);
         self.route(now, Event::List { kind, entries }, effects);
     }
 
-    pub(super) fn book_broken_watch(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+    pub(super) fn book_broken_watch(&mut self, now: Instant, effects: &mut Vec<Effect<B>>) {
         self.route(now, Event::List { kind: ListKind::Broken, entries: Vec::new() }, effects);
     }
 }
--- a/gateway/src/core/directory.rs
+++ b/gateway/src/core/directory.rs
@@ -14,6 +14,8 @@
     pub addr: SocketAddr,
     /// It takes requests.
     pub serving: bool,
+    /// Its group.
+    pub group: u64,
 }
 
 /// The list as it is held. A db host keeps its number for good.
@@ -35,6 +37,11 @@
         self.members.get(server.0 as usize)
     }
 
+    /// The lowest group that has a db host which takes requests.
+    pub fn first_group(&self) -> Option<u64> {
+        self.members.iter().filter(|member| member.serving).map(|member| member.group).min()
+    }
+
     /// Takes news and gives the entries as the module has them.
     pub fn learn(&mut self, news: &Members, clock: &Clock) -> Vec<Entry> {
         self.version = news.version;
@@ -46,7 +53,7 @@
     }
 
     fn entry(&mut self, member: &Member, clock: &Clock) -> Entry {
-        let listed = Listed { addr: member.addr, serving: member.state == State::Ready };
+        let listed = Listed { addr: member.addr, serving: member.state == State::Ready, group: member.cell };
         let server = match self.numbers.get(&member.id) {
             Some(server) => {
                 self.members[server.0 as usize] = listed;
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -17,7 +17,6 @@
 
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
-use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -37,37 +36,23 @@
 /// An attempt: the request, and the attempt's number.
 pub type AttemptId = (RequestId, u32);
 
-/// A request as it goes on to a db host.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Body {
-    /// The text as the client sent it.
-    pub text: Vec<u8>,
-    /// Where in it the number of milliseconds stands that the sender will wait.
-    pub wait_at: Range<usize>,
-}
-
-impl Body {
-    /// Appends the text with `wait` in its place; all else goes on byte for byte.
-    pub fn put(&self, out: &mut Vec<u8>, wait: Duration) {
-        out.extend(&self.text[..self.wait_at.start]);
-        out.extend(wait.as_millis().to_string().as_bytes());
-        out.extend(&self.text[self.wait_at.end..]);
-    }
+/// What goes on to a db host. The core passes it along and knows no more of it than its size.
+pub trait Payload {
+    /// Bytes that it keeps in memory.
+    fn bytes(&self) -> usize;
 }
 
 /// A client's request, whatever protocol it came by.
 #[derive(Debug, PartialEq, Eq)]
-pub struct Ask {
-    /// The client's own name for it; no two open at once have the same.
+pub struct Ask<B> {
+    /// The client's own name for it; no two open at once have the same. Empty if it needs none.
     pub name: Vec<u8>,
     /// It changes data.
     pub writes: bool,
-    /// The name of its class.
-    pub class: String,
-    /// How long the client will wait.
+    /// Whom it concerns.
+    pub scope: Scope,
+    /// How long the client will wait; as long as its class allows if it is longer.
     pub wait: Duration,
-    /// Its group.
-    pub group: u64,
     /// What names its session, in a class that has sessions.
     pub key: Vec<u8>,
     /// The position that it must see, as Unix time in milliseconds.
@@ -75,7 +60,16 @@
     /// The client marked it as a repeat.
     pub resent: bool,
     /// What goes on.
-    pub body: Body,
+    pub body: B,
+}
+
+/// Whom a request concerns.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// A class, by name, in a group.
+    Class(String, u64),
+    /// Anyone: a read that any db host of any group answers alike, whatever its position.
+    Anyone,
 }
 
 /// The final answer to a client.
@@ -127,9 +121,9 @@
 
 /// Something that happened outside.
 #[derive(Debug)]
-pub enum Input {
+pub enum Input<B> {
     /// A client asks; it asks nothing more until it has its answer.
-    Ask(ClientId, Ask),
+    Ask(ClientId, Ask<B>),
     /// A client is gone.
     ClientGone(ClientId),
     /// An attempt ended; once for each [`Effect::Start`].
@@ -144,7 +138,7 @@
 
 /// Something to be done outside.
 #[derive(Debug, PartialEq)]
-pub enum Effect {
+pub enum Effect<B> {
     /// Give the client its answer.
     Answer(ClientId, Answer),
     /// Start an attempt.
@@ -154,7 +148,7 @@
         /// Where to.
         server: ServerId,
         /// What to send.
-        body: Rc<Body>,
+        body: Rc<B>,
         /// When to give up.
         cut_at: Instant,
     },
@@ -175,10 +169,10 @@
     Overdue(RequestId),
 }
 
-struct Held {
+struct Held<B> {
     client: ClientId,
     name: Vec<u8>,
-    body: Rc<Body>,
+    body: Rc<B>,
     sends: u32,
     out: Option<AttemptId>,
 }
@@ -189,12 +183,12 @@
 }
 
 /// Holds requests and attempts round the module.
-pub struct Core {
+pub struct Core<B> {
     clock: Clock,
     deployment: Deployment,
     router: Router,
     directory: Directory,
-    held: HashMap<RequestId, Held>,
+    held: HashMap<RequestId, Held<B>>,
     by_client: HashMap<ClientId, RequestId>,
     names: HashSet<Vec<u8>>,
     attempts: HashMap<AttemptId, Attempt>,
@@ -208,7 +202,7 @@
     most_bytes: usize,
 }
 
-impl Core {
+impl<B: Payload> Core<B> {
     /// A core that holds nothing and knows the list as it was last known.
     pub fn new(
         now: Instant,
@@ -217,7 +211,7 @@
         seed: u64,
         most_bytes: usize,
         known: Members,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<Effect<B>>,
     ) -> Result<Self, SettingsError> {
         let router = Router::new(deployment.module.clone(), seed)?;
         let mut core = Self {
@@ -241,7 +235,7 @@
     }
 
     /// Takes what happened at `now` and appends what is to be done.
-    pub fn handle(&mut self, now: Instant, input: Input, effects: &mut Vec<Effect>) {
+    pub fn handle(&mut self, now: Instant, input: Input<B>, effects: &mut Vec<Effect<B>>) {
         match input {
             Input::Ask(client, ask) => self.take_in(now, client, ask, effects),
             Input::ClientGone(client) => self.leave(now, client, effects),
@@ -258,7 +252,7 @@
     }
 
     /// Lets the timers go off that are due at `now`.
-    pub fn tick(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+    pub fn tick(&mut self, now: Instant, effects: &mut Vec<Effect<B>>) {
         while let Some(due) = self.timers.due(now) {
             match due {
                 Due::Module(name) => self.route(now, Event::Timer(name), effects),
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -2,14 +2,14 @@
 
 use std::time::Instant;
 
+use tracing::error;
 use yewroute::interface::{Event, RequestId};
 
-use super::{Answer, ClientId, Core, Effect, Held};
-use crate::log;
+use super::{Answer, ClientId, Core, Effect, Held, Payload};
 
-impl Core {
+impl<B: Payload> Core<B> {
     /// The final answer; a request that is not held any more has had its own.
-    pub(super) fn relay(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect>) {
+    pub(super) fn relay(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect<B>>) {
         if let Some(held) = self.release(id) {
             effects.push(Effect::Answer(held.client, answer));
         }
@@ -17,7 +17,7 @@
 
     /// A client has gone: nothing more is owed. What is out goes on, since db hosts do not stop for it, and
     /// its end still teaches the module.
-    pub(super) fn leave(&mut self, now: Instant, client: ClientId, effects: &mut Vec<Effect>) {
+    pub(super) fn leave(&mut self, now: Instant, client: ClientId, effects: &mut Vec<Effect<B>>) {
         let Some(id) = self.by_client.get(&client).copied() else { return };
         let held = self.release(id);
         effects.extend(held.and_then(|held| held.out).map(Effect::Withdraw));
@@ -26,18 +26,18 @@
 
     /// Guards against: a request that nobody answers, such as one whose attempt never ends. The module ends
     /// each in time; this is the last line behind it.
-    pub(super) fn overdue(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect>) {
+    pub(super) fn overdue(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect<B>>) {
         let Some(out) = self.held.get(&id).map(|held| held.out) else { return };
-        log!("request overdue: failed by the gateway itself, attempt out: {}", out.is_some());
+        error!(attempt_out = out.is_some(), "request overdue: failed by the gateway itself");
         self.relay(id, Answer::Failed, effects);
         self.route(now, Event::Gone(id), effects);
     }
 
-    fn release(&mut self, id: RequestId) -> Option<Held> {
+    fn release(&mut self, id: RequestId) -> Option<Held<B>> {
         let held = self.held.remove(&id)?;
         self.by_client.remove(&held.client);
         self.names.remove(&held.name);
-        self.bytes -= held.body.text.len();
+        self.bytes -= held.body.bytes();
         Some(held)
     }
 }
--- a/gateway/src/core/route.rs
+++ b/gateway/src/core/route.rs
@@ -4,18 +4,18 @@
 
 use yewroute::interface::{Action, Event, ListKind};
 
-use super::{Answer, Core, Due, Effect};
+use super::{Answer, Core, Due, Effect, Payload};
 use crate::proto::catalog::Members;
 
-impl Core {
+impl<B: Payload> Core<B> {
     /// The module's first event: the list as it was last known.
-    pub(super) fn begin(&mut self, now: Instant, known: Members, effects: &mut Vec<Effect>) {
+    pub(super) fn begin(&mut self, now: Instant, known: Members, effects: &mut Vec<Effect<B>>) {
         let entries = self.directory.learn(&known, &self.clock);
         self.route(now, Event::List { kind: ListKind::Stale, entries }, effects);
     }
 
     /// Hands the module an event, and those that follow from its own actions.
-    pub(super) fn route(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect>) {
+    pub(super) fn route(&mut self, now: Instant, event: Event, effects: &mut Vec<Effect<B>>) {
         self.events.push_back(event);
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
@@ -27,7 +27,7 @@
         }
     }
 
-    fn act(&mut self, now: Instant, action: Action, effects: &mut Vec<Effect>) {
+    fn act(&mut self, now: Instant, action: Action, effects: &mut Vec<Effect<B>>) {
         match action {
             Action::Send { request, server, cut_at } => self.send(now, request, server, cut_at, effects),
             Action::Refuse { request, retry_after } => {
--- a/gateway/src/core/send.rs
+++ b/gateway/src/core/send.rs
@@ -5,16 +5,16 @@
 
 use yewroute::interface::{Event, Note, Outcome, Report, RequestId, ServerId, Status};
 
-use super::{Attempt, Core, Effect};
+use super::{Attempt, Core, Effect, Payload};
 
-impl Core {
+impl<B: Payload> Core<B> {
     pub(super) fn send(
         &mut self,
         now: Instant,
         id: RequestId,
         server: ServerId,
         cut_at: Instant,
-        effects: &mut Vec<Effect>,
+        effects: &mut Vec<Effect<B>>,
     ) {
         let (number, body) = match self.held.get_mut(&id) {
             // Guards against: two attempts of a request out at once. The module never asks for it.
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -6,16 +6,22 @@
 
 use yewroute::interface::{Event, GroupId, Request, RequestId, SessionKey};
 
-use super::{Ask, ClientId, Core, Due, Effect, Held};
+use super::{Ask, ClientId, Core, Due, Effect, Held, Payload};
 
 /// How long after its time a request that nobody answered is failed here: later than the module's own last
 /// moment, sooner than the rules' slack ends.
 const OVERDUE: Duration = Duration::from_millis(10);
 
-impl Core {
-    pub(super) fn take_in(&mut self, now: Instant, client: ClientId, ask: Ask, effects: &mut Vec<Effect>) {
-        let class = match self.admit(&ask) {
-            Ok(class) => class,
+impl<B: Payload> Core<B> {
+    pub(super) fn take_in(
+        &mut self,
+        now: Instant,
+        client: ClientId,
+        ask: Ask<B>,
+        effects: &mut Vec<Effect<B>>,
+    ) {
+        let (class, group) = match self.admit(&ask) {
+            Ok(placed) => placed,
             Err(answer) => {
                 effects.push(Effect::Answer(client, answer));
                 return;
@@ -29,14 +35,16 @@
         let request = Request {
             id,
             class,
-            group: GroupId(ask.group),
+            group: GroupId(group),
             left: wait,
             resent: ask.resent,
             session: self.deployment.sessions[class].then(|| session(&ask.key)),
             last_write_age: ask.after.map(|after| self.age(now, after)),
         };
-        self.bytes += ask.body.text.len();
-        self.names.insert(ask.name.clone());
+        self.bytes += ask.body.bytes();
+        if !ask.name.is_empty() {
+            self.names.insert(ask.name.clone());
+        }
         let held = Held { client, name: ask.name, body: Rc::new(ask.body), sends: 0, out: None };
         self.held.insert(id, held);
         self.by_client.insert(client, id);
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -10,8 +10,20 @@
 const PRIMARY: ServerId = ServerId(0);
 const REPLICA: ServerId = ServerId(1);
 
+/// So many bytes of a protocol that the core does not know.
+#[derive(Debug, PartialEq, Eq)]
+struct Body(usize);
+
+impl Payload for Body {
+    fn bytes(&self) -> usize {
+        self.0
+    }
+}
+
+type Effect = super::Effect<Body>;
+
 struct Bench {
-    core: Core,
+    core: Core<Body>,
     start: Instant,
     now: Instant,
 }
@@ -27,21 +39,16 @@
     }
 }
 
-fn ask(class: &str, wait_ms: u64) -> Ask {
-    let text = format!("SELECT 'k' /* id=1,c={class},d={wait_ms},cluster=2 */").into_bytes();
-    let at = text.windows(2).position(|w| w == b"d=").unwrap();
-    let at = text[at + 2..].windows(2).position(|w| w == b"d=").map_or(at + 2, |next| at + 2 + next + 2);
-    let wait_at = at..at + wait_ms.to_string().len();
+fn ask(class: &str, wait_ms: u64) -> Ask<Body> {
     Ask {
         name: b"1".to_vec(),
         writes: class == "order",
-        class: class.to_owned(),
+        scope: Scope::Class(class.to_owned(), 2),
         wait: Duration::from_millis(wait_ms),
-        group: 2,
         key: b"k".to_vec(),
         after: None,
         resent: false,
-        body: Body { text, wait_at },
+        body: Body(40),
     }
 }
 
@@ -61,7 +68,7 @@
         (Self { core, start, now: start }, effects)
     }
 
-    fn give(&mut self, input: Input) -> Vec<Effect> {
+    fn give(&mut self, input: Input<Body>) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.core.handle(self.now, input, &mut effects);
         effects
@@ -218,7 +225,7 @@
     let (mut b, _) = Bench::new();
     let long = |client: u64| {
         let mut ask = Ask { name: client.to_string().into_bytes(), ..ask("order", 3000) };
-        ask.body.text.resize(600, b' ');
+        ask.body = Body(600);
         ask
     };
     let effects = b.give(Input::Ask(ClientId(1), long(1)));
@@ -266,9 +273,26 @@
 }
 
 #[test]
-fn only_the_wait_in_a_statement_changes() {
-    let ask = ask("order", 3000);
-    let mut out = Vec::new();
-    ask.body.put(&mut out, Duration::from_micros(41_900));
-    assert_eq!(String::from_utf8(out).unwrap(), "SELECT 'k' /* id=1,c=order,d=41,cluster=2 */");
+fn what_anyone_may_answer_goes_to_a_replica_of_the_first_group_and_needs_no_name() {
+    let (mut b, _) = Bench::new();
+    b.ask(9, "view", 1200);
+    let position = Some(b.unix() as f64 / 1000.0);
+    let note =
+        HostNote { report_position: position, report_role: Some(Role::Replica), ..HostNote::default() };
+    b.give(Input::Probed(REPLICA, Ended { status: Status::Good, served: Vec::new(), note }));
+    for client in [1, 2] {
+        let ask = Ask { name: Vec::new(), scope: Scope::Anyone, wait: Duration::MAX, ..ask("view", 0) };
+        let effects = b.give(Input::Ask(ClientId(client), ask));
+        assert!(matches!(starts(&effects)[..], [(_, REPLICA)]), "{effects:?}");
+        let Some(Effect::Start { cut_at, .. }) = effects.iter().find(|e| matches!(e, Effect::Start { .. }))
+        else {
+            panic!("{effects:?}")
+        };
+        assert!(*cut_at <= b.now + Duration::from_millis(1200), "no longer than its class waits");
+    }
+    let gone = vec![member("a", true, State::Gone), member("b", false, State::Gone)];
+    b.give(Input::Members(Members { version: 42, full: false, servers: gone }));
+    let ask = Ask { name: Vec::new(), scope: Scope::Anyone, ..ask("view", 100) };
+    let effects = b.give(Input::Ask(ClientId(3), ask));
+    assert!(matches!(answers(&effects)[..], [(3, Answer::Refused { .. })]), "{effects:?}");
 }
--- a/gateway/src/log.rs
+++ b/gateway/src/log.rs
@@ -1,62 +1,201 @@
-//! The log: one macro, to standard error, rate-limited for each call site.
+//! The log: events of `tracing`, to standard error, limited for each place that writes one.
 
+use std::collections::HashMap;
+use std::fmt;
+use std::io::{self, Write};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use tracing::callsite::Identifier;
+use tracing::field::{Field, Visit};
+use tracing::{Event, Metadata, Subscriber};
+use tracing_subscriber::fmt::format::{self, FormatEvent, FormatFields, Writer};
+use tracing_subscriber::fmt::{FmtContext, MakeWriter};
+use tracing_subscriber::layer::{Context, Filter, Layer, SubscriberExt};
+use tracing_subscriber::registry::LookupSpan;
+
+use crate::cli::LogForm;
+
 /// Lines a call site may write within a window, and how long that is.
 const BURST: u32 = 5;
 const WINDOW: Duration = Duration::from_secs(10);
 
 /// The account of one call site.
-pub struct Site(Mutex<Account>);
-
+#[derive(Default)]
 struct Account {
     since: Option<Instant>,
     written: u32,
     suppressed: u64,
 }
 
-impl Site {
-    pub const fn new() -> Self {
-        Self(Mutex::new(Account { since: None, written: 0, suppressed: 0 }))
+impl Account {
+    /// Whether a line may be written now; if not, it is counted.
+    fn admit(&mut self, now: Instant) -> bool {
+        if self.since.is_none_or(|since| now.saturating_duration_since(since) >= WINDOW) {
+            self.since = Some(now);
+            self.written = 0;
+        }
+        let admitted = self.written < BURST;
+        self.written += u32::from(admitted);
+        self.suppressed += u64::from(!admitted);
+        admitted
+    }
+}
+
+/// The accounts of all call sites, of which there are as many as the program's text has.
+#[derive(Default)]
+struct Accounts(Mutex<HashMap<Identifier, Account>>);
+
+impl Accounts {
+    /// How many lines of this place have been suppressed since it was asked last.
+    fn suppressed(&self, place: &Identifier) -> u64 {
+        let mut accounts = self.0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        accounts.get_mut(place).map_or(0, |account| std::mem::take(&mut account.suppressed))
+    }
+}
+
+/// Lets a place write only so often.
+struct Limit(&'static Accounts);
+
+impl<S: Subscriber> Filter<S> for Limit {
+    fn enabled(&self, meta: &Metadata<'_>, _: &Context<'_, S>) -> bool {
+        // Guards against: lines of libraries, which the page for those on call does not know.
+        meta.target().starts_with("yewroute")
+    }
+
+    fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
+        let mut accounts = self.0 .0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        accounts.entry(event.metadata().callsite()).or_default().admit(Instant::now())
+    }
+}
+
+/// Standard error. A log that nobody reads any more is no reason to stop, so unlike `eprintln` it does not fail when
+/// standard error is closed.
+struct Stderr;
+
+impl Write for Stderr {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let _ = io::stderr().lock().write_all(line);
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for Stderr {
+    type Writer = Self;
+
+    fn make_writer(&'a self) -> Self {
+        Self
+    }
+}
+
+/// Begins to write the log.
+pub fn start(form: LogForm) {
+    let accounts: &'static Accounts = Box::leak(Box::default());
+    let layer = tracing_subscriber::fmt::layer().with_writer(Stderr);
+    match form {
+        LogForm::Text => {
+            let layer = layer.event_format(Logfmt(accounts)).with_filter(Limit(accounts));
+            begin(tracing_subscriber::registry().with(layer));
+        }
+        LogForm::Json => {
+            let json = format::json().flatten_event(true).with_target(false);
+            let layer = layer.fmt_fields(format::JsonFields::new()).event_format(Counted(json, accounts));
+            begin(tracing_subscriber::registry().with(layer.with_filter(Limit(accounts))));
+        }
     }
+}
+
+fn begin(subscriber: impl Subscriber + Send + Sync) {
+    // A second start, as in tests, leaves the first in force.
+    let _ = tracing::subscriber::set_global_default(subscriber);
+}
 
-    /// Whether a line may be written now, and then how many were suppressed since the last.
-    pub fn admit(&self, now: Instant) -> Option<u64> {
-        let mut account = self.0.lock().ok()?;
-        if account.since.is_none_or(|since| now.saturating_duration_since(since) >= WINDOW) {
-            account.since = Some(now);
-            account.written = 0;
+/// `level=info msg="listening" name=n0 addr=127.0.0.1:5432`.
+struct Logfmt(&'static Accounts);
+
+impl<S, N> FormatEvent<S, N> for Logfmt
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(&self, _: &FmtContext<'_, S, N>, mut out: Writer<'_>, event: &Event<'_>) -> fmt::Result {
+        let mut fields = Fields::default();
+        event.record(&mut fields);
+        write!(out, "level={} msg={}", level(event), quoted(&fields.message))?;
+        for (name, value) in &fields.rest {
+            write!(out, " {name}={}", quoted(value))?;
         }
-        if account.written >= BURST {
-            account.suppressed += 1;
-            return None;
+        match self.0.suppressed(&event.metadata().callsite()) {
+            0 => writeln!(out),
+            n => writeln!(out, " suppressed={n}"),
         }
-        account.written += 1;
-        Some(std::mem::take(&mut account.suppressed))
     }
 }
 
-/// Writes a line. A log that nobody reads any more is no reason to stop, so unlike `eprintln` this does not
-/// panic when standard error is closed.
-pub fn write(line: std::fmt::Arguments<'_>, suppressed: u64) {
-    use std::io::Write;
-    let mut out = std::io::stderr().lock();
-    let _ = match suppressed {
-        0 => writeln!(out, "yewroute: {line}"),
-        n => writeln!(out, "yewroute: {line} ({n} like it suppressed)"),
-    };
+/// A line of JSON with the count of those suppressed before it.
+struct Counted<F>(F, &'static Accounts);
+
+impl<S, N, F> FormatEvent<S, N> for Counted<F>
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+    F: FormatEvent<S, N>,
+{
+    fn format_event(
+        &self,
+        context: &FmtContext<'_, S, N>,
+        mut out: Writer<'_>,
+        event: &Event<'_>,
+    ) -> fmt::Result {
+        let mut line = String::new();
+        self.0.format_event(context, Writer::new(&mut line), event)?;
+        match (self.1.suppressed(&event.metadata().callsite()), line.trim_end().strip_suffix('}')) {
+            (0, _) | (_, None) => out.write_str(&line),
+            (n, Some(open)) => writeln!(out, "{open},\"suppressed\":{n}}}"),
+        }
+    }
 }
 
-/// `eprintln` with a limit for each place that calls it.
-#[macro_export]
-macro_rules! log {
-    ($($arg:tt)*) => {{
-        static SITE: $crate::log::Site = $crate::log::Site::new();
-        if let Some(suppressed) = SITE.admit(std::time::Instant::now()) {
-            $crate::log::write(format_args!($($arg)*), suppressed);
+fn level(event: &Event<'_>) -> &'static str {
+    match *event.metadata().level() {
+        tracing::Level::ERROR => "error",
+        tracing::Level::WARN => "warn",
+        _ => "info",
+    }
+}
+
+#[derive(Default)]
+struct Fields {
+    message: String,
+    rest: Vec<(&'static str, String)>,
+}
+
+impl Visit for Fields {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        self.rest.push((field.name(), value.to_owned()));
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        if field.name() == "message" {
+            self.message = format!("{value:?}");
+        } else {
+            self.rest.push((field.name(), format!("{value:?}")));
         }
-    }};
+    }
+}
+
+/// A value as it is if it is one plain word, else in quotes. Guards against: text from outside that makes two lines
+/// of one, or another field.
+fn quoted(value: &str) -> String {
+    let plain = |c: char| !c.is_control() && !c.is_whitespace() && !matches!(c, '"' | '=' | '\\');
+    if !value.is_empty() && value.chars().all(plain) {
+        return value.to_owned();
+    }
+    format!("{value:?}")
 }
 
 #[cfg(test)]
@@ -65,14 +204,20 @@
 
     #[test]
     fn a_call_site_is_limited_and_counts_what_it_suppressed() {
-        let site = Site::new();
+        let mut account = Account::default();
         let start = Instant::now();
         for _ in 0..BURST {
-            assert_eq!(site.admit(start), Some(0));
+            assert!(account.admit(start));
         }
-        assert_eq!(site.admit(start), None);
-        assert_eq!(site.admit(start + WINDOW / 2), None);
-        assert_eq!(site.admit(start + WINDOW), Some(2));
-        assert_eq!(site.admit(start + WINDOW), Some(0));
+        assert!(!account.admit(start) && !account.admit(start + WINDOW / 2));
+        assert_eq!(std::mem::take(&mut account.suppressed), 2);
+        assert!(account.admit(start + WINDOW));
+        assert_eq!(account.suppressed, 0);
+    }
+
+    #[test]
+    fn a_value_cannot_pass_for_more_than_one() {
+        assert_eq!([quoted("127.0.0.1:5"), quoted("")], ["127.0.0.1:5", "\"\""]);
+        assert_eq!(quoted("a\nlevel=error"), "\"a\\nlevel=error\"");
     }
 }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,33 +1,66 @@
 //! The gateway of yewroute.
 
+mod cli;
 mod clock;
 mod config;
 mod core;
+mod demo;
 mod log;
 mod net;
 mod proto;
 mod timers;
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use clap::Parser;
+use tracing::error;
+use yewroute_edge::Edge;
+
+use cli::{Cli, Command};
 use config::Config;
 
 /// The configuration is at fault: starting again as it is will not help.
 const EXIT_CONFIG: u8 = 78;
 
 fn main() -> ExitCode {
-    let config = match Config::read() {
+    let cli = Cli::parse();
+    log::start(cli.log);
+    match cli.command {
+        None => serve(None),
+        Some(Command::Run { edge }) => serve(edge),
+        Some(Command::Check { file }) => check(&file),
+        Some(Command::Demo) => demo::run(),
+    }
+}
+
+fn serve(edge: Option<PathBuf>) -> ExitCode {
+    let config = match Config::read(edge) {
         Ok(config) => config,
         Err(error) => {
-            log!("configuration: {error}");
+            error!(%error, "configuration at fault");
             return ExitCode::from(EXIT_CONFIG);
         }
     };
     match net::run(config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log!("stopped: {error}");
+            error!(%error, "stopped");
             ExitCode::FAILURE
         }
     }
 }
+
+/// Says on standard output what a file settles, or on standard error what is wrong with it.
+fn check(file: &Path) -> ExitCode {
+    match Edge::read(file) {
+        Ok(edge) => {
+            println!("{}: good\n{edge}", file.display());
+            ExitCode::SUCCESS
+        }
+        Err(fault) => {
+            eprintln!("{fault}");
+            ExitCode::from(EXIT_CONFIG)
+        }
+    }
+}
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -5,13 +5,18 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
+use tracing::warn;
+
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
-use crate::core::{Answer, Ask, Body, ClientId, Input};
-use crate::log;
+use super::Input;
+use crate::core::{Answer, Ask, ClientId, Scope};
+use crate::proto::pg::code;
 use crate::proto::pg::frame::LONGEST_QUERY;
-use crate::proto::pg::frontend::{self, Message, Opening};
-use crate::proto::pg::{code, statement};
+use crate::proto::pg::frontend::{self, Opening};
+use crate::proto::pg::request::{Body, Wanted};
+use crate::proto::pg::session::{Final, Session, Terms, Took};
+use crate::proto::pg::table::Table;
 use crate::timers::Timers;
 
 /// Connections that may wait to be accepted.
@@ -43,8 +48,6 @@
     Idle(Instant),
     /// A request is with the core.
     Busy,
-    /// An extended query was turned down: all is passed over up to Sync.
-    Skipping,
     /// Nothing more is taken; closed once all is written.
     Closing,
     /// All is written; waiting for the client to close.
@@ -60,6 +63,8 @@
 struct Client {
     wire: Wire,
     phase: Phase,
+    /// What it has prepared and bound.
+    session: Session,
     buffer: Vec<u8>,
     /// The client sends no more; it may still read.
     ended: bool,
@@ -84,6 +89,20 @@
     most_bytes: usize,
     draining: bool,
     scratch: Vec<u8>,
+    /// The statements of all clients.
+    table: Table,
+    rules: Rules,
+}
+
+/// How clients are served beyond simple queries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rules {
+    /// How extended queries are carried.
+    pub terms: Terms,
+    /// Bytes of all prepared statements.
+    pub table_bytes: usize,
+    /// A pipeline that goes on no more and has had no Sync for so long is given up.
+    pub pipeline_idle: Duration,
 }
 
 impl Clients {
@@ -93,6 +112,7 @@
         addr: SocketAddr,
         most: usize,
         most_bytes: usize,
+        rules: Rules,
         poller: &Poller,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(addr)?;
@@ -111,6 +131,8 @@
             most_bytes,
             draining: false,
             scratch: vec![0; CHUNK],
+            table: Table::new(rules.table_bytes),
+            rules,
         })
     }
 
@@ -119,6 +141,12 @@
         (self.most, self.most_bytes) = (most, most_bytes);
     }
 
+    /// How clients are served from now on. Those that are connected keep the terms that they were welcomed with.
+    pub fn rule(&mut self, rules: Rules) {
+        self.table.limit(rules.table_bytes);
+        self.rules = rules;
+    }
+
     /// Where clients connect.
     pub fn addr(&self) -> io::Result<SocketAddr> {
         self.listener.as_ref().map_or(Err(ErrorKind::NotConnected.into()), TcpListener::local_addr)
@@ -128,7 +156,7 @@
     pub fn accept(&mut self, now: Instant, poller: &Poller) {
         while let Some(listener) = &self.listener {
             if self.clients.len() >= self.most && !evict(now, &mut self.clients) {
-                log!("out of client connections: {} open, all busy", self.clients.len());
+                warn!(open = self.clients.len(), "out of client connections, all busy");
                 self.rest(now, poller);
                 return;
             }
@@ -145,6 +173,7 @@
                             let client = Client {
                                 wire,
                                 phase: Phase::Opening,
+                                session: Session::new(self.rules.terms),
                                 buffer: Vec::new(),
                                 ended: false,
                                 interest: Interest::READ,
@@ -156,14 +185,14 @@
                             };
                             self.clients.insert(number, client);
                         }
-                        Err(error) => log!("cannot take a client's connection: {error}"),
+                        Err(error) => warn!(%error, "cannot take a client's connection"),
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(error) => {
                     // Guards against: a busy loop when descriptors have run out (EMFILE).
-                    log!("cannot accept: {error}");
+                    warn!(%error, "cannot accept");
                     if !evict(now, &mut self.clients) {
                         self.rest(now, poller);
                         return;
@@ -189,7 +218,7 @@
         self.draining = true;
         for number in self.clients.keys().copied().collect::<Vec<_>>() {
             let Some(client) = self.clients.get_mut(&number) else { continue };
-            if matches!(client.phase, Phase::Idle(_)) && client.buffer.is_empty() {
+            if client.between() && client.buffer.is_empty() {
                 client.phase = Phase::Closing;
                 self.settle(now, number, poller);
             }
@@ -224,7 +253,8 @@
     /// Guards against: connections kept open by clients that say nothing, stop within a message, or never
     /// take their answers.
     fn sweep(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        let overdue = |client: &Client| client.overdue(now);
+        let pipeline_idle = self.rules.pipeline_idle;
+        let overdue = |client: &Client| client.overdue(now) || client.stalled(now, pipeline_idle);
         let numbers = self.clients.iter().filter(|(_, client)| overdue(client)).map(|(number, _)| *number);
         for number in numbers.collect::<Vec<_>>() {
             match self.clients.get_mut(&number) {
@@ -232,6 +262,10 @@
                     client.turn_out(code::PROTOCOL_VIOLATION, "a message was not finished in time");
                     self.work(now, number, poller, inbox);
                 }
+                Some(client) if client.stalled(now, pipeline_idle) => {
+                    client.turn_out(code::IDLE_IN_PIPELINE, "no Sync came for the pipeline in time");
+                    self.work(now, number, poller, inbox);
+                }
                 _ => self.gone(number, inbox),
             }
         }
@@ -271,7 +305,7 @@
         // Guards against: long messages of many clients, all unfinished, that together fill the memory.
         if long && self.clients.values().map(|c| c.buffer.len()).sum::<usize>() > self.most_bytes {
             if let Some(client) = self.clients.get_mut(&number) {
-                log!("out of memory for clients: one connection closed");
+                warn!("out of memory for clients: one connection closed");
                 client.turn_out(code::OUT_OF_MEMORY, "too many bytes of clients");
             }
         }
@@ -298,22 +332,19 @@
             Answer::Served(value)
                 if value.len() > CHUNK && self.unwritten() + value.len() > self.most_bytes =>
             {
-                log!("out of memory for answers: one request failed");
+                warn!("out of memory for answers: one request failed");
                 Answer::Failed
             }
             answer => answer,
         };
         let Some(client) = self.clients.get_mut(&number) else { return };
-        let out = client.wire.out();
-        match answer {
-            Answer::Served(messages) => {
-                out.extend(messages);
-                frontend::put_ready(out);
-            }
-            Answer::Refused { retry_after } => frontend::put_refusal(out, retry_after),
-            Answer::Failed => frontend::put_failure(out),
-            Answer::Invalid(why) => frontend::put_invalid(out, why),
-        }
+        let answer = match answer {
+            Answer::Served(messages) => Final::Served(messages),
+            Answer::Refused { retry_after } => Final::Refused(retry_after),
+            Answer::Failed => Final::Failed,
+            Answer::Invalid(why) => Final::Invalid(why),
+        };
+        client.session.answered(answer, &mut self.table, client.wire.out());
         client.phase = Phase::Idle(now);
         self.work(now, number, poller, inbox);
     }
@@ -322,9 +353,9 @@
     fn work(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return };
-            let stalled = client.take_messages(now, number, inbox);
+            let stalled = client.take_messages(now, number, &mut self.table, inbox);
             let idle = client.takes() && !stalled;
-            if client.ended && idle || self.draining && matches!(client.phase, Phase::Idle(_)) && idle {
+            if client.ended && idle || self.draining && client.between() && idle {
                 client.phase = Phase::Closing;
             }
             if !self.settle(now, number, poller) {
@@ -389,7 +420,7 @@
         let silent = !self.asked && now - self.accepted >= MESSAGE_TIMEOUT;
         older(self.stuck, STUCK_TIMEOUT)
             || match self.phase {
-                Phase::Opening | Phase::Idle(_) | Phase::Skipping => {
+                Phase::Opening | Phase::Idle(_) => {
                     self.stuck.is_none() && (silent || older(self.unfinished, MESSAGE_TIMEOUT))
                 }
                 Phase::Busy | Phase::Closing => false,
@@ -397,6 +428,18 @@
             }
     }
 
+    /// Nothing is owed on either side.
+    fn between(&self) -> bool {
+        matches!(self.phase, Phase::Idle(_)) && !self.session.open()
+    }
+
+    /// It has begun a pipeline and says neither more nor Sync. Guards against: portals and their rows held for
+    /// a client that will never come back to them.
+    fn stalled(&self, now: Instant, than: Duration) -> bool {
+        let since = if let Phase::Idle(since) = self.phase { Some(since) } else { None };
+        self.session.open() && self.stuck.is_none() && since.is_some_and(|since| now - since >= than)
+    }
+
     /// Says why, and closes once that is written.
     fn turn_out(&mut self, sqlstate: &str, why: &str) {
         frontend::put_error(self.wire.out(), "FATAL", sqlstate, why, None);
@@ -418,11 +461,17 @@
 
     /// Messages are taken as they come.
     fn takes(&self) -> bool {
-        matches!(self.phase, Phase::Opening | Phase::Idle(_) | Phase::Skipping)
+        matches!(self.phase, Phase::Opening | Phase::Idle(_))
     }
 
     /// Takes messages until one has to be waited for; true if it stopped short of that.
-    fn take_messages(&mut self, now: Instant, number: u64, inbox: &mut VecDeque<Input>) -> bool {
+    fn take_messages(
+        &mut self,
+        now: Instant,
+        number: u64,
+        table: &mut Table,
+        inbox: &mut VecDeque<Input>,
+    ) -> bool {
         let (mut used, mut stalled) = (0, false);
         while self.takes() {
             // Guards against: answers piling up for a client that sends and never reads.
@@ -433,13 +482,13 @@
             let step = if self.phase == Phase::Opening {
                 self.open(now, used)
             } else {
-                self.take_message(now, number, used, inbox)
+                self.take_message(now, number, used, table, inbox)
             };
             match step {
                 Ok(Some(len)) => used += len,
                 Ok(None) => break,
                 Err(why) => {
-                    log!("closed a client's connection: {why}");
+                    warn!(why, "closed a client's connection");
                     self.turn_out(code::PROTOCOL_VIOLATION, &why);
                     used = 0;
                 }
@@ -475,37 +524,25 @@
         now: Instant,
         number: u64,
         from: usize,
+        table: &mut Table,
         inbox: &mut VecDeque<Input>,
     ) -> Result<Option<usize>, String> {
         let message = frontend::message(&self.buffer[from..]).map_err(|e| e.to_string())?;
         let Some((message, len)) = message else { return Ok(None) };
-        let out = self.wire.out();
-        match (message, self.phase) {
-            (Message::Terminate, _) => self.phase = Phase::Closing,
-            (Message::Sync, _) => {
-                frontend::put_ready(out);
-                self.phase = Phase::Idle(now);
+        let query = matches!(message, frontend::Message::Query(_));
+        match self.session.take(&message, table, self.wire.out())? {
+            Took::Close => self.phase = Phase::Closing,
+            Took::Ask(wanted) => {
+                inbox.push_back(Input::Ask(ClientId(number), ask(wanted)));
+                self.phase = Phase::Busy;
+                (self.asked, self.requested) = (true, true);
             }
-            (Message::Unterminated, _) => return Err("a query without an end".to_owned()),
-            (Message::Unknown(kind), _) => return Err(format!("unknown message type {kind:#04x}")),
-            (_, Phase::Skipping) => {}
-            (Message::Extended, _) => {
-                let text = "extended queries are not supported";
-                frontend::put_error(out, "ERROR", code::NOT_SUPPORTED, text, None);
-                self.phase = Phase::Skipping;
+            Took::Done => {
+                self.phase = Phase::Idle(now);
+                self.asked |= query || self.session.holds();
+                // A client that has prepared something is no stranger that only holds a connection.
+                self.requested |= self.session.holds();
             }
-            (Message::Query(text), _) => match frontend::local(text) {
-                Some(local) => {
-                    frontend::put_local(out, local);
-                    self.asked = true;
-                }
-                None => {
-                    let ask = ask(text).map_err(|e| e.to_string())?;
-                    inbox.push_back(Input::Ask(ClientId(number), ask));
-                    self.phase = Phase::Busy;
-                    (self.asked, self.requested) = (true, true);
-                }
-            },
         }
         Ok(Some(len))
     }
@@ -542,17 +579,15 @@
 }
 
 /// A request as the core has it.
-fn ask(text: &[u8]) -> Result<Ask, statement::Malformed> {
-    let request = statement::request(text)?;
-    Ok(Ask {
-        name: request.id.as_bytes().to_vec(),
-        writes: request.writes,
-        class: request.class.to_owned(),
-        wait: Duration::from_millis(request.wait_ms.into()),
-        group: request.group,
-        key: request.key.to_vec(),
-        after: request.after,
-        resent: request.resent,
-        body: Body { text: text.to_vec(), wait_at: request.wait_at },
-    })
+fn ask(wanted: Wanted) -> Ask<Body> {
+    Ask {
+        name: wanted.id,
+        writes: wanted.writes,
+        scope: wanted.scope.map_or(Scope::Anyone, |(class, group)| Scope::Class(class, group)),
+        wait: wanted.wait,
+        key: wanted.key,
+        after: wanted.after,
+        resent: wanted.resent,
+        body: wanted.body,
+    }
 }
--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -5,10 +5,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use tracing::warn;
+
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
-use crate::core::Input;
-use crate::log;
+use super::Input;
 use crate::proto::catalog::Members;
 use crate::proto::http::{self, Lines};
 
@@ -97,7 +98,7 @@
     }
 
     fn broken(&mut self, why: &str, inbox: &mut VecDeque<Input>) {
-        log!("watch broken: {why}");
+        warn!(why, "watch broken");
         self.watch = None;
         inbox.push_back(Input::WatchBroken);
     }
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -5,13 +5,16 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use tracing::warn;
 use yewroute::interface::{Role, ServerId, Status};
 
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
-use crate::core::{AttemptId, Body, Directory, Ended, HostNote, Input};
-use crate::log;
+use super::Input;
+use crate::core::{AttemptId, Directory, Ended, HostNote};
 use crate::proto::pg::backend::{self, Gather, Reply, Step, Verdict};
+use crate::proto::pg::exchange::{Dialect, Prepared, Sent};
+use crate::proto::pg::request::Body;
 use crate::timers::Timers;
 
 /// Idle connections are retired after this share of the time that a db host leaves them open.
@@ -34,6 +37,8 @@
     body: Option<Rc<Body>>,
     cut_at: Instant,
     conn: Option<u64>,
+    /// It has been written once more, as its statement was not there.
+    again: bool,
     /// Tells a probe from an earlier one to the same db host, whose timer may still be set.
     number: u64,
 }
@@ -65,6 +70,9 @@
     state: State,
     buffer: Vec<u8>,
     gather: Gather,
+    /// What has been prepared on it, and what was written last.
+    prepared: Prepared,
+    sent: Sent,
     /// Part of an answer has come.
     begun: bool,
     writable: bool,
@@ -89,11 +97,21 @@
     most: usize,
     /// Bytes that answers under way may take.
     most_bytes: usize,
+    speech: Speech,
     connect_timeout: Duration,
     retire_after: Duration,
     scratch: Vec<u8>,
 }
 
+/// How db hosts are spoken to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Speech {
+    /// What they understand.
+    pub dialect: Dialect,
+    /// Statements that a connection may have prepared.
+    pub statements: usize,
+}
+
 /// What the pool needs of its surroundings for a moment.
 pub struct Around<'a> {
     pub now: Instant,
@@ -108,6 +126,7 @@
         now: Instant,
         most: usize,
         most_bytes: usize,
+        speech: Speech,
         connect_timeout: Duration,
         keepalive: Duration,
     ) -> Self {
@@ -122,6 +141,7 @@
             started: 0,
             most,
             most_bytes,
+            speech,
             connect_timeout,
             retire_after: keepalive.mul_f64(RETIRE_AFTER),
             scratch: vec![0; CHUNK],
@@ -133,6 +153,11 @@
         (self.most, self.most_bytes) = (most, most_bytes);
     }
 
+    /// How db hosts are spoken to from now on.
+    pub fn speak(&mut self, speech: Speech) {
+        self.speech = speech;
+    }
+
     /// Starts an attempt.
     pub fn start(
         &mut self,
@@ -157,7 +182,7 @@
         self.started += 1;
         let number = self.started;
         self.timers.set(cut_at, Due::Cut(id, number));
-        self.jobs.insert(id, Job { server, body, cut_at, conn: None, number });
+        self.jobs.insert(id, Job { server, body, cut_at, conn: None, again: false, number });
         self.pools.entry(server).or_default().waiting.push_back(id);
         self.pump(server, a);
     }
@@ -209,8 +234,7 @@
     /// else can be sent for the request, and never used again.
     fn cut(&mut self, id: JobId, number: u64, a: &mut Around) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.number == number) else { return };
-        let written =
-            job.conn.and_then(|conn| self.conns.remove(&conn)).map(|conn| conn.wire.unwritten() == 0);
+        let written = job.conn.and_then(|conn| self.conns.remove(&conn)).map(|conn| conn.may_have_run());
         let status = match (id, written) {
             (_, Some(true)) => Status::Timeout,
             (JobId::Attempt(_), _) => Status::NotSent,
@@ -263,7 +287,7 @@
                 return;
             }
             if self.conns.len() >= self.most && !self.evict() {
-                log!("out of connections to db hosts: {} open", self.conns.len());
+                warn!(open = self.conns.len(), "out of connections to db hosts");
                 let last = self.pools[&server].waiting.back().copied().unwrap_or(id);
                 self.end(last, Ended::silent(Status::NotSent), a);
                 continue;
@@ -282,6 +306,8 @@
                         state: State::Connecting,
                         buffer: Vec::new(),
                         gather: Gather::default(),
+                        prepared: Prepared::default(),
+                        sent: Sent::default(),
                         begun: false,
                         writable: false,
                     };
@@ -289,7 +315,7 @@
                     self.pools.entry(server).or_default().dialing += 1;
                 }
                 Err(error) => {
-                    log!("cannot dial {addr}: {error}");
+                    warn!(%addr, %error, "cannot dial");
                     self.end(id, Ended::silent(Status::ConnectFailed), a);
                 }
             }
@@ -321,10 +347,15 @@
         conn.begun = false;
         let wait = job.cut_at.saturating_duration_since(a.now);
         let body = job.body.clone();
-        backend::put_query(conn.wire.out(), |out| match &body {
-            Some(body) => body.put(out, wait),
-            None => out.extend(backend::SHOW_LOAD),
-        });
+        conn.sent = Sent::default();
+        match &body {
+            Some(body) => {
+                let Speech { dialect, statements } = self.speech;
+                let (out, gather) = (conn.wire.out(), &mut conn.gather);
+                conn.sent = conn.prepared.put(out, gather, body, wait, dialect, statements);
+            }
+            None => backend::put_query(conn.wire.out(), |out| out.extend(backend::SHOW_LOAD)),
+        }
         if conn.flush(number, a).is_err() {
             self.lose(number, a);
         }
@@ -361,7 +392,8 @@
 
     /// Takes the messages that have come.
     fn gather(&mut self, number: u64, a: &mut Around) {
-        let mut used = 0;
+        // Bytes that have been taken, and those of them that belong to answers that are whole.
+        let (mut used, mut whole) = (0, 0);
         loop {
             let Some(conn) = self.conns.get_mut(&number) else { return };
             if matches!(conn.state, State::Idle(_)) {
@@ -382,11 +414,16 @@
                 Ok(Some((step, len))) => {
                     used += len;
                     if let Step::Ready(reply) = step {
+                        whole = used;
                         self.answered(number, reply, a);
                     }
                 }
                 Ok(None) => {
+                    let came = conn.buffer.len() > whole && conn.gather.under_way(&conn.buffer[used..]);
                     conn.buffer.drain(..used);
+                    if !came {
+                        return;
+                    }
                     if let (State::Busy(id), false) = (conn.state, conn.begun) {
                         conn.begun = true;
                         self.timers.set(a.now + ANSWER_TIMEOUT, Due::Answer(number, id));
@@ -403,6 +440,20 @@
 
     /// ReadyForQuery has come.
     fn answered(&mut self, number: u64, reply: Reply, a: &mut Around) {
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        if let State::Busy(id) = conn.state {
+            // The statement was not there, so nothing ran. It is the same attempt that goes on, once, unless the
+            // db host drains or the time is over: then it ends as one that never ran.
+            let lost = conn.prepared.settle(&conn.sent, &reply);
+            let open = a.directory.open(conn.server) == Some(conn.addr);
+            if let (true, true, Some(job)) = (lost, open, self.jobs.get_mut(&id)) {
+                if !job.again && job.cut_at > a.now {
+                    job.again = true;
+                    self.write(number, id, a);
+                    return;
+                }
+            }
+        }
         let Some(conn) = self.conns.get_mut(&number) else { return };
         let before = std::mem::replace(&mut conn.state, State::Idle(a.now));
         let pool = self.pools.entry(conn.server).or_default();
@@ -426,7 +477,7 @@
             }
             State::Idle(_) => self.forget(number),
             State::Busy(id) => {
-                let written = conn.wire.unwritten() == 0;
+                let written = conn.may_have_run();
                 self.conns.remove(&number);
                 let end = match cut_short {
                     Some(reply) => ended(id, reply),
@@ -441,7 +492,7 @@
     /// Guards against: anything spoilt being passed on, and the connection being used again. The request may
     /// have run; its db host goes on being judged by what it serves.
     fn malformed(&mut self, number: u64, why: &str, a: &mut Around) {
-        log!("spoilt answer from a db host: {why}");
+        warn!(why, "spoilt answer from a db host");
         match self.conns.get(&number).map(|conn| conn.state) {
             Some(State::Busy(id)) => {
                 self.conns.remove(&number);
@@ -457,8 +508,8 @@
     fn fail_dial(&mut self, number: u64, status: Status, why: &str, a: &mut Around) {
         let Some(conn) = self.conns.remove(&number) else { return };
         match a.directory.open(conn.server) {
-            Some(addr) => log!("no connection to db host {addr}: {why}"),
-            None => log!("no connection to a db host that has left: {why}"),
+            Some(addr) => warn!(%addr, why, "no connection to a db host"),
+            None => warn!(why, "no connection to a db host that has left"),
         }
         let pool = self.pools.entry(conn.server).or_default();
         pool.dialing -= 1;
@@ -481,6 +532,11 @@
 }
 
 impl Conn {
+    /// All has been written without which it cannot run.
+    fn may_have_run(&self) -> bool {
+        self.wire.unwritten() <= self.sent.tail
+    }
+
     /// Writes what there is room for, and asks to be woken for the rest.
     fn flush(&mut self, number: u64, a: &mut Around) -> std::io::Result<()> {
         let writable = !self.wire.flush()?;
@@ -496,9 +552,10 @@
 /// An answer as the core has it.
 fn ended(id: JobId, reply: Reply) -> Ended {
     let status = match reply.verdict {
-        Verdict::Served => Status::Good,
+        // The statement's own fault is an answer as well: every db host would give it.
+        Verdict::Served | Verdict::Rejected => Status::Good,
         Verdict::Miss => Status::Miss,
-        Verdict::TurnedAway => Status::Full,
+        Verdict::TurnedAway | Verdict::Lost => Status::Full,
         Verdict::Error => Status::Error,
     };
     let role = |role: backend::Role| match role {
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -10,21 +10,35 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use thiserror::Error;
+use tracing::{error, info, warn};
 use yewroute::interface::SettingsError;
+use yewroute_edge::Edge;
 
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::core::{Core, Effect, Input};
-use crate::log;
-use clients::Clients;
+use crate::core::{self, Core, Payload};
+use crate::proto::pg::exchange::Dialect;
+use crate::proto::pg::request::Body;
+use crate::proto::pg::session::{Limits, Terms};
+use clients::{Clients, Rules};
 use discovery::Discovery;
-use hosts::{Around, Hosts};
+use hosts::{Around, Hosts, Speech};
 use poller::{Interest, Poller, Ready, Token};
 use signals::Signals;
 
+type Input = core::Input<Body>;
+type Effect = core::Effect<Body>;
+
+impl Payload for Body {
+    fn bytes(&self) -> usize {
+        self.bytes()
+    }
+}
+
 /// Descriptors kept for the listener, the poller, the watch, signals and the standard streams.
 const RESERVED: usize = 16;
 /// How long after SIGTERM new connections are still taken: clients hear of it only then.
@@ -47,6 +61,22 @@
     Io(#[from] io::Error),
 }
 
+/// How clients and db hosts are spoken to, as the operator's file says.
+fn manners(edge: &Edge) -> (Rules, Speech) {
+    let dialect = if edge.hosts.extended { Dialect::Extended } else { Dialect::Simple };
+    let limits = Limits {
+        statements: edge.postgres.statements_per_client,
+        portals: edge.postgres.portals_per_client,
+        bytes: edge.postgres.client_bytes,
+    };
+    let rules = Rules {
+        terms: Terms { extended: edge.postgres.extended, hosts: dialect, limits },
+        table_bytes: edge.postgres.statement_table_bytes,
+        pipeline_idle: edge.postgres.pipeline_idle,
+    };
+    (rules, Speech { dialect, statements: edge.hosts.statements_per_connection })
+}
+
 /// How many connections clients and db hosts may have.
 fn shares(config: &Config) -> (usize, usize) {
     let usable = config.sockets - RESERVED;
@@ -59,10 +89,11 @@
     hosts: Hosts,
     discovery: Discovery,
     signals: Signals,
-    core: Core,
+    core: Core<Body>,
     /// As they were at the start; they stay so.
     name: String,
     listen: SocketAddr,
+    edge_file: Option<PathBuf>,
     inbox: VecDeque<Input>,
     effects: Vec<Effect>,
     /// Since SIGTERM: when the listener closes, and when nothing can be owed any more.
@@ -87,7 +118,7 @@
         gateway.tick(now);
         gateway.settle(now);
     }
-    log!("stopped: all answered");
+    info!("stopped: all answered");
     Ok(())
 }
 
@@ -99,13 +130,20 @@
         poller.add(&signals, Token::Signals, Interest::READ)?;
         let (most_clients, most_hosts) = shares(&config);
         let listen = config.listen;
-        let clients = Clients::listen(now, listen, most_clients, config.most_bytes, &poller)
+        let (rules, speech) = manners(&config.edge);
+        let clients = Clients::listen(now, listen, most_clients, config.most_bytes, rules, &poller)
             .map_err(|error| RunError::Listen(listen, error))?;
         let deployment = config.deployment;
         let longest_deadline = deployment.module.classes.iter().map(|class| class.deadline).max();
         let longest_deadline = longest_deadline.unwrap_or_default();
-        let hosts =
-            Hosts::new(now, most_hosts, config.most_bytes, deployment.connect_timeout, deployment.keepalive);
+        let hosts = Hosts::new(
+            now,
+            most_hosts,
+            config.most_bytes,
+            speech,
+            deployment.connect_timeout,
+            deployment.keepalive,
+        );
         let mut effects = Vec::new();
         let core = Core::new(
             now,
@@ -117,7 +155,7 @@
             &mut effects,
         )?;
         let addr = clients.addr()?;
-        log!("{} listens on {addr}", config.name);
+        info!(name = config.name, %addr, "listening");
         Ok(Self {
             poller,
             clients,
@@ -127,6 +165,7 @@
             core,
             name: config.name,
             listen,
+            edge_file: config.edge_file,
             inbox: VecDeque::new(),
             effects,
             drain_at: None,
@@ -164,7 +203,7 @@
                     self.reload(now);
                 }
                 if came.terminate && self.drain_at.is_none() {
-                    log!("SIGTERM: draining");
+                    info!("SIGTERM: draining");
                     self.drain_at = Some(now + NOTICE);
                     self.stop_at = Some(now + NOTICE + self.longest_deadline + LEEWAY);
                 }
@@ -185,22 +224,25 @@
     /// Reads the configuration again and takes what can change under way: where discovery is, and the limits.
     /// The list held and all that is out go on. Guards against: a faulty file, which changes nothing.
     fn reload(&mut self, now: Instant) {
-        let config = match Config::read_again() {
+        let config = match Config::read_again(self.edge_file.clone()) {
             Ok(config) => config,
             Err(error) => {
-                log!("SIGHUP: the configuration in force stays: {error}");
+                error!(%error, "SIGHUP: the configuration in force stays");
                 return;
             }
         };
-        log!("SIGHUP: configuration read again, discovery at {}", config.discovery);
+        info!(discovery = %config.discovery, "SIGHUP: configuration read again");
         let (most_clients, most_hosts) = shares(&config);
         self.clients.limit(most_clients, config.most_bytes);
         self.hosts.limit(most_hosts, config.most_bytes);
         self.core.limit(config.most_bytes);
+        let (rules, speech) = manners(&config.edge);
+        self.clients.rule(rules);
+        self.hosts.speak(speech);
         if (&config.name, config.listen, &config.deployment)
             != (&self.name, self.listen, self.core.deployment())
         {
-            log!("SIGHUP: a new name, listen or settings count from the next start");
+            warn!("SIGHUP: a new name, listen or settings count from the next start");
         }
         let since = self.core.directory().version();
         self.discovery.move_to(now, config.discovery, since, &self.poller, &mut self.inbox);
--- a/gateway/tests/pages.rs
+++ b/gateway/tests/pages.rs
@@ -3,16 +3,20 @@
 use std::fs;
 use std::path::Path;
 
-/// The fixed words of each log line's format: what stands before its first argument, or after it.
-fn log_formats(folder: &Path, found: &mut Vec<String>) {
+/// The message of each event that the gateway logs: the last text in its macro.
+fn log_messages(folder: &Path, found: &mut Vec<String>) {
     for file in fs::read_dir(folder).unwrap() {
         let path = file.unwrap().path();
         if path.is_dir() {
-            log_formats(&path, found);
+            log_messages(&path, found);
         } else if path.extension().is_some_and(|e| e == "rs") {
             let text = fs::read_to_string(&path).unwrap();
-            found
-                .extend(text.split("log!(\"").skip(1).map(|rest| rest.split('"').next().unwrap().to_owned()));
+            for begin in ["info!(", "warn!(", "error!("] {
+                for event in text.split(begin).skip(1) {
+                    let Some((event, _)) = event.split_once("\")") else { continue };
+                    found.push(event.rsplit('"').next().unwrap().to_owned());
+                }
+            }
         }
     }
 }
@@ -21,11 +25,10 @@
 fn every_log_line_is_on_the_on_call_page() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let page = fs::read_to_string(root.join("../docs/on-call.md")).unwrap();
-    let mut formats = Vec::new();
-    log_formats(&root.join("src"), &mut formats);
-    assert!(formats.len() >= 10, "{formats:?}");
-    for format in formats {
-        let fixed = format.split(['{', '}']).step_by(2).map(str::trim).max_by_key(|part| part.len()).unwrap();
-        assert!(fixed.len() > 4 && page.contains(fixed), "not on the page: {format}");
+    let mut messages = Vec::new();
+    log_messages(&root.join("src"), &mut messages);
+    assert!(messages.len() >= 18, "{messages:?}");
+    for message in messages {
+        assert!(message.len() > 4 && page.contains(&format!("`{message}`")), "not on the page: {message}");
     }
 }
--- a/gateway/tests/rules.rs
+++ b/gateway/tests/rules.rs
@@ -42,7 +42,8 @@
 
 #[test]
 fn every_request_is_answered_though_its_db_hosts_are_in_trouble() {
-    let dead = Host { addr: "127.0.0.1:1".parse().unwrap(), ..Host::well(false) };
+    let mut dead = Host::well(false);
+    dead.addr = "127.0.0.1:1".parse().unwrap();
     let garbage = Host::start(|query| match query {
         "SHOW load" => Do::Say(b"\xff\xff\xff\xff\xff\xff".to_vec()),
         _ => Do::Say(b"T\0\0\0\x01".to_vec()),
@@ -363,8 +364,12 @@
     let mut out = gateway.client();
     out.send(&statement("order", 3000, ",k=1"));
     for (from, to, said) in [
-        (r#""sockets":256"#, r#""sockets":"few""#, "the configuration in force stays: limits.sockets: "),
-        (r#""seed":"8c1f"#, r#""seed":"8c1f","#, "the configuration in force stays: "),
+        (
+            r#""sockets":256"#,
+            r#""sockets":"few""#,
+            "the configuration in force stays\" error=\"limits.sockets: ",
+        ),
+        (r#""seed":"8c1f"#, r#""seed":"8c1f","#, "the configuration in force stays\" error="),
     ] {
         gateway.reload(from, to);
         gateway.logs(said);
