Make room for a description among statements given back since the last lease

Cause: describing a statement made room only among what earlier calls had linked; one given back since was held to be in use, so the description was not kept.

Change: describe settles what was given back first, as lease does.

--- a/crates/pgwire/src/table.rs
+++ b/crates/pgwire/src/table.rs
@@ -250,6 +250,7 @@
         if statement.number().is_none() {
             return;
         }
+        self.settle();
         let before = statement.bytes();
         *statement.description.borrow_mut() = description.map(Rc::new);
         self.bytes = self.bytes + statement.bytes() - before;
