--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,8 @@
 # Long measurements, not part of the tests.
 bench:
 	cargo bench --locked -p yewroute-pgwire
+	cargo bench --locked -p yewroute-gateway --bench cpu
+	cargo run --release --locked -p yewroute-pgwire --example lease_memory
 
 run: build
 	exec target/release/yewroute
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -14,7 +14,7 @@
 use crate::frame;
 use crate::frontend::{self, Local, Message};
 use crate::request::{Body, Wanted};
-use crate::statement::Malformed;
+use crate::statement::{self, Malformed};
 use crate::table::{Description, Lease, NotTaken, Table};
 use crate::template::Purpose;
 use crate::{backend, code};
@@ -234,10 +234,21 @@
         self.drop_portal(b"");
         if let Some(local) = frontend::local(text) {
             frontend::put_local(out, local);
-            frontend::put_ready(out);
+            self.sync(out);
             return Ok(Took::Done);
         }
-        let wanted = Wanted::simple(text).map_err(|e| e.to_string())?;
+        let wanted = match Wanted::simple(text) {
+            Ok(wanted) => wanted,
+            // A driver that begins a transaction is told so, and may go on with something else.
+            Err(why) if self.terms.extended => {
+                let verb = statement::writes(statement::trim(text));
+                let why = NotTaken::Malformed(if verb.is_some() { why } else { Malformed::Verb });
+                frontend::put_error(out, "ERROR", sqlstate_of(&why), &why.to_string(), None);
+                self.sync(out);
+                return Ok(Took::Done);
+            }
+            Err(why) => return Err(why.to_string()),
+        };
         self.waiting = Waiting::Simple;
         Ok(Took::Ask(wanted))
     }
@@ -443,9 +454,14 @@
                     None => self.fail(out, (code::UNKNOWN_COMPLETION, "no description came".to_owned())),
                 }
             }
-            (Final::Refused(retry_after), _) => frontend::put_refusal(out, retry_after),
-            (Final::Failed, _) => frontend::put_failure(out),
-            (Final::Invalid(why), _) => frontend::put_invalid(out, why),
+            (refused, _) => {
+                match refused {
+                    Final::Refused(retry_after) => frontend::put_refusal(out, retry_after),
+                    Final::Invalid(why) => frontend::put_invalid(out, why),
+                    Final::Failed | Final::Served(_) => frontend::put_failure(out),
+                }
+                self.skip();
+            }
         }
         if simple {
             // A simple query ends the pipeline that it stands in, as a Sync would.
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -105,6 +105,10 @@
         client
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
