--- a/crates/pgwire/src/lexer.rs
+++ b/crates/pgwire/src/lexer.rs
@@ -61,6 +61,43 @@
     lexed
 }
 
+/// A statement without what differs from one use to the next: quoted texts and numbers become `?`, comments go, white
+/// space becomes one space. Two statements of one shape differ in their values only.
+#[must_use]
+pub fn shape(text: &[u8]) -> Vec<u8> {
+    let (mut out, mut at) = (Vec::with_capacity(text.len()), 0);
+    while let Some(byte) = text.get(at) {
+        let comment = matches!((byte, text.get(at + 1)), (b'-', Some(b'-')) | (b'/', Some(b'*')));
+        let number = byte.is_ascii_digit() && !part_of_name(text, at);
+        let end = match byte {
+            b'\'' => quoted(text, at + 1, escapes(text, at)),
+            b'"' => quoted(text, at + 1, false),
+            b'-' if comment => Some(line_end(text, at)),
+            b'/' if comment => comment_end(text, at + 2),
+            _ if number => {
+                Some(at + text[at..].iter().take_while(|b| b.is_ascii_alphanumeric() || **b == b'.').count())
+            }
+            _ => Some(at + 1),
+        }
+        .unwrap_or(text.len());
+        match byte {
+            _ if comment || byte.is_ascii_whitespace() => {
+                if !matches!(out.last(), None | Some(b' ')) {
+                    out.push(b' ');
+                }
+            }
+            b'\'' => out.push(b'?'),
+            _ if number => out.push(b'?'),
+            _ => out.extend(&text[at..end]),
+        }
+        at = end.max(at + 1);
+    }
+    while matches!(out.last(), Some(b' ' | b';')) {
+        out.pop();
+    }
+    out
+}
+
 fn range(start: usize, end: usize) -> Range<u32> {
     let narrow = |at: usize| u32::try_from(at).unwrap_or(u32::MAX);
     narrow(start)..narrow(end)
@@ -159,6 +196,14 @@
         }
     }
 
+    #[test]
+    fn statements_that_differ_in_values_only_have_one_shape() {
+        let one = shape(b"SELECT  doc FROM t2 WHERE id = 'a''b' AND n=12.5 /* id=1,c=v */;");
+        assert_eq!(String::from_utf8(one.clone()).unwrap(), "SELECT doc FROM t2 WHERE id = ? AND n=?");
+        assert_eq!(shape(b"SELECT doc FROM t2 WHERE id = 'c' AND n=7 /* id=2,c=v */"), one);
+        assert_ne!(shape(b"SELECT doc FROM t3 WHERE id = 'c' AND n=7"), one);
+    }
+
     #[test]
     fn what_has_no_end_and_what_is_more_than_one_statement() {
         for text in ["select 'a", "select \"a", "select /* a /* b */", "select $a$ x $b$", "select E'a\\'"] {
