Find requests and answers in capture files: pcap requests, stats and diff

Need: operators want to see what a recorded morning held and how two runs differ, without an invented request.

What one direction sent after it had seen bytes that a hole still hides here is held until the hole is filled or given up, so causes come out before effects.

Recording and replay are not there yet.

--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -617,8 +617,9 @@
     name.len() + own + ENTRY
 }
 
-/// Name, text and declared types.
-fn parse(body: &[u8]) -> Option<(&[u8], &[u8], Vec<u32>)> {
+/// The name, text and declared types of a Parse message; none if it does not hold what it says.
+#[must_use]
+pub fn parse(body: &[u8]) -> Option<(&[u8], &[u8], Vec<u32>)> {
     let mut rest = body;
     let name = frame::take_text(&mut rest)?;
     let text = frame::take_text(&mut rest)?;
--- a/crates/reassembly/src/flows.rs
+++ b/crates/reassembly/src/flows.rs
@@ -1,6 +1,6 @@
 //! Connections told apart by their ends, both directions of each, a bounded number of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -95,10 +95,72 @@
     used: u64,
     at: Duration,
     waiting: usize,
+    /// What one direction sent after it had seen what the other's hole still hides here: it waits, so that bytes come
+    /// out in the order of cause and effect.
+    held: VecDeque<Held>,
+    held_bytes: usize,
     /// An end has broken it or both have closed; what comes now is late.
     over: Option<Ending>,
 }
 
+#[derive(Debug)]
+struct Held {
+    at: Duration,
+    direction: usize,
+    seq: u32,
+    /// How far its sender had seen the other direction, as an offset.
+    seen: u64,
+    fin: bool,
+    missing: usize,
+    payload: Vec<u8>,
+}
+
+impl Flow {
+    fn waiting(&self) -> usize {
+        self.streams[0].waiting() + self.streams[1].waiting() + self.held_bytes
+    }
+
+    /// Makes what has waited longest wait no more: the hole before it is given up.
+    fn force(&mut self, at: Duration, sink: &mut impl Sink) {
+        let number = self.number;
+        let Some((direction, seen)) = self.held.front().map(|held| (1 - held.direction, held.seen)) else {
+            for direction in [0, 1] {
+                self.streams[direction].skip(|out| tell(sink, number, at, direction, out));
+            }
+            return;
+        };
+        self.streams[direction].skip(|out| tell(sink, number, at, direction, out));
+        // Guards against: a wait for what no hole accounts for, such as numbers that wrapped in the middle.
+        if self.streams[direction].short_of(seen) && self.streams[direction].waiting() == 0 {
+            self.held.iter_mut().take(1).for_each(|held| held.seen = 0);
+        }
+        self.release(sink);
+    }
+
+    /// Hands on what was held and need not wait any more.
+    fn release(&mut self, sink: &mut impl Sink) {
+        while let Some(front) = self.held.front() {
+            if self.streams[1 - front.direction].short_of(front.seen) {
+                return;
+            }
+            let Some(held) = self.held.pop_front() else { return };
+            self.held_bytes -= held.payload.len() + size_of::<Held>();
+            let number = self.number;
+            let tell = |out: Out<'_>| tell(sink, number, held.at, held.direction, out);
+            self.streams[held.direction].push(held.seq, &held.payload, held.missing, held.fin, tell);
+        }
+    }
+}
+
+const DIRECTIONS: [Direction; 2] = [Direction::Forth, Direction::Back];
+
+fn tell(sink: &mut impl Sink, number: u64, at: Duration, direction: usize, out: Out<'_>) {
+    match out {
+        Out::Bytes(bytes) => sink.bytes(number, at, DIRECTIONS[direction], bytes),
+        Out::Gap(len) => sink.gap(number, at, DIRECTIONS[direction], len),
+    }
+}
+
 type Key = (SocketAddr, SocketAddr);
 
 /// All connections.
@@ -176,6 +238,8 @@
                 used: 0,
                 at: segment.at,
                 waiting: 0,
+                held: VecDeque::new(),
+                held_bytes: 0,
                 over: None,
             };
             sink.opened(flow.number, segment.at, (forth, back), segment.syn);
@@ -188,28 +252,42 @@
             return;
         }
         let here = usize::from(segment.from != flow.forth);
-        let directions = [Direction::Forth, Direction::Back];
         let number = flow.number;
-        let mut told = |direction: Direction, out: Out<'_>| match out {
-            Out::Bytes(bytes) => sink.bytes(number, segment.at, direction, bytes),
-            Out::Gap(len) => sink.gap(number, segment.at, direction, len),
-        };
         if segment.syn {
             flow.streams[here].open(segment.seq);
         }
         // Bytes behind a SYN begin one further.
         let seq = segment.seq.wrapping_add(u32::from(segment.syn));
-        if !segment.payload.is_empty() || segment.missing > 0 || segment.fin {
-            let tell = |out: Out<'_>| told(directions[here], out);
-            flow.streams[here].push(seq, segment.payload, segment.missing, segment.fin, tell);
-        }
         if let Some(ack) = segment.ack {
-            flow.streams[1 - here].acked(segment.at, ack, |out| told(directions[1 - here], out));
+            let held = flow.held.iter().any(|held| held.direction != here);
+            flow.streams[1 - here]
+                .acked(segment.at, ack, held, |out| tell(sink, number, segment.at, 1 - here, out));
         }
-        while flow.streams[here].waiting() > self.limits.flow_bytes {
-            flow.streams[here].skip(|out| told(directions[here], out));
+        if !segment.payload.is_empty() || segment.missing > 0 || segment.fin {
+            let other = &flow.streams[1 - here];
+            let behind =
+                |seen: &u64| other.short_of(*seen) || flow.held.iter().any(|held| held.direction == here);
+            if let Some(seen) = segment.ack.and_then(|ack| other.acknowledged(ack)).filter(behind) {
+                flow.held_bytes += segment.payload.len() + size_of::<Held>();
+                flow.held.push_back(Held {
+                    at: segment.at,
+                    direction: here,
+                    seq,
+                    seen,
+                    fin: segment.fin,
+                    missing: segment.missing,
+                    payload: segment.payload.to_vec(),
+                });
+            } else {
+                let tell = |out: Out<'_>| tell(sink, number, segment.at, here, out);
+                flow.streams[here].push(seq, segment.payload, segment.missing, segment.fin, tell);
+            }
+        }
+        flow.release(sink);
+        while flow.waiting() > self.limits.flow_bytes {
+            flow.force(segment.at, sink);
         }
-        let waiting = flow.streams[0].waiting() + flow.streams[1].waiting();
+        let waiting = flow.waiting();
         self.waiting = self.waiting + waiting - flow.waiting;
         flow.waiting = waiting;
         let closed = flow.streams.iter().all(Stream::ended);
@@ -245,11 +323,11 @@
         }
         flow.over = Some(how);
         let number = flow.number;
-        for (stream, direction) in flow.streams.iter_mut().zip([Direction::Forth, Direction::Back]) {
-            stream.finish(|out| match out {
-                Out::Bytes(bytes) => sink.bytes(number, at, direction, bytes),
-                Out::Gap(len) => sink.gap(number, at, direction, len),
-            });
+        while !flow.held.is_empty() {
+            flow.force(at, sink);
+        }
+        for (direction, stream) in flow.streams.iter_mut().enumerate() {
+            stream.finish(|out| tell(sink, number, at, direction, out));
             let odd = stream.oddities();
             self.odd.repeated += odd.repeated;
             self.odd.differing += odd.differing;
--- a/crates/reassembly/src/stream.rs
+++ b/crates/reassembly/src/stream.rs
@@ -129,18 +129,31 @@
             self.next += piece.len() as u64;
             out(Out::Bytes(&piece));
         }
-        if self.pieces.is_empty() {
+        if self.pieces.is_empty() && self.next >= self.acked {
             self.hole_since = None;
         }
     }
 
+    /// The offset that an acknowledgement names; none if it is none of this stream's.
+    #[must_use]
+    pub fn acknowledged(&self, seq: u32) -> Option<u64> {
+        self.offset(seq).and_then(|offset| u64::try_from(offset).ok())
+    }
+
+    /// Whether not all up to this offset has come out.
+    #[must_use]
+    pub fn short_of(&self, offset: u64) -> bool {
+        // A FIN takes a number of its own, which an acknowledgement counts.
+        let over = self.end.is_some_and(|end| self.next >= end);
+        !over && offset > self.next
+    }
+
     /// The receiver has all up to this sequence number. A hole before it will never be filled, unless segments are
-    /// merely late in the capture.
-    pub fn acked(&mut self, at: Duration, seq: u32, mut out: impl FnMut(Out<'_>)) {
-        if let Some(offset) = self.offset(seq).and_then(|offset| u64::try_from(offset).ok()) {
-            self.acked = self.acked.max(offset);
-        }
-        if self.pieces.is_empty() || self.acked <= self.next {
+    /// merely late in the capture, or `held` elsewhere for now.
+    pub fn acked(&mut self, at: Duration, seq: u32, held: bool, mut out: impl FnMut(Out<'_>)) {
+        let Some(offset) = self.acknowledged(seq) else { return };
+        self.acked = self.acked.max(offset);
+        if held || !self.short_of(offset) {
             return;
         }
         match self.hole_since {
@@ -150,15 +163,17 @@
         }
     }
 
-    /// Gives up the hole that all waits for.
+    /// Gives up the hole that all waits for, or what was acknowledged and is not there.
     pub fn skip(&mut self, mut out: impl FnMut(Out<'_>)) {
-        let Some(first) = self.pieces.first() else { return };
-        let lost = first - self.next;
+        let acked = self.acked.min(self.end.unwrap_or(self.acked));
+        let target = self.pieces.first().unwrap_or(acked);
+        let Some(lost) = target.checked_sub(self.next).filter(|lost| *lost > 0 && self.begun()) else {
+            return;
+        };
         self.odd.gaps += 1;
         self.odd.lost += lost;
         out(Out::Gap(lost));
-        self.next = first;
-        self.hole_since = None;
+        self.next = target;
         self.drain(&mut out);
     }
 
@@ -167,15 +182,7 @@
         while !self.pieces.is_empty() {
             self.skip(&mut out);
         }
-        let known = self.end.unwrap_or(0).max(self.acked);
-        // A FIN takes a number of its own, which an acknowledgement counts.
-        let known = known.min(self.end.unwrap_or(known));
-        if known > self.next && self.begun() {
-            let lost = known - self.next;
-            self.odd.gaps += 1;
-            self.odd.lost += lost;
-            self.next = known;
-            out(Out::Gap(lost));
-        }
+        self.acked = self.acked.max(self.end.unwrap_or(0));
+        self.skip(&mut out);
     }
 }
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -33,10 +33,41 @@
         /// The operator's file.
         file: PathBuf,
     },
+    /// Read recorded traffic from capture files; nothing is captured.
+    Pcap {
+        /// What to do with it.
+        #[command(subcommand)]
+        command: Pcap,
+    },
     /// Show the main job: a set of stand-ins, a gateway before it, and some requests, each with its answer.
     Demo,
 }
 
+/// What to do with recorded traffic.
+#[derive(Debug, Subcommand)]
+pub enum Pcap {
+    /// Print each request with its answer as a line of JSON, in the order of their ends.
+    Requests {
+        /// A pcap or pcapng file.
+        file: PathBuf,
+        /// Print the statement's shape, without its values, in place of its text.
+        #[arg(long)]
+        shape: bool,
+    },
+    /// Print rates, outcomes, answer times, and what could not be read.
+    Stats {
+        /// A pcap or pcapng file.
+        file: PathBuf,
+    },
+    /// Print the requests that differ between two files, by id and then by order; exit code 1 if there are any.
+    Diff {
+        /// The first file.
+        first: PathBuf,
+        /// The second file.
+        second: PathBuf,
+    },
+}
+
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
 pub enum LogForm {
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod log;
 mod net;
+mod pcap;
 mod proto;
 mod timers;
 
@@ -30,6 +31,7 @@
         None => serve(None),
         Some(Command::Run { edge }) => serve(edge),
         Some(Command::Check { file }) => check(&file),
+        Some(Command::Pcap { command }) => pcap::run(&command),
         Some(Command::Demo) => demo::run(),
     }
 }
