--- a/crates/pgwire/src/statement.rs
+++ b/crates/pgwire/src/statement.rs
@@ -84,6 +84,15 @@
         .map(|(name, value)| (name.trim(), value.trim_end()))
 }
 
+/// Where the value of this name stands in a statement's closing comment; the last of several, as it counts.
+#[must_use]
+pub fn told_at(text: &[u8], name: &str) -> Option<Range<usize>> {
+    let (before, comment) = closing_comment(text).ok()?;
+    let value = pairs(comment).filter(|(other, _)| *other == name).last()?.1;
+    let start = before.len() + 2 + (value.as_ptr() as usize - comment.as_ptr() as usize);
+    Some(start..start + value.len())
+}
+
 /// Reads a statement.
 pub fn request(text: &[u8]) -> Result<Request<'_>, Malformed> {
     let (before, comment) = closing_comment(text)?;
--- a/crates/traffic/src/conversation.rs
+++ b/crates/traffic/src/conversation.rs
@@ -70,6 +70,10 @@
     pub text: Vec<u8>,
     /// The parameters of an extended query; none for a simple one.
     pub parameters: Option<Vec<Option<Vec<u8>>>>,
+    /// The Bind message's body of an extended query.
+    pub bind: Option<Vec<u8>>,
+    /// The types that its Parse declared.
+    pub types: Vec<u32>,
     /// What came of it.
     pub outcome: Outcome,
     /// The SQLSTATE of a refusal or failure.
@@ -404,7 +408,10 @@
             return None;
         };
         let told = Told { id: filled.id, class: filled.class, group: filled.group, wait: filled.wait };
-        Some(self.open(at, told, &statement.text, Some(values)))
+        let mut open = self.open(at, told, &statement.text, Some(values));
+        open.request.types = statement.types.to_vec();
+        open.request.bind = Some(body);
+        Some(open)
     }
 
     fn open(
@@ -429,6 +436,8 @@
             wait: told.wait,
             text: text.to_vec(),
             parameters,
+            bind: None,
+            types: Vec::new(),
             outcome: Outcome::Unanswered,
             sqlstate: None,
             answered: None,
--- a/gateway/src/cli.rs
+++ b/gateway/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -59,6 +60,29 @@
         /// A pcap or pcapng file.
         file: PathBuf,
     },
+    /// Send the requests again, in their order and spacing on each connection; exit code 1 if outcomes differ.
+    Replay {
+        /// A pcap or pcapng file.
+        file: PathBuf,
+        /// Where to send them.
+        #[arg(long, value_name = "ADDR")]
+        to: SocketAddr,
+        /// So many times as fast as recorded, or `max` for as fast as answers come.
+        #[arg(long, value_name = "X", default_value = "1", value_parser = speed)]
+        speed: Speed,
+        /// Renew each id.
+        #[arg(long)]
+        map_ids: bool,
+        /// Only requests to this server of the recording.
+        #[arg(long, value_name = "ADDR")]
+        server: Option<SocketAddr>,
+        /// Write what is sent and received as a capture file.
+        #[arg(long, value_name = "FILE")]
+        write: Option<PathBuf>,
+        /// The most memory that requests may take.
+        #[arg(long, value_name = "N", default_value_t = 512)]
+        memory_mb: usize,
+    },
     /// Print the requests that differ between two files, by id and then by order; exit code 1 if there are any.
     Diff {
         /// The first file.
@@ -68,6 +92,24 @@
     },
 }
 
+/// How fast a replay goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Speed {
+    /// So many times as fast as recorded.
+    Times(f64),
+    /// As fast as answers come.
+    Max,
+}
+
+fn speed(text: &str) -> Result<Speed, String> {
+    if text == "max" {
+        return Ok(Speed::Max);
+    }
+    let times =
+        text.parse::<f64>().ok().filter(|times| times.is_finite() && (0.001..=1000.0).contains(times));
+    times.map(Speed::Times).ok_or_else(|| "neither a number within 0.001 and 1000 nor `max`".to_owned())
+}
+
 /// How log lines are written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
 pub enum LogForm {
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -9,6 +9,7 @@
 mod net;
 mod pcap;
 mod proto;
+mod replay;
 mod timers;
 
 use std::path::{Path, PathBuf};
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -3,9 +3,9 @@
 mod clients;
 mod discovery;
 mod hosts;
-mod poller;
+pub(crate) mod poller;
 mod signals;
-mod wire;
+pub(crate) mod wire;
 
 use std::collections::VecDeque;
 use std::io;
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -50,6 +50,11 @@
         Ok(Self { stream, out: Vec::new(), written: 0 })
     }
 
+    /// This side's address.
+    pub fn local(&self) -> io::Result<SocketAddr> {
+        self.stream.local_addr()
+    }
+
     /// Why connecting failed, once it is done.
     pub fn dialled(&self) -> io::Result<()> {
         self.stream.take_error()?.map_or(Ok(()), Err)
--- a/gateway/src/pcap.rs
+++ b/gateway/src/pcap.rs
@@ -3,22 +3,26 @@
 
 use std::fs::File;
 use std::io::{self, BufWriter, IsTerminal, Read, Write};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use indicatif::{ProgressBar, ProgressStyle};
 use serde_json::json;
 use thiserror::Error;
 use yewroute_capture::read::{read, Fault, Summary};
+use yewroute_capture::write::Writer;
 use yewroute_reassembly::flows::Segment;
 use yewroute_reassembly::stream::Oddities;
 use yewroute_reassembly::{Flows, Limits};
+use yewroute_replay::{Plan, Report, Retell};
 use yewroute_traffic::diff::{diff, Difference, Side};
 use yewroute_traffic::stats::Stats;
 use yewroute_traffic::{Counts, Outcome, Request, Requests};
 
-use crate::cli::Pcap;
+use crate::cli::{Pcap, Speed};
+use crate::replay;
 
 /// A file that cannot be read: it is no capture, or the system refuses it. As sysexits has it for bad input.
 const EXIT_DATA: u8 = 65;
@@ -27,6 +31,10 @@
 /// Files from this length on have a progress bar, where a terminal is there.
 const LONG: u64 = 64 * 1024 * 1024;
 
+/// In the order in which they are counted.
+const OUTCOMES: [Outcome; 5] =
+    [Outcome::Served, Outcome::Refused, Outcome::Failed, Outcome::Skipped, Outcome::Unanswered];
+
 /// Why a command ends early.
 #[derive(Debug, Error)]
 enum Failed {
@@ -36,6 +44,10 @@
     Read(String, Fault),
     #[error("standard output: {0}")]
     Output(#[from] io::Error),
+    #[error("{0}: its requests take more than {1} MB: raise --memory-mb or cut the recording")]
+    TooMuch(String, usize),
+    #[error("replay: {0}")]
+    Replay(io::Error),
 }
 
 /// What was in a file beside requests.
@@ -53,6 +65,11 @@
         Pcap::Requests { file, shape } => requests(file, *shape),
         Pcap::Stats { file } => stats(file),
         Pcap::Diff { first, second } => differences(first, second),
+        Pcap::Replay { file, to, speed, map_ids, server, write, memory_mb } => {
+            let speed = if let Speed::Times(times) = speed { Some(*times) } else { None };
+            let most = memory_mb.saturating_mul(1024 * 1024);
+            again(file, *to, speed, *map_ids, *server, write.as_deref(), most)
+        }
     };
     match result {
         Ok(code) => code,
@@ -170,9 +187,7 @@
     )?;
     for (server, class, line) in stats.lines() {
         write!(out, "{server} {class}:")?;
-        let outcomes =
-            [Outcome::Served, Outcome::Refused, Outcome::Failed, Outcome::Skipped, Outcome::Unanswered];
-        for (outcome, count) in outcomes.into_iter().zip(line.outcomes) {
+        for (outcome, count) in OUTCOMES.into_iter().zip(line.outcomes) {
             write!(out, " {} {count}", outcome.name())?;
         }
         let ms = |quantile| line.times.value_at_quantile(quantile) as f64 / 1000.0;
@@ -201,6 +216,65 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Sends a recording's requests again.
+fn again(
+    file: &Path,
+    to: SocketAddr,
+    speed: Option<f64>,
+    map_ids: bool,
+    server: Option<SocketAddr>,
+    write: Option<&Path>,
+    most: usize,
+) -> Result<ExitCode, Failed> {
+    let name = file.display().to_string();
+    let (mut requests, mut bytes) = (Vec::new(), 0);
+    each(file, |request| {
+        let wanted = server.is_none_or(|server| server == request.server);
+        // What was skipped was never taken; a replay sends it once the error before it is gone.
+        if wanted && bytes <= most {
+            bytes += request.text.len() + request.bind.as_ref().map_or(0, Vec::len) + size_of::<Request>();
+            requests.push(request);
+        }
+    })?;
+    // Guards against: a recording that does not fit into the memory, which would end the replay without a word.
+    if bytes > most {
+        return Err(Failed::TooMuch(name, most / 1024 / 1024));
+    }
+    // They come in the order of their ends.
+    requests.sort_by_key(|request| request.at);
+    let first = requests.first().map(|request| request.at).unwrap_or_default();
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let suffix = if map_ids { format!("-{:x}", now.as_micros()) } else { String::new() };
+    let mut plan = Plan::new(speed, Retell { suffix, later: now.saturating_sub(first) });
+    let count = requests.len();
+    requests.into_iter().for_each(|request| plan.add(&request));
+    let tape = match write {
+        Some(path) => {
+            let failed = |e| Failed::Open(path.display().to_string(), e);
+            Some(Writer::new(BufWriter::new(File::create(path).map_err(failed)?)).map_err(failed)?)
+        }
+        None => None,
+    };
+    let bar = if io::stderr().is_terminal() { ProgressBar::new(count as u64) } else { ProgressBar::hidden() };
+    let (report, broken) = replay::run(to, plan, tape, &bar).map_err(Failed::Replay)?;
+    bar.finish_and_clear();
+    let Report { sent, outcomes, other_outcome, other_value, late, latest } = report;
+    let mut out = io::stdout().lock();
+    write!(out, "sent {sent}:")?;
+    for (outcome, count) in OUTCOMES.into_iter().zip(outcomes).filter(|(_, count)| *count > 0) {
+        write!(out, " {} {count}", outcome.name())?;
+    }
+    writeln!(
+        out,
+        "; other outcomes {other_outcome}, other values {other_value}, broken connections {broken}"
+    )?;
+    if late > 0 {
+        let ms = latest.as_millis();
+        writeln!(out, "slower than the recording: {late} requests went out late, the latest by {ms} ms")?;
+    }
+    Ok(if other_outcome == 0 { ExitCode::SUCCESS } else { ExitCode::from(EXIT_DIFFERENT) })
+}
+
 fn differences(first: &Path, second: &Path) -> Result<ExitCode, Failed> {
     let side = |file: &Path| {
         let mut side = Side::default();
--- a/gateway/tests/pcap.rs
+++ b/gateway/tests/pcap.rs
@@ -126,3 +126,56 @@
         assert!(text(&output.stderr).contains(said), "{}", text(&output.stderr));
     }
 }
+
+#[test]
+fn a_recording_is_replayed_written_and_gives_the_same_requests_and_answers() {
+    let replica = Host::start(|query| match query {
+        "SHOW load" => well(false, query),
+        // What came out for a row is made of the row's key and of nothing that changes from run to run.
+        query => Do::Say(rows("replica", "SELECT 1", &[Some(query.split('\'').nth(1).unwrap().as_bytes())])),
+    });
+    let primary = Host::well(true);
+    let folder = tempfile::tempdir().unwrap();
+    let path = |name: &str| folder.path().join(name);
+    let gateway = Gateway::with_edge(&pair(&primary, &replica), EDGE);
+    std::fs::write(path("first.pcap"), recorded(&gateway, 4000)).unwrap();
+    let replay = |to: SocketAddr, more: &[&str]| {
+        let to = to.to_string();
+        pcap(&[&["replay", "--to", &to, "--speed", "max"], more].concat(), &[&path("first.pcap")])
+    };
+    let again = Gateway::with_edge(&pair(&primary, &replica), EDGE);
+    let before = replica.asked().len();
+    let output = replay(again.addr, &["--write", path("second.pcap").to_str().unwrap()]);
+    let (out, err) = (text(&output.stdout), text(&output.stderr));
+    assert_eq!(
+        out, "sent 4: served 3 refused 1; other outcomes 0, other values 0, broken connections 0\n",
+        "{err}"
+    );
+    assert!(output.status.success());
+    let asked = replica.asked();
+    assert_eq!(asked.len() - before, 3);
+    // Read back: the same sequence of requests and answers.
+    let ids = |name: &str| {
+        let lines = text(&pcap(&["requests"], &[&path(name)]).stdout);
+        let line = |line: &str| serde_json::from_str::<serde_json::Value>(line).unwrap();
+        let told = |l: serde_json::Value| {
+            [l["id"].to_string(), l["outcome"].to_string(), l["value_crc32"].to_string()]
+        };
+        lines.lines().map(|l| told(line(l))).collect::<Vec<_>>()
+    };
+    assert_eq!(ids("second.pcap"), ids("first.pcap"));
+    assert_eq!(pcap(&["diff"], &[&path("first.pcap"), &path("second.pcap")]).status.code(), Some(0));
+
+    // Ids renewed; another server of the recording alone; nobody there; and more than the memory allowed.
+    replay(again.addr, &["--map-ids"]);
+    assert!(replica.asked().iter().any(|asked| asked.contains("id=e2-")), "{:?}", replica.asked());
+    let output = replay(again.addr, &["--server", "127.0.0.77:1"]);
+    assert!(text(&output.stdout).starts_with("sent 0:"));
+    let output = replay("127.0.0.1:1".parse().unwrap(), &[]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stdout).contains("unanswered 4; other outcomes 4"), "{}", text(&output.stdout));
+    let output = replay(again.addr, &["--memory-mb", "0"]);
+    assert_eq!(output.status.code(), Some(65));
+    assert!(text(&output.stderr).contains("--memory-mb"), "{}", text(&output.stderr));
+    assert_eq!(replay(again.addr, &["--speed", "0"]).status.code(), Some(2));
+}
