--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod frame;
 pub mod frontend;
 pub mod lexer;
+mod portal;
 pub mod request;
 pub mod session;
 pub mod statement;
--- a/crates/reassembly/src/flows.rs
+++ b/crates/reassembly/src/flows.rs
@@ -61,10 +61,10 @@
     }
 }
 
-/// A segment, as it is taken.
-#[derive(Clone, Copy, Debug)]
+/// A TCP segment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Segment<'a> {
-    /// When it was captured.
+    /// When it was captured, since the Unix epoch.
     pub at: Duration,
     /// Who sent it.
     pub from: SocketAddr,
@@ -72,7 +72,7 @@
     pub to: SocketAddr,
     /// The sequence number of its first byte, or of SYN.
     pub seq: u32,
-    /// What its sender awaits next.
+    /// The next byte that its sender awaits, if it says so.
     pub ack: Option<u32>,
     /// It opens the connection.
     pub syn: bool,
@@ -80,9 +80,9 @@
     pub fin: bool,
     /// It breaks the connection.
     pub rst: bool,
-    /// Its bytes.
+    /// Its bytes, as far as they were captured.
     pub payload: &'a [u8],
-    /// Bytes of it that were not captured.
+    /// How many bytes the snap length has cut off.
     pub missing: usize,
 }
 
--- a/crates/traffic/tests/recordings.rs
+++ b/crates/traffic/tests/recordings.rs
@@ -125,21 +125,9 @@
     let mut flows = Flows::new(Limits::default());
     let mut requests = Requests::new(|request| all.push(request));
     let mut number = 0;
-    read(file, |s| {
-        let segment = Segment {
-            at: s.at,
-            from: s.from,
-            to: s.to,
-            seq: s.seq,
-            ack: s.ack,
-            syn: s.syn,
-            fin: s.fin,
-            rst: s.rst,
-            payload: s.payload,
-            missing: s.missing,
-        };
-        if keep(number, &segment) {
-            flows.push(&segment, &mut requests);
+    read(file, |segment| {
+        if keep(number, segment) {
+            flows.push(segment, &mut requests);
         }
         number += 1;
     })
--- a/gateway/src/pcap.rs
+++ b/gateway/src/pcap.rs
@@ -13,7 +13,6 @@
 use thiserror::Error;
 use yewroute_capture::read::{read, Fault, Summary};
 use yewroute_capture::write::Writer;
-use yewroute_reassembly::flows::Segment;
 use yewroute_reassembly::stream::Oddities;
 use yewroute_reassembly::{Flows, Limits};
 use yewroute_replay::{Plan, Report, Retell};
@@ -95,21 +94,7 @@
     };
     let mut flows = Flows::new(Limits::default());
     let mut requests = Requests::new(out);
-    let result = read(Watched { file, bar: &bar }, |s| {
-        let segment = Segment {
-            at: s.at,
-            from: s.from,
-            to: s.to,
-            seq: s.seq,
-            ack: s.ack,
-            syn: s.syn,
-            fin: s.fin,
-            rst: s.rst,
-            payload: s.payload,
-            missing: s.missing,
-        };
-        flows.push(&segment, &mut requests);
-    });
+    let result = read(Watched { file, bar: &bar }, |segment| flows.push(segment, &mut requests));
     flows.finish(&mut requests);
     bar.finish_and_clear();
     let summary = result.map_err(|fault| Failed::Read(name.clone(), fault))?;
