Prepare only the statement anew whose plan no longer holds

Cause: an error that speaks of the schema outdated every statement that had run in the same pipeline, so all of them were prepared anew on every connection.

Change: only the statement of the Execute that got the error is outdated.

Measured: the new test fails without it (the other statement of the pipeline got a new name) and passes with it.

--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -417,8 +417,10 @@
         let simple = matches!(waiting, Waiting::Simple);
         match (answer, waiting) {
             (Final::Served(messages), Waiting::Nothing | Waiting::Simple) => out.extend(messages),
-            (Final::Served(messages), _) if messages.first() == Some(&b'E') => {
-                self.outdate(&messages, table);
+            (Final::Served(messages), waiting) if messages.first() == Some(&b'E') => {
+                if let Waiting::Execute { portal, .. } = waiting {
+                    self.outdate(&portal, &messages, table);
+                }
                 out.extend(messages);
                 self.skip();
             }
@@ -451,13 +453,11 @@
         }
     }
 
-    /// An error that speaks of the schema: what is known of the statement's columns may no longer hold.
-    fn outdate(&mut self, messages: &[u8], table: &mut Table) {
+    /// An error that speaks of the schema: what is known of that statement's columns may no longer hold.
+    fn outdate(&mut self, name: &[u8], messages: &[u8], table: &mut Table) {
         let sqlstate = messages.get(5..).and_then(backend::error_code).unwrap_or_default();
-        if ![b"0A000", b"42P01", b"42703"].iter().any(|code| sqlstate == *code) {
-            return;
-        }
-        for portal in self.portals.values().filter(|portal| matches!(portal.run, Run::Done)) {
+        let schema = [b"0A000", b"42P01", b"42703"].iter().any(|code| sqlstate == *code);
+        if let (true, Some(portal)) = (schema, self.portals.get(name)) {
             table.outdate(&portal.bound.statement);
         }
     }
--- a/gateway/tests/extended.rs
+++ b/gateway/tests/extended.rs
@@ -242,6 +242,33 @@
     assert!(binds > keys.len() + 10, "{}", primary.messages());
 }
 
+#[test]
+fn a_plan_that_no_longer_holds_is_prepared_anew_and_no_other() {
+    let stale = AtomicBool::new(false);
+    let primary = Host::start(move |query| match query {
+        query if query.contains("k=stale") && !stale.swap(true, Ordering::SeqCst) => {
+            Do::Say(answers::error("0A000", "cached plan must not change result type"))
+        }
+        query => well(true, query),
+    });
+    let replica = Host::well(false);
+    let gateway = Gateway::with_edge(&pair(&primary, &replica), EDGE);
+    let mut client = prepared(&gateway);
+    client.write(&[parse("other", &ORDER.replace("items", "seats"), &[]), sync()].concat());
+    assert_eq!(client.answer(), b"1Z");
+    let other = |key: &str| bind("", "other", &[Some("a"), Some("b"), Some(&id()), Some("1500"), Some(key)]);
+    let good =
+        [bind("p", "other", &[Some("a"), Some("b"), Some(&id()), Some("1500"), Some("1")]), execute("p", 0)];
+    client.write(&[good.concat(), order("stale"), execute("", 0), sync()].concat());
+    assert_eq!(client.answer(), b"2DC2EZ");
+    assert!(client.error.contains("|C0A000|"), "the driver is told: {}", client.error);
+    assert_eq!(run(&mut client, &order("2")), b"2DCZ", "{}", client.error);
+    assert_eq!(run(&mut client, &other("3")), b"2DCZ", "{}", client.error);
+    let names: Vec<_> = primary.executed().into_iter().map(|e| e.name).collect();
+    assert_ne!(names[1], names[2], "prepared anew");
+    assert_eq!(names[0], names[3], "the other one of that pipeline is as it was");
+}
+
 #[test]
 fn a_statement_works_on_whichever_host_is_picked() {
     // The replica turns every read away, so each is retried at the primary, where it was never prepared.
