--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,6 +45,10 @@
 const NEWS_WAIT: Duration = Duration::from_millis(40);
 /// A replica that is left out is asked again after this time, one for each read.
 const REFRESH: Duration = Duration::from_millis(100);
+/// Where servers check reads for themselves, so long one that was too far behind is taken for it still; and
+/// so long one that turned a write away is taken for a replica.
+const BEHIND_HOLDS: Duration = Duration::from_millis(500);
+const REPLICA_HOLDS: Duration = Duration::from_millis(800);
 /// Share of a new sample in a running mean, and of a rise in the unloaded one, so that no jam passes for
 /// normal.
 const GAIN: f64 = 0.05;
@@ -336,7 +340,7 @@
             asked_at: None,
         };
         self.requests.insert(id, pending);
-        if self.groups.get(&group).is_some_and(|g| g.probed_at.is_none()) {
+        if !self.checked() && self.groups.get(&group).is_some_and(|g| g.probed_at.is_none()) {
             self.search(now, group, out);
         }
         self.probe_down(now, group, out);
@@ -478,10 +482,17 @@
         }
     }
 
+    /// Servers turn away at once what they must not answer, and say where they stand: the request itself is
+    /// the probe. Guards against: every gateway probing every server for what the next answer tells; a probe
+    /// is paid for, a request turned away has lost two milliseconds. Hurts where turning away is slow.
+    fn checked(&self) -> bool {
+        self.settings.when_behind == WhenBehind::Refuses
+    }
+
     fn pick_read(&self, now: Instant, p: &Pending, roll: u64) -> Option<ServerId> {
         let group = &self.groups[&p.request.group];
         let floor = self.floor(now, p);
-        let checked = self.settings.when_behind == WhenBehind::Refuses;
+        let checked = self.checked();
         let mut best: Option<(f64, u64, ServerId)> = None;
         let mut crowded = false;
         let mut ahead: Option<(Instant, ServerId)> = None;
@@ -528,7 +539,7 @@
 
     fn pick_write(&self, now: Instant, p: &Pending) -> Option<ServerId> {
         let group = &self.groups[&p.request.group];
-        if let Some(primary) = group.primary {
+        if let Some(primary) = group.primary.filter(|m| self.servers[m].usable && !self.servers[m].down) {
             let server = &self.servers[&primary];
             let room = f64::from(server.out) < server.limit + WRITE_ROOM;
             return (server.answers(now) && room).then_some(primary);
@@ -540,9 +551,11 @@
         let asks = |member: &&ServerId| {
             let server = &self.servers[member];
             // More weight than attempts: a write is out.
-            let asked = server.weight > f64::from(server.out) || server.blame(now) > 0.0;
-            let replica = server.role == Some(Role::Replica) && since(now, server.role_at) < REPORT_AGE;
-            server.answers(now) && !asked && !p.tried.contains(member) && !replica
+            let asked = server.weight > f64::from(server.out);
+            let told = since(now, server.role_at) < REPLICA_HOLDS;
+            let replica = server.role == Some(Role::Replica) && told;
+            let again = server.role_at.is_some() && !told;
+            server.answers(now) && !asked && !replica && (again || !p.tried.contains(member))
         };
         let position = |member: &ServerId| self.servers[member].position;
         let members = group.members.iter().filter(asks);
@@ -612,7 +625,7 @@
             } else if o.status == Status::Good {
                 group.pressure *= 1.0 - PRESSURE_DOWN;
             }
-            self.note_status(now, a.server, status, out);
+            self.note_status(now, a.server, status, a.weight > READ_WEIGHT, out);
             // Guards against: connections dropped unseen. Sends after idleness stay unanswered far more often
             // than others. While connections are in doubt none is kept idle. Hurts where a new one is dear:
             // each send pays for one.
@@ -676,7 +689,14 @@
     /// Guards against: failures that draw work by shedding it at once, and dead or silent servers. Refused or
     /// broken connections may be chance or a death: a probe tells. Also catches full queues and misses. Hurts
     /// where a single failure was chance: the server is passed over for some seconds.
-    fn note_status(&mut self, now: Instant, id: ServerId, status: Status, out: &mut Vec<Action>) {
+    fn note_status(
+        &mut self,
+        now: Instant,
+        id: ServerId,
+        status: Status,
+        write: bool,
+        out: &mut Vec<Action>,
+    ) {
         let server = self.servers.get_mut(&id).expect("sent there");
         if matches!(status, Status::Good | Status::Miss | Status::Error | Status::Spoilt) {
             server.heard(now, &self.settings);
@@ -684,7 +704,12 @@
         match status {
             Status::NotSent | Status::Error | Status::Spoilt => {}
             Status::Good => server.accuse(now, -server.blame(now) / 2.0),
-            Status::Miss => server.accuse(now, TURNED_AWAY),
+            // A write turned away says nothing against reads there.
+            Status::Miss if write => {}
+            Status::Miss => {
+                server.accuse(now, TURNED_AWAY);
+                server.position_at = Some(now);
+            }
             Status::Full => {
                 server.accuse(now, TURNED_AWAY);
                 server.retry_at = Some(now + FULL_REST.mul_f64(0.5 + self.rng.f64()));
@@ -763,7 +788,8 @@
             self.retry_waiting(now, group, usize::MAX, out);
             let g = &self.groups[&group];
             let silent = g.primary.is_none_or(|m| !self.servers[&m].answers(now));
-            if silent && !g.waiting.is_empty() && g.probed_at.is_some_and(|at| now - at >= SEARCH_PROBE) {
+            let due = g.probed_at.is_some_and(|at| now - at >= SEARCH_PROBE);
+            if !self.checked() && silent && !g.waiting.is_empty() && due {
                 self.search(now, group, out);
             }
         }
@@ -784,16 +810,15 @@
     fn asks_for_news(&mut self, now: Instant, id: RequestId, out: &mut Vec<Action>) -> bool {
         let p = &self.requests[&id];
         let floor = self.floor(now, p);
-        if !self.settings.limits.probes || floor.is_none() || p.sends > 0 {
+        if !self.settings.limits.probes || self.checked() || floor.is_none() || p.sends > 0 {
             return false;
         }
-        let checked = self.settings.when_behind == WhenBehind::Refuses;
         let group = &self.groups[&p.request.group];
         let answers = |m: &&ServerId| group.primary != Some(**m) && self.servers[m].answers(now);
         let mut asked: Vec<ServerId> = group.members.iter().filter(answers).copied().collect();
-        let served = asked.iter().any(|m| self.servers[m].reaches(floor, now, checked));
+        let served = asked.iter().any(|m| self.servers[m].reaches(floor, now, false));
         // Nobody is asked twice within a moment.
-        let old = |s: &Server| since(now, s.position_at) >= REFRESH && !s.reaches(floor, now, checked);
+        let old = |s: &Server| since(now, s.position_at) >= REFRESH && !s.reaches(floor, now, false);
         asked.retain(|m| old(&self.servers[m]));
         self.rng.shuffle(&mut asked);
         if served {
@@ -912,8 +937,10 @@
     /// A known position never goes back, so it is safe as it is. Where servers check for themselves, the
     /// lag last seen is taken to hold.
     fn reaches(&self, floor: Option<Instant>, now: Instant, checked: bool) -> bool {
-        let age = if checked { since(now, self.position_at) } else { Duration::ZERO };
-        floor.is_none() || self.position.map(|position| position + age) >= floor
+        let told = since(now, self.position_at);
+        let age = if checked { told } else { Duration::ZERO };
+        let asks = checked && told >= BEHIND_HOLDS;
+        floor.is_none() || asks || self.position.map(|position| position + age) >= floor
     }
 
     fn accuse(&mut self, now: Instant, weight: f64) {
