--- a/src/policy.rs
+++ b/src/policy.rs
@@ -87,6 +87,16 @@
 const PRESSURE_UP: f64 = 0.2;
 const PRESSURE_DOWN: f64 = 0.12;
 const PRESSURE_LEAST: f64 = 0.2;
+/// How a primary's queue is known: the wait of the last answers, half of which is forgotten in this time, and
+/// what a full one stands for, in aims. Writes are shed from the first share of their aim on, all but a few
+/// from the second; reads that overflow to the primary find room under this multiple of their latency.
+const QUEUE_HALF: Duration = Duration::from_secs(2);
+const QUEUE_FULL: f64 = 2.0;
+const QUEUE_GAIN: f64 = 0.5;
+const SHED_FROM: f64 = 0.4;
+const SHED_MOST: f64 = 1.2;
+const STILL_SENT: f64 = 0.1;
+const READ_QUEUE: f64 = 2.0;
 /// Role claims in reports are this much older than answers at the most.
 const REPORT_AGE: Duration = Duration::from_millis(500);
 /// How many sessions' commits are remembered before those that all members hold are dropped.
@@ -132,6 +142,9 @@
     served_at: Option<Instant>,
     /// When the latest of the attempts that it has served was sent.
     served_sent: Option<Instant>,
+    /// How long the requests served last had to wait there, as of `queue_at`.
+    queue: Duration,
+    queue_at: Option<Instant>,
     /// Work that a cold server has yet to earn before the next send there is due.
     owed: Duration,
     owed_at: Option<Instant>,
@@ -345,7 +358,7 @@
         }
         self.probe_down(now, group, out);
         self.warm_up(now, group);
-        if self.sheds(id) {
+        if self.sheds(now, id) {
             self.finish(id, out);
         } else {
             self.dispatch(now, id, out);
@@ -355,11 +368,22 @@
     /// Whether a read is refused on arrival because its group is jammed; the sooner, the less it is worth.
     /// Guards against: a jam made by hundreds of gateways with a request or two each, which no limit on one
     /// of them ends. Also catches slow machines. Hurts where a class has long requests by nature.
-    fn sheds(&mut self, id: RequestId) -> bool {
+    fn sheds(&mut self, now: Instant, id: RequestId) -> bool {
         let p = &self.requests[&id];
-        let pressure = self.groups.get(&p.request.group).map_or(0.0, |g| g.pressure);
-        let pressure = (pressure - PRESSURE_LEAST) / (1.0 - PRESSURE_LEAST);
-        if self.settings.classes[p.request.class].freshness == Freshness::Write || pressure <= 0.0 {
+        let Some(group) = self.groups.get(&p.request.group) else { return false };
+        let class = &self.settings.classes[p.request.class];
+        if class.freshness == Freshness::Write {
+            // Guards against: the same at a primary, where the one write that each gateway may always send
+            // makes a queue over the aim, late for all. Hurts where a class has long requests by nature.
+            if self.unloaded[p.request.class] * self.settings.gateways <= class.aim {
+                return false;
+            }
+            let queue = group.primary.map_or(Duration::ZERO, |m| self.servers[&m].queue(now));
+            let over = queue.div_duration_f64(class.aim) - SHED_FROM;
+            return self.rng.f64() < (over / (SHED_MOST - SHED_FROM)).min(1.0 - STILL_SENT);
+        }
+        let pressure = (group.pressure - PRESSURE_LEAST) / (1.0 - PRESSURE_LEAST);
+        if pressure <= 0.0 {
             return false;
         }
         let classes = self.settings.classes.len();
@@ -532,7 +556,8 @@
         let share = if crowded { OVERFLOW_SHARE } else { 1.0 };
         group.primary.filter(|m| {
             let server = &self.servers[m];
-            let room = f64::from(server.out) < share * server.limit && server.slowness <= JAMMED;
+            let calm = server.queue(now) <= self.unloaded[p.request.class].mul_f64(READ_QUEUE);
+            let room = f64::from(server.out) < share * server.limit && server.slowness <= JAMMED && calm;
             server.answers(now) && server.role == Some(Role::Primary) && room
         })
     }
@@ -617,6 +642,8 @@
             let status = if lost { Status::NotSent } else { o.status };
             let unloaded = self.unloaded[a.class];
             server.pace(status, o.elapsed.div_duration_f64(unloaded));
+            let aim = self.settings.classes[a.class].aim;
+            server.queues(now, status, o.elapsed.saturating_sub(unloaded), aim);
             let group = self.groups.get_mut(&server.group).expect("made with the server");
             let least = if o.status == Status::Timeout { CROWDED } else { JAMMED };
             let jammed = !lost && o.elapsed > unloaded.mul_f64(least) || o.status == Status::Full;
@@ -672,7 +699,8 @@
                 if !o.status.never_ran() {
                     p.may_have_run = p.may_have_run.or(attempt.map(|a| a.sent)).or(Some(now));
                 }
-                if p.erred.len() >= 2 {
+                let full = o.status == Status::Full && write;
+                if p.erred.len() >= 2 || full && self.sheds(now, o.request) {
                     self.finish(o.request, out);
                 } else {
                     self.dispatch(now, o.request, out);
@@ -975,6 +1003,22 @@
         self.chill(Some(now), settings);
     }
 
+    /// Takes the word of an outcome on how long the queue is.
+    fn queues(&mut self, now: Instant, status: Status, wait: Duration, aim: Duration) {
+        let wait = match status {
+            Status::Good | Status::Timeout => wait,
+            Status::Full => aim.mul_f64(QUEUE_FULL),
+            _ => return,
+        };
+        let known = self.queue(now);
+        self.queue = if wait > known { wait } else { toward(known, wait, QUEUE_GAIN) };
+        self.queue_at = Some(now);
+    }
+
+    fn queue(&self, now: Instant) -> Duration {
+        self.queue.mul_f64((-since(now, self.queue_at).div_duration_f64(QUEUE_HALF)).exp2())
+    }
+
     fn served(&self, now: Instant) -> f64 {
         self.served * (-since(now, self.served_at).div_duration_f64(SERVED_WINDOW)).exp()
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -151,13 +151,25 @@
         server: u32,
         status: Status,
         note: Note,
+    ) -> Vec<Action> {
+        self.answer_after(ms(20), request, attempt, server, status, note)
+    }
+
+    pub fn answer_after(
+        &mut self,
+        elapsed: Duration,
+        request: RequestId,
+        attempt: u32,
+        server: u32,
+        status: Status,
+        note: Note,
     ) -> Vec<Action> {
         self.play(Event::Outcome(Outcome {
             request,
             attempt,
             server: ServerId(server),
             status,
-            elapsed: ms(20),
+            elapsed,
             finished: status == Status::Good,
             note,
             report: Report::default(),
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -28,7 +28,15 @@
     request: RequestId,
     attempt: u32,
     server: u32,
-    misses: bool,
+    sent: u64,
+    status: Ended,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Ended {
+    Served,
+    Missed,
+    TimedOut,
 }
 
 /// The servers' side: where the primary of each group is, how long an answer takes, and what is counted.
@@ -37,15 +45,21 @@
     /// Soonest first.
     coming: BinaryHeap<Reverse<Coming>>,
     primary: Vec<u32>,
+    /// How long a primary works on a write, one after the other; until when it is busy, by server.
+    write_takes: f64,
+    busy: HashMap<u32, f64>,
     clock: u64,
     rng: fastrand::Rng,
     asked: u64,
     probes: usize,
     served: usize,
     missed: usize,
+    late: usize,
     unserved: usize,
-    /// The attempts of each request so far, and whether it is a write.
-    asked_for: HashMap<(usize, RequestId), (u32, bool)>,
+    /// Writes served within their aim.
+    prompt: usize,
+    /// The attempts of each request so far, when it came, and whether it is a write.
+    asked_for: HashMap<(usize, RequestId), (u32, u64, bool)>,
 }
 
 impl Fleet {
@@ -63,13 +77,17 @@
             gateways: (0..ROUTERS as u64).map(start).collect(),
             coming: BinaryHeap::new(),
             primary: (0..GROUPS as u32).map(|group| group * MEMBERS).collect(),
+            write_takes: 1.0,
+            busy: HashMap::new(),
             clock: 0,
             rng: fastrand::Rng::with_seed(3),
             asked: 0,
             probes: 0,
             served: 0,
             missed: 0,
+            late: 0,
             unserved: 0,
+            prompt: 0,
             asked_for: HashMap::new(),
         }
     }
@@ -77,12 +95,25 @@
     fn count(&mut self, gateway: usize, actions: &[Action]) {
         self.probes += probes(actions).len();
         self.unserved += finals(actions).len();
-        for (request, server) in sends(actions) {
-            let (attempt, write) = self.asked_for.get_mut(&(gateway, request)).expect("asked before");
-            let misses = *write && !self.primary.contains(&server);
-            let at = self.clock + if misses { 2 } else { 40 };
-            self.coming.push(Reverse(Coming { at, gateway, request, attempt: *attempt, server, misses }));
-            *attempt += 1;
+        let now = self.gateways[gateway].now;
+        for action in actions {
+            let Action::Send { request, server: ServerId(server), cut_at } = *action else { continue };
+            let (attempt, _, write) = self.asked_for.get_mut(&(gateway, request)).expect("asked before");
+            let primary = self.primary.contains(&server);
+            let sent = self.clock;
+            let (at, status) = if !*write {
+                (sent + 40, Ended::Served)
+            } else if !primary {
+                (sent + 2, Ended::Missed)
+            } else {
+                let busy = self.busy.entry(server).or_default();
+                *busy = busy.max(sent as f64) + self.write_takes;
+                let cut = sent + (cut_at - now).as_millis() as u64;
+                let done = *busy as u64 + 20;
+                (done.min(cut), if done <= cut { Ended::Served } else { Ended::TimedOut })
+            };
+            let attempt = std::mem::replace(attempt, *attempt + 1);
+            self.coming.push(Reverse(Coming { at, gateway, request, attempt, server, sent, status }));
         }
     }
 
@@ -93,10 +124,18 @@
             while let Some(Reverse(o)) = self.coming.peek().copied().filter(|o| o.0.at <= self.clock) {
                 self.coming.pop();
                 let role = if self.primary.contains(&o.server) { Role::Primary } else { Role::Replica };
-                let status = if o.misses { Status::Miss } else { Status::Good };
-                *if o.misses { &mut self.missed } else { &mut self.served } += 1;
+                let (_, came, write) = self.asked_for[&(o.gateway, o.request)];
+                let (status, count) = match o.status {
+                    Ended::Served => (Status::Good, &mut self.served),
+                    Ended::Missed => (Status::Miss, &mut self.missed),
+                    Ended::TimedOut => (Status::Timeout, &mut self.late),
+                };
+                *count += 1;
+                self.prompt += usize::from(write && o.status == Ended::Served && o.at - came <= 400);
                 let g = &mut self.gateways[o.gateway];
-                let out = g.answer(o.request, o.attempt, o.server, status, note(role, g.now));
+                let note = if o.status == Ended::TimedOut { Note::default() } else { note(role, g.now) };
+                let elapsed = ms(o.at - o.sent);
+                let out = g.answer_after(elapsed, o.request, o.attempt, o.server, status, note);
                 self.count(o.gateway, &out);
             }
             for gateway in 0..ROUTERS {
@@ -113,7 +152,7 @@
                     let group = GroupId(self.rng.u64(..GROUPS));
                     let g = &mut self.gateways[gateway];
                     let id = g.upcoming();
-                    self.asked_for.insert((gateway, id), (0, class == WRITE));
+                    self.asked_for.insert((gateway, id), (0, self.clock, class == WRITE));
                     let (_, out) = g.request_with(class, |r| r.group = group);
                     self.count(gateway, &out);
                 }
@@ -145,6 +184,18 @@
     assert!((ROUTERS..=most).contains(&fleet.missed), "{} misses", fleet.missed);
 }
 
+#[test]
+fn a_hundred_routers_leave_an_overloaded_primary_a_queue_that_is_under_the_aim() {
+    let mut fleet = Fleet::start();
+    // Some 100 writes a second at each primary, which can do 70.
+    fleet.write_takes = 14.0;
+    fleet.pass(6000);
+    let before = fleet.prompt;
+    fleet.pass(8000);
+    let (prompt, could) = (fleet.prompt - before, GROUPS as usize * 8000 / 14);
+    assert!(prompt * 100 >= could * 75, "{prompt} in time, {could} could have been");
+}
+
 #[test]
 fn a_replica_that_was_behind_is_asked_by_a_read_itself_after_a_while() {
     let mut g = Gateway::start(fleet_settings(), 1);
