Let reads go to a primary with a queue where it is alone and gateways are few

Cause: pick_read in src/policy.rs kept every read from a primary with a queue, also where there is nowhere else. Change: with no other usable member the queue does not bar reads, unless gateways are so many that all would do so.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -531,7 +531,10 @@
         group.primary.filter(|m| {
             let server = &self.servers[m];
             let unloaded = self.unloaded[p.request.class].as_secs_f64();
-            let calm = server.queue.get(now, QUEUE_HALF) <= READ_QUEUE * unloaded;
+            let queue = server.queue.get(now, QUEUE_HALF);
+            // Alone it takes them whatever its queue is, but where many gateways would all do so.
+            let alone = group.members.iter().all(|other| other == m || !self.servers[other].usable);
+            let calm = queue <= READ_QUEUE * unloaded || alone && !self.crowd(p.request.class);
             let room = f64::from(server.out) < share * server.limit && server.slowness <= JAMMED && calm;
             server.answers(now) && server.role == Some(Role::Primary) && room
         })
