--- a/src/policy.rs
+++ b/src/policy.rs
@@ -94,6 +94,8 @@
 const SHED_MOST: f64 = 1.2;
 const STILL_SENT: f64 = 0.1;
 const READ_QUEUE: f64 = 2.0;
+/// Where gateways are many no read goes to a replica whose queue takes this share of the aim.
+const READ_LATE: f64 = 0.3;
 /// Role claims in reports are this much older than answers at the most.
 const REPORT_AGE: Duration = Duration::from_millis(500);
 
@@ -510,7 +512,11 @@
                 }
                 continue;
             }
-            if f64::from(server.out) >= server.limit {
+            // Guards against: a replica that is buried by other gateways' requests and looks empty from here.
+            let class = p.request.class;
+            let late = server.queue.get(now, QUEUE_HALF)
+                > READ_LATE * self.settings.classes[class].aim.as_secs_f64();
+            if f64::from(server.out) >= server.limit || late && self.crowd(class) {
                 crowded = true;
                 continue;
             }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -253,3 +253,17 @@
     g.now += ms(20_000);
     assert_eq!(shed(&mut g), 0);
 }
+
+#[test]
+fn a_replica_buried_by_other_gateways_is_passed_over_though_it_is_empty_from_here() {
+    let mut g = Gateway::start(fleet_settings(), 1);
+    let (id, out) = g.request(BOUNDED);
+    assert_eq!(sends(&out), [(id, 1)]);
+    g.now += ms(390);
+    g.answer_after(ms(390), id, 0, 1, Status::Good, note(Role::Replica, g.now));
+    let (id, out) = g.request(BOUNDED);
+    assert_eq!(sends(&out), [(id, 0)], "the primary, which has no queue");
+    g.outcome(id, 0, 0, Status::Good);
+    g.tick(ms(6000));
+    assert_eq!(sends(&g.request(BOUNDED).1)[0].1, 1, "that was long ago");
+}
