--- a/src/policy.rs
+++ b/src/policy.rs
@@ -76,8 +76,7 @@
 const SERVED_HALF: Duration = Duration::from_millis(2_773);
 /// The mean pause before discovery is asked again.
 const ASK_PAUSE: Duration = Duration::from_secs(2);
-/// Unheard of for this long is idle.
-const IDLE: Duration = Duration::from_millis(250);
+const IDLE: Duration = Duration::from_millis(250); // unheard of
 /// Reads taking this multiple of the unloaded latency raise the pressure, others lower it; last, chance.
 const JAMMED: f64 = 3.5;
 const PRESSURE_UP: f64 = 0.2;
@@ -96,8 +95,7 @@
 const READ_QUEUE: f64 = 2.0;
 /// Where gateways are many no read goes to a replica whose queue takes this share of the aim.
 const READ_LATE: f64 = 0.3;
-/// Role claims in reports are this much older than answers at the most.
-const REPORT_AGE: Duration = Duration::from_millis(500);
+const REPORT_AGE: Duration = Duration::from_millis(500); // of role claims, against answers' at the most
 
 #[derive(Default)]
 struct Server {
@@ -131,6 +129,7 @@
     queue: Fading,
     /// Work that a cold server has yet to earn before the next send there is due.
     owed: Duration,
+    credit: Duration,
     owed_at: Option<Instant>,
 }
 
@@ -572,8 +571,8 @@
     }
 
     /// Lets cold members earn what they may be sent: what a warm member serves for this router in the mean,
-    /// times the share of capacity that they surely have. Nothing is saved up beyond one send, and the
-    /// first is due after a random part of the time that one takes to earn. Guards against: pushing a cold
+    /// times the share of capacity that they surely have. Nothing is saved up beyond one send, and one more
+    /// once they have served without a queue; the first is due after a random part of what one takes to earn. Guards against: pushing a cold
     /// server over, by one router or by hundreds that hear of its start at once. Also paces servers that
     /// come back from silence. Hurts where the server was warm all along.
     fn warm_up(&mut self, now: Instant, group: GroupId) {
@@ -604,6 +603,9 @@
             let rate = peer * warmth * rules.tip_multiple / COLD_MARGIN;
             server.owed = server.owed.saturating_sub(since(now, server.owed_at).mul_f64(rate));
             server.owed_at = Some(now);
+            let calm = server.queue.get(now, QUEUE_HALF) < mean.as_secs_f64();
+            let proven = calm && server.served_sent > server.cold_from;
+            server.credit = if proven { mean } else { Duration::ZERO };
         }
     }
 
@@ -927,7 +929,7 @@
     /// Whether anything may be sent there now.
     fn answers(&self, now: Instant) -> bool {
         let cold = Some(now) < self.warm_at;
-        let paced = Some(now) < self.retry_at || (cold && !self.owed.is_zero());
+        let paced = Some(now) < self.retry_at || (cold && self.owed > self.credit);
         self.usable && !self.down && !paced && self.overdue_at.is_none_or(|at| now < at)
     }
 
