--- a/src/measured.rs
+++ b/src/measured.rs
@@ -1,10 +1,12 @@
 //! What a router works out of its own traffic, without deciding anything about a server: whether clients cut
-//! their tries short, whether idle connections are lost, and up to where sessions have written.
+//! their tries short, whether idle connections are lost, how long requests take and wait, and up to where sessions
+//! have written.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::interface::SessionKey;
+use crate::fading::{toward, Fading};
+use crate::interface::{SessionKey, Status};
 
 /// A try under this share of a whole one was cut by its client's deadline: unmarked, and marked as a repeat.
 const CUT_TRY: f64 = 0.85;
@@ -18,6 +20,60 @@
 /// How many sessions' commits are remembered before those that all members hold are dropped.
 const SESSIONS_KEPT: usize = 20_000;
 
+/// Share of a new sample in a running mean, and of a rise in the unloaded one, so that no jam passes for normal.
+const GAIN: f64 = 0.05;
+const CREEP: f64 = 0.0003;
+/// In what time half of a wait is forgotten, what a full queue stands for, in aims, and the share of a shorter
+/// wait; a longer one counts in full.
+const QUEUE_HALF: Duration = Duration::from_secs(2);
+const QUEUE_FULL: f64 = 2.0;
+const QUEUE_GAIN: f64 = 0.5;
+
+/// How long answers take, by class.
+pub struct Latencies {
+    /// In the mean.
+    pub mean: Vec<Duration>,
+    /// On servers without a queue.
+    pub unloaded: Vec<Duration>,
+}
+
+impl Latencies {
+    /// What is taken for true of each class at first.
+    pub fn new(first: impl Iterator<Item = Duration>) -> Self {
+        let mean: Vec<Duration> = first.collect();
+        Self { unloaded: mean.clone(), mean }
+    }
+
+    /// Takes an answer that was good.
+    pub fn learn(&mut self, class: usize, elapsed: Duration) {
+        let (mean, unloaded) = (&mut self.mean[class], &mut self.unloaded[class]);
+        *mean = toward(*mean, elapsed, GAIN);
+        *unloaded = toward(*unloaded, *mean, if *mean < *unloaded { GAIN } else { CREEP });
+    }
+}
+
+/// How long a server's queue is, by what its last answers had to wait.
+#[derive(Default)]
+pub struct Queue(Fading);
+
+impl Queue {
+    /// Takes an outcome, how long it took beyond an unloaded one, and its class's aim.
+    pub fn learn(&mut self, now: Instant, status: Status, wait: Duration, aim: Duration) {
+        let wait = match status {
+            Status::Good | Status::Timeout => wait,
+            Status::Full => aim.mul_f64(QUEUE_FULL),
+            _ => return,
+        };
+        let (known, wait) = (self.seconds(now), wait.as_secs_f64());
+        self.0.set(now, if wait > known { wait } else { known + QUEUE_GAIN * (wait - known) });
+    }
+
+    /// The wait in seconds.
+    pub fn seconds(&self, now: Instant) -> f64 {
+        self.0.get(now, QUEUE_HALF)
+    }
+}
+
 /// How long clients give each try, by class.
 pub struct Tries {
     whole: Vec<Duration>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -10,9 +10,9 @@
 
 use fastrand::Rng;
 
-use crate::fading::{since, toward, Fading};
+use crate::fading::{since, Fading};
 use crate::interface::*;
-use crate::measured::{Commits, Doubt, Tries};
+use crate::measured::{Commits, Doubt, Latencies, Queue, Tries};
 use crate::validate;
 
 /// Type weights of the mechanism. An update (weight 3) is a write as far as a request can tell.
@@ -51,10 +51,6 @@
 /// so long one that turned a write away is taken for a replica.
 const BEHIND_HOLDS: Duration = Duration::from_millis(500);
 const REPLICA_HOLDS: Duration = Duration::from_millis(800);
-/// Share of a new sample in a running mean, and of a rise in the unloaded one, so that no jam passes for
-/// normal.
-const GAIN: f64 = 0.05;
-const CREEP: f64 = 0.0003;
 /// A server is crowded when it takes this multiple of the unloaded latency: half as many again as cores.
 const CROWDED: f64 = 1.5;
 const SLOWNESS_GAIN: f64 = 0.1;
@@ -83,12 +79,8 @@
 const PRESSURE_DOWN: f64 = 0.12;
 const PRESSURE_LEAST: f64 = 0.2;
 const PRESSURE_HALF: Duration = Duration::from_secs(4);
-/// How a primary's queue is known: the wait of the last answers, half of which is forgotten in this time, and
-/// what a full one stands for, in aims. Writes are shed from the first share of their aim on, all but a few
-/// from the second; reads that overflow to the primary find room under this multiple of their latency.
-const QUEUE_HALF: Duration = Duration::from_secs(2);
-const QUEUE_FULL: f64 = 2.0;
-const QUEUE_GAIN: f64 = 0.5;
+/// Writes are shed by the queue of their primary: from the first share of their aim on, all but a few from
+/// the second. Reads that overflow to the primary find room under this multiple of their latency.
 const SHED_FROM: f64 = 0.4;
 const SHED_MOST: f64 = 1.2;
 const STILL_SENT: f64 = 0.1;
@@ -126,7 +118,7 @@
     /// When the latest of the attempts that it has served was sent.
     served_sent: Option<Instant>,
     /// How long the requests served last had to wait there, in seconds.
-    queue: Fading,
+    queue: Queue,
     /// Work that a cold server has yet to earn before the next send there is due.
     owed: Duration,
     credit: Duration,
@@ -181,9 +173,7 @@
     requests: BTreeMap<RequestId, Pending>,
     attempts: BTreeMap<(RequestId, u32), Attempt>,
     commits: Commits,
-    /// Mean latency by class, and what it is on servers without a queue.
-    latency: Vec<Duration>,
-    unloaded: Vec<Duration>,
+    latency: Latencies,
     tries: Tries,
     doubt: Doubt,
 }
@@ -195,7 +185,6 @@
     /// Names the settings field that is inconsistent.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         validate::check(&settings)?;
-        let latency: Vec<Duration> = settings.classes.iter().map(|c| c.aim / 4).collect();
         let mut rng = Rng::with_seed(seed);
         Ok(Self {
             taste: rng.u64(..),
@@ -205,9 +194,8 @@
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             commits: Commits::default(),
-            unloaded: latency.clone(),
-            tries: Tries::new(latency.len()),
-            latency,
+            tries: Tries::new(settings.classes.len()),
+            latency: Latencies::new(settings.classes.iter().map(|c| c.aim / 4)),
             doubt: Doubt::default(),
             settings,
         })
@@ -347,7 +335,7 @@
             if !self.crowd(p.request.class) {
                 return false;
             }
-            let queue = group.primary.map_or(0.0, |m| self.servers[&m].queue.get(now, QUEUE_HALF));
+            let queue = group.primary.map_or(0.0, |m| self.servers[&m].queue.seconds(now));
             let over = queue / class.aim.as_secs_f64() - SHED_FROM;
             return self.rng.f64() < (over / (SHED_MOST - SHED_FROM)).min(1.0 - STILL_SENT);
         }
@@ -362,12 +350,12 @@
 
     /// Gateways are so many that one request of each, all at one server, may take longer than the aim.
     fn crowd(&self, class: usize) -> bool {
-        self.unloaded[class] * self.settings.gateways > self.settings.classes[class].aim
+        self.latency.unloaded[class] * self.settings.gateways > self.settings.classes[class].aim
     }
 
     /// What an answer is worth for each second of work.
     fn density(&self, class: usize) -> f64 {
-        self.settings.classes[class].worth / self.unloaded[class].as_secs_f64()
+        self.settings.classes[class].worth / self.latency.unloaded[class].as_secs_f64()
     }
 
     /// Sends a request, keeps it waiting or gives it its final answer.
@@ -394,7 +382,7 @@
         let members = self.groups.get(&group).map_or(&[][..], |g| &g.members);
         let listed = members.iter().any(|m| self.servers[m].usable);
         // Shed at once what cannot be answered in time any more.
-        let hopeless = now + self.unloaded[p.request.class].mul_f64(WORTH_TRYING) >= ends;
+        let hopeless = now + self.latency.unloaded[p.request.class].mul_f64(WORTH_TRYING) >= ends;
         if barred || !listed || hopeless || p.sends >= self.settings.limits.max_attempts {
             self.finish(id, out);
             return;
@@ -415,6 +403,7 @@
             // Nor held back: one that no server has seen by half of its time, of a group in which nobody
             // answers, is told to come again while its client can. Guards against: holding requests of a
             // group that is out of reach. Hurts where the group comes back in the second half.
+            // Answered a moment early rather than after the client has left.
             None if now + 2 * TICK_EVERY >= (if reached || answered { ends } else { ends.min(patient) }) => {
                 self.finish(id, out);
             }
@@ -427,7 +416,7 @@
         let class = p.request.class;
         let write = self.settings.classes[class].freshness == Freshness::Write;
         let weight = if write { WRITE_WEIGHT } else { READ_WEIGHT };
-        let cost = self.latency[class];
+        let cost = self.latency.mean[class];
         let number = p.sends;
         p.sends += 1;
         p.out = Some(number);
@@ -437,14 +426,14 @@
         let idle = alone && since(now, server.heard_at) > IDLE;
         server.weight += weight;
         server.out += 1;
-        server.owed += self.unloaded[class];
+        server.owed += self.latency.unloaded[class];
         let patience = cost.mul_f64(SILENT_LATENCIES).clamp(SILENT_MIN, SILENT_MAX);
         server.overdue_at = server.overdue_at.or(Some(now + patience));
         // Guards against: waiting out a request's time on a connection that has fallen silent. What may be
         // repeated is given up, at a server that is not crowded, after many mean latencies, while another try
         // is still worth it. Hurts where a class has long requests by nature: a few in a thousand run twice.
         let lost_at = now + cost.mul_f64(LOST_LATENCIES).max(SILENT_MIN);
-        let again = lost_at + self.unloaded[class].mul_f64(2.0 * WORTH_TRYING) < ends;
+        let again = lost_at + self.latency.unloaded[class].mul_f64(2.0 * WORTH_TRYING) < ends;
         let first = p.may_have_run.unwrap_or(now);
         let safe = match self.settings.classes[class].effect {
             Effect::Idempotent => true,
@@ -512,8 +501,7 @@
             }
             // Guards against: a replica that is buried by other gateways' requests and looks empty from here.
             let class = p.request.class;
-            let late = server.queue.get(now, QUEUE_HALF)
-                > READ_LATE * self.settings.classes[class].aim.as_secs_f64();
+            let late = server.queue.seconds(now) > READ_LATE * self.settings.classes[class].aim.as_secs_f64();
             if f64::from(server.out) >= server.limit || late && self.crowd(class) {
                 crowded = true;
                 continue;
@@ -534,8 +522,8 @@
         let share = if crowded { OVERFLOW_SHARE } else { 1.0 };
         group.primary.filter(|m| {
             let server = &self.servers[m];
-            let unloaded = self.unloaded[p.request.class].as_secs_f64();
-            let queue = server.queue.get(now, QUEUE_HALF);
+            let unloaded = self.latency.unloaded[p.request.class].as_secs_f64();
+            let queue = server.queue.seconds(now);
             // Alone it takes them whatever its queue is, but where many gateways would all do so.
             let alone = group.members.iter().all(|other| other == m || !self.servers[other].usable);
             let calm = queue <= READ_QUEUE * unloaded || alone && !self.crowd(p.request.class);
@@ -587,7 +575,7 @@
             / f64::max(warm.len() as f64, 1.0);
         // At least one core's worth, shared by the gateways, so that a group of cold servers serves at all.
         let peer = f64::max(served, 1.0 / f64::from(self.settings.gateways));
-        let mean = self.unloaded.iter().sum::<Duration>().div_f64(self.unloaded.len() as f64);
+        let mean = self.latency.unloaded.iter().sum::<Duration>().div_f64(self.latency.unloaded.len() as f64);
         let many = self.crowd(0);
         for member in &group.members {
             let server = self.servers.get_mut(member).expect("listed");
@@ -603,7 +591,7 @@
             let rate = peer * warmth * rules.tip_multiple / COLD_MARGIN;
             server.owed = server.owed.saturating_sub(since(now, server.owed_at).mul_f64(rate));
             server.owed_at = Some(now);
-            let calm = many && server.queue.get(now, QUEUE_HALF) < mean.as_secs_f64();
+            let calm = many && server.queue.seconds(now) < mean.as_secs_f64();
             let proven = calm && server.served_sent > server.cold_from;
             server.credit = if proven { mean } else { Duration::ZERO };
         }
@@ -616,10 +604,9 @@
             server.weight -= a.weight;
             server.out -= 1;
             if o.status == Status::Good {
-                let (mean, unloaded) = (&mut self.latency[a.class], &mut self.unloaded[a.class]);
-                *mean = toward(*mean, o.elapsed, GAIN);
-                *unloaded = toward(*unloaded, *mean, if *mean < *unloaded { GAIN } else { CREEP });
-                let served = server.served.get(now, SERVED_HALF) + unloaded.div_duration_f64(SERVED_WINDOW);
+                self.latency.learn(a.class, o.elapsed);
+                let work = self.latency.unloaded[a.class].div_duration_f64(SERVED_WINDOW);
+                let served = server.served.get(now, SERVED_HALF) + work;
                 server.served.set(now, served);
                 server.served_sent = server.served_sent.max(Some(a.sent));
             }
@@ -627,10 +614,10 @@
             // sent later has been served, so it was not waiting its turn.
             let lost = o.status == Status::Timeout && a.early && Some(a.sent) < server.served_sent;
             let status = if lost { Status::NotSent } else { o.status };
-            let unloaded = self.unloaded[a.class];
+            let unloaded = self.latency.unloaded[a.class];
             server.pace(status, o.elapsed.div_duration_f64(unloaded));
             let aim = self.settings.classes[a.class].aim;
-            server.queues(now, status, o.elapsed.saturating_sub(unloaded), aim);
+            server.queue.learn(now, status, o.elapsed.saturating_sub(unloaded), aim);
             let group = self.groups.get_mut(&server.group).expect("made with the server");
             let pressure = group.pressure.get(now, PRESSURE_HALF);
             let least = if o.status == Status::Timeout { CROWDED } else { JAMMED };
@@ -982,15 +969,4 @@
         self.overdue_at = None;
         self.chill(Some(now), settings);
     }
-
-    /// Takes the word of an outcome on how long the queue is.
-    fn queues(&mut self, now: Instant, status: Status, wait: Duration, aim: Duration) {
-        let wait = match status {
-            Status::Good | Status::Timeout => wait,
-            Status::Full => aim.mul_f64(QUEUE_FULL),
-            _ => return,
-        };
-        let (known, wait) = (self.queue.get(now, QUEUE_HALF), wait.as_secs_f64());
-        self.queue.set(now, if wait > known { wait } else { known + QUEUE_GAIN * (wait - known) });
-    }
 }
