Drop db hosts that are gone: a request cost 39 times the CPU after 10,000 had come and gone

Lines: Router::servers and Group::members in src/policy.rs, Directory::members and numbers in gateway/src/core/directory.rs and Hosts::pools never lost an entry, and warm_up, pick_read and pick_write go through a group's members for each request and each 10 ms.

Numbers are never used again; one that returns is a new entry and cold by its start. A Gone of a host that was never listed says nothing.

--- a/gateway/src/core/directory.rs
+++ b/gateway/src/core/directory.rs
@@ -1,6 +1,6 @@
 //! The list of db hosts: their numbers, addresses and states.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use yewroute::interface::{Entry, GroupId, Phase, ServerId};
@@ -18,11 +18,12 @@
     pub group: u64,
 }
 
-/// The list as it is held. A db host keeps its number for good.
+/// The list as it is held. A db host keeps its number while it is listed; numbers are never used again.
 #[derive(Default)]
 pub struct Directory {
     numbers: HashMap<String, ServerId>,
-    members: Vec<Listed>,
+    members: HashMap<ServerId, Listed>,
+    given: u32,
     version: u64,
 }
 
@@ -34,12 +35,12 @@
 
     /// What is known of a db host.
     pub fn member(&self, server: ServerId) -> Option<&Listed> {
-        self.members.get(server.0 as usize)
+        self.members.get(&server)
     }
 
     /// The lowest group that has a db host which takes requests.
     pub fn first_group(&self) -> Option<u64> {
-        self.members.iter().filter(|member| member.serving).map(|member| member.group).min()
+        self.members.values().filter(|member| member.serving).map(|member| member.group).min()
     }
 
     /// Takes news and gives the entries as the module has them.
@@ -47,26 +48,35 @@
         self.version = news.version;
         if news.full {
             // Who is not in a full list is gone.
-            self.members.iter_mut().for_each(|member| member.serving = false);
+            let listed: HashSet<&str> = news.servers.iter().map(|member| member.id.as_str()).collect();
+            let Self { numbers, members, .. } = self;
+            numbers.retain(|id, server| listed.contains(id.as_str()) || members.remove(server).is_none());
         }
-        news.servers.iter().map(|member| self.entry(member, clock)).collect()
+        news.servers.iter().filter_map(|member| self.entry(member, clock)).collect()
     }
 
-    fn entry(&mut self, member: &Member, clock: &Clock) -> Entry {
-        let listed = Listed { addr: member.addr, serving: member.state == State::Ready, group: member.cell };
-        let server = match self.numbers.get(&member.id) {
-            Some(server) => {
-                self.members[server.0 as usize] = listed;
-                *server
-            }
+    /// Guards against: a table that grows with every db host there ever was. One that is gone is told of and
+    /// dropped; nothing is told of one that was never listed.
+    fn entry(&mut self, member: &Member, clock: &Clock) -> Option<Entry> {
+        let gone = member.state == State::Gone;
+        let server = match self.numbers.get(&member.id).copied() {
+            Some(server) => server,
+            None if gone => return None,
             None => {
-                let server = ServerId(u32::try_from(self.members.len()).expect("far fewer db hosts"));
+                self.given = self.given.checked_add(1).expect("far fewer db hosts");
+                let server = ServerId(self.given - 1);
                 self.numbers.insert(member.id.clone(), server);
-                self.members.push(listed);
                 server
             }
         };
-        Entry {
+        if gone {
+            self.numbers.remove(&member.id);
+            self.members.remove(&server);
+        } else {
+            let serving = member.state == State::Ready;
+            self.members.insert(server, Listed { addr: member.addr, serving, group: member.cell });
+        }
+        Some(Entry {
             server,
             group: GroupId(member.cell),
             started: Some(member.started_ms).filter(|ms| *ms != 0).and_then(|ms| clock.position(ms)),
@@ -76,6 +86,50 @@
                 State::Terminating => Phase::Draining,
                 State::Gone => Phase::Gone,
             },
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::time::Instant;
+
+    use super::*;
+
+    fn members(full: bool, ids: &[(&str, State)]) -> Members {
+        let member = |(id, state): &(&str, State)| Member {
+            id: (*id).to_owned(),
+            addr: "127.0.0.1:9".parse().unwrap(),
+            cell: 2,
+            state: *state,
+            started_ms: 0,
+            role: None,
+        };
+        Members { version: 1, full, servers: ids.iter().map(member).collect() }
+    }
+
+    #[test]
+    fn who_is_gone_or_left_out_of_a_full_list_is_dropped_and_comes_back_under_another_number() {
+        let clock = Clock::at(Instant::now(), std::time::Duration::ZERO);
+        let mut held = Directory::default();
+        let first = held.learn(&members(true, &[("a", State::Ready), ("b", State::Terminating)]), &clock);
+        assert_eq!(first.len(), 2);
+        assert!(held.open(first[0].server).is_some() && held.open(first[1].server).is_none());
+        let gone = held.learn(&members(false, &[("a", State::Gone), ("never", State::Gone)]), &clock);
+        assert_eq!(
+            gone.iter().map(|e| (e.server, e.phase)).collect::<Vec<_>>(),
+            [(first[0].server, Phase::Gone)]
+        );
+        assert!(held.member(first[0].server).is_none());
+        let again = held.learn(&members(true, &[("a", State::Ready)]), &clock);
+        assert_ne!(again[0].server, first[0].server);
+        assert!(held.member(first[1].server).is_none(), "left out of a full list");
+        for n in 0..1000 {
+            let id = format!("r{n}");
+            for state in [State::Ready, State::Gone] {
+                held.learn(&members(false, &[(&id, state)]), &clock);
+            }
         }
+        assert_eq!((held.members.len(), held.numbers.len()), (1, 1));
     }
 }
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -258,6 +258,11 @@
                 keep
             });
         }
+        // Guards against: a pool for every db host there ever was.
+        self.pools.retain(|server, pool| {
+            let used = !pool.idle.is_empty() || !pool.waiting.is_empty() || pool.dialing > 0;
+            used || a.directory.open(*server).is_some()
+        });
     }
 
     /// Gives waiting jobs connections: idle ones first, then new ones.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -93,6 +93,8 @@
 struct Server {
     group: GroupId,
     usable: bool,
+    /// Removed from the list: dropped once nothing is out there.
+    gone: bool,
     cold_from: Option<Instant>,
     warm_at: Option<Instant>,
     weight: f64,
@@ -239,14 +241,35 @@
             for (id, server) in &mut self.servers {
                 let listed = entries.iter().any(|e| e.server == *id);
                 server.usable &= listed || self.settings.rules.soft_removal;
+                server.gone |= !listed && !server.usable;
             }
         }
         for entry in entries {
             self.on_entry(kind, entry);
         }
+        self.drop_gone();
         self.on_tick(now, out);
     }
 
+    /// Guards against: work and memory that grow with every server there ever was.
+    fn drop_gone(&mut self) {
+        let gone = |s: &Server| s.gone && s.out == 0;
+        if !self.servers.values().any(gone) {
+            return;
+        }
+        self.servers.retain(|_, server| !gone(server));
+        for group in self.groups.values_mut() {
+            group.members.retain(|m| self.servers.contains_key(m));
+            group.primary = group.primary.filter(|m| self.servers.contains_key(m));
+        }
+        self.groups.retain(|_, group| !group.members.is_empty() || !group.waiting.is_empty());
+    }
+
+    /// How many servers are held: those listed, and gone ones that an attempt is still out at.
+    pub fn held(&self) -> usize {
+        self.servers.len()
+    }
+
     fn on_entry(&mut self, kind: ListKind, entry: &Entry) {
         let fresh = !self.servers.contains_key(&entry.server);
         let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry.group));
@@ -255,6 +278,7 @@
             Phase::Draining => server.usable = false,
             Phase::Gone => server.usable = self.settings.rules.soft_removal && server.usable,
         }
+        server.gone = entry.phase == Phase::Gone && !server.usable;
         server.chill(entry.started, &self.settings);
         let group = self.groups.entry(entry.group).or_default();
         if fresh {
@@ -655,7 +679,7 @@
                 Status::Error if !p.erred.contains(&o.server) => p.erred.push(o.server),
                 Status::Good => {
                     for id in &p.erred {
-                        self.servers.get_mut(id).expect("sent there").accuse(now, FAILED);
+                        self.servers.entry(*id).and_modify(|s| s.accuse(now, FAILED));
                     }
                 }
                 _ => {}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -291,3 +291,31 @@
 fn a_cold_primary_that_serves_without_a_queue_may_be_sent_one_more_than_it_has_earned() {
     assert!(to_a_cold_primary(20) > to_a_cold_primary(900), "with a queue it is paced as before");
 }
+
+#[test]
+fn servers_that_are_gone_are_dropped_once_nothing_is_out_there() {
+    let mut g = Gateway::start(fleet_settings(), 1);
+    let (id, out) = g.request(BOUNDED);
+    assert_eq!(sends(&out), [(id, 1)]);
+    let patch = |server, phase| Event::List {
+        kind: ListKind::Patch,
+        entries: vec![Entry { phase, ..entry(server, false) }],
+    };
+    for server in 1..1000 {
+        g.play(patch(server, Phase::Serving));
+        g.play(patch(server, Phase::Gone));
+    }
+    assert_eq!(g.router.held(), 2, "the primary, and the one with an attempt out");
+    g.outcome(id, 0, 1, Status::Good);
+    g.play(patch(7, Phase::Draining));
+    assert_eq!(g.router.held(), 2, "one that drains is listed");
+    assert_eq!(sends(&g.request(BOUNDED).1)[0].1, 0);
+    // A request that erred at a server which is gone by the time another serves it.
+    g.play(patch(8, Phase::Serving));
+    let (id, out) = g.request(BOUNDED);
+    assert_eq!(sends(&out), [(id, 8)]);
+    assert_eq!(sends(&g.outcome(id, 0, 8, Status::Error)), [(id, 0)]);
+    g.play(Event::List { kind: ListKind::Whole, entries: vec![entry(0, true)] });
+    g.outcome(id, 1, 0, Status::Good);
+    assert_eq!(g.router.held(), 1, "left out of a whole list");
+}
