Take a db host that changed its set for another one, and name the field of a bad list

Lines: on_entry in src/policy.rs; mended where numbers are given, in gateway/src/core/directory.rs: the old number is told as gone, the new one as new. Also: a list that cannot be read is logged with its key (servers[0].cell), as configurations are.

--- a/gateway/src/core/directory.rs
+++ b/gateway/src/core/directory.rs
@@ -38,6 +38,12 @@
         self.members.get(&server)
     }
 
+    /// How many db hosts are held.
+    #[cfg(test)]
+    pub fn held(&self) -> usize {
+        self.members.len()
+    }
+
     /// The lowest group that has a db host which takes requests.
     pub fn first_group(&self) -> Option<u64> {
         self.members.values().filter(|member| member.serving).map(|member| member.group).min()
@@ -52,7 +58,23 @@
             let Self { numbers, members, .. } = self;
             numbers.retain(|id, server| listed.contains(id.as_str()) || members.remove(server).is_none());
         }
-        news.servers.iter().filter_map(|member| self.entry(member, clock)).collect()
+        let mut entries = Vec::with_capacity(news.servers.len());
+        for member in &news.servers {
+            entries.extend(self.moved(member, clock));
+            entries.extend(self.entry(member, clock));
+        }
+        entries
+    }
+
+    /// Guards against: requests of a set that go to a db host which has become one of another. To the module it is
+    /// another one from then on.
+    fn moved(&mut self, member: &Member, clock: &Clock) -> Option<Entry> {
+        let held = self.members.get(self.numbers.get(&member.id)?)?;
+        let (cell, addr) = (held.group, held.addr);
+        if cell == member.cell {
+            return None;
+        }
+        self.entry(&Member { cell, addr, state: State::Gone, ..member.clone() }, clock)
     }
 
     /// Guards against: a table that grows with every db host there ever was. One that is gone is told of and
@@ -124,6 +146,13 @@
         let again = held.learn(&members(true, &[("a", State::Ready)]), &clock);
         assert_ne!(again[0].server, first[0].server);
         assert!(held.member(first[1].server).is_none(), "left out of a full list");
+        let mut moved = members(false, &[("a", State::Ready)]);
+        moved.servers[0].cell = 3;
+        let [old, new] = &held.learn(&moved, &clock)[..] else {
+            panic!("gone from one set, new in the other")
+        };
+        assert_eq!((old.server, old.phase, old.group), (again[0].server, Phase::Gone, GroupId(2)));
+        assert_eq!((new.phase, new.group), (Phase::Serving, GroupId(3)));
         for n in 0..1000 {
             let id = format!("r{n}");
             for state in [State::Ready, State::Gone] {
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -2,6 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
 use super::*;
 use crate::proto::catalog::{Member, Role as ListedRole, State};
 
@@ -305,3 +308,111 @@
     let effects = b.give(Input::Ask(ClientId(3), ask));
     assert!(matches!(answers(&effects)[..], [(3, Answer::Refused { .. })]), "{effects:?}");
 }
+
+/// What the list does next, or a client.
+#[derive(Clone, Debug)]
+enum Move {
+    /// Entries as id, group, state and start; ids may come twice.
+    News(bool, Vec<(u8, u64, u8, bool)>),
+    Broken,
+    /// A read or a write of a group.
+    Ask(bool, u64),
+    /// The oldest attempt out ends.
+    End(u8),
+    Probed(u8),
+    Pass(u64),
+}
+
+fn moves() -> impl Strategy<Value = Vec<Move>> {
+    let entry = (0_u8..6, 0_u64..4, 0_u8..3, any::<bool>());
+    let one = prop_oneof![
+        4 => (any::<bool>(), prop::collection::vec(entry, 0..6)).prop_map(|(full, entries)| Move::News(full, entries)),
+        1 => Just(Move::Broken),
+        4 => (any::<bool>(), 0_u64..4).prop_map(|(write, group)| Move::Ask(write, group)),
+        4 => (0_u8..7).prop_map(Move::End),
+        1 => (0_u8..3).prop_map(Move::Probed),
+        2 => (1_u64..400).prop_map(Move::Pass),
+    ];
+    prop::collection::vec(one, 1..60)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn whatever_lists_come_each_request_is_answered_once_and_sent_to_its_own_group_alone(moves in moves()) {
+        let (mut b, _) = Bench::new();
+        // What a reader of the lists would hold: group, and whether it takes requests.
+        let mut listed: HashMap<String, (u64, bool)> = HashMap::new();
+        let (mut asked, mut answered, mut groups) = (HashMap::new(), HashMap::new(), HashMap::new());
+        let (mut out, mut probes) = (VecDeque::new(), VecDeque::new());
+        for (number, next) in moves.into_iter().chain([Move::Pass(9_000)]).enumerate() {
+            let client = number as u64 + 100;
+            let effects = match next {
+                Move::News(full, entries) => {
+                    let servers: Vec<Member> = entries.iter().map(|(id, cell, state, primary)| Member {
+                        cell: *cell,
+                        started_ms: if *primary { 0 } else { b.unix() },
+                        ..member(&id.to_string(), *primary, [State::Ready, State::Terminating, State::Gone][*state as usize])
+                    }).collect();
+                    if full {
+                        listed.clear();
+                    }
+                    for m in &servers {
+                        match m.state {
+                            State::Gone => drop(listed.remove(&m.id)),
+                            state => drop(listed.insert(m.id.clone(), (m.cell, state == State::Ready))),
+                        }
+                    }
+                    let version = 42 + number as u64;
+                    let effects = b.give(Input::Members(Members { version, full, servers }));
+                    // The two that the bench begins with are in no news of these.
+                    let most = listed.len() + 2;
+                    prop_assert!(b.core.directory().held() <= most, "more held than listed");
+                    effects
+                }
+                Move::Broken => b.give(Input::WatchBroken),
+                Move::Ask(write, group) => {
+                    asked.insert(client, group);
+                    groups.insert(RequestId(b.core.taken + 1), group);
+                    let ask = Ask { scope: Scope::Class(if write { "order" } else { "view" }.to_owned(), group),
+                        name: client.to_string().into_bytes(), ..ask(if write { "order" } else { "view" }, 1200) };
+                    b.give(Input::Ask(ClientId(client), ask))
+                }
+                Move::End(kind) => match out.pop_front() {
+                    Some(attempt) => b.end(attempt, [Status::Good, Status::Miss, Status::Full, Status::Error,
+                        Status::Reset, Status::ConnectFailed, Status::Timeout][kind as usize]),
+                    None => Vec::new(),
+                },
+                Move::Probed(kind) => match probes.pop_front() {
+                    Some(server) => {
+                        let status = [Status::Good, Status::ConnectFailed, Status::Timeout][kind as usize];
+                        b.give(Input::Probed(server, Ended::silent(status)))
+                    }
+                    None => Vec::new(),
+                },
+                Move::Pass(ms) => b.pass(Duration::from_millis(ms)),
+            };
+            for effect in &effects {
+                match effect {
+                    Effect::Start { attempt, server, .. } => {
+                        let held = b.core.directory().member(*server);
+                        prop_assert!(held.is_some_and(|held| held.serving), "sent to one that is not to be sent to");
+                        prop_assert_eq!(held.map(|held| held.group), groups.get(&attempt.0).copied());
+                        out.push_back(*attempt);
+                    }
+                    Effect::Answer(ClientId(client), _) => *answered.entry(*client).or_insert(0) += 1,
+                    Effect::Probe(server) => probes.push_back(*server),
+                    _ => {}
+                }
+            }
+        }
+        prop_assert_eq!(asked.len(), answered.len());
+        prop_assert!(answered.values().all(|times| *times == 1), "{:?}", answered);
+    }
+}
--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -128,8 +128,9 @@
         }
         self.lines.feed(&bytes, &mut lines).map_err(|e| e.to_string())?;
         for line in lines.iter().filter(|line| !line.is_empty()) {
+            let text = std::str::from_utf8(line).map_err(|e| format!("malformed list: {e}"))?;
             let members: Members =
-                serde_json::from_slice(line).map_err(|e| format!("malformed list: {e}"))?;
+                yewroute_settings::parse(text).map_err(|fault| format!("malformed list: {fault}"))?;
             inbox.push_back(Input::Members(members));
         }
         if taken == Taken::End || self.lines.ended() {
--- a/gateway/tests/rules.rs
+++ b/gateway/tests/rules.rs
@@ -114,18 +114,21 @@
     let first = &[
         "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n{\"v\"\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n\
+         3f\r\n{\"version\":43,\"full\":true,\"servers\":[{\"id\":\"s\",\"cell\":\"two\"}]}\n\r\n",
     ];
     let settings = include_str!("common/settings.json");
     let gateway = Gateway::start_after(first, &pair(&primary, &replica), settings);
     let drain = entry("s-b", &replica, "replica", "Terminating", 0);
     gateway.news.send(list(42, false, &[drain])).unwrap();
     let start = Instant::now();
-    while gateway.calls.lock().unwrap().len() < 3 {
+    while gateway.calls.lock().unwrap().len() < 4 {
         assert!(start.elapsed() < Duration::from_secs(30), "{}", gateway.log());
         thread::sleep(Duration::from_millis(20));
     }
-    assert_eq!(*gateway.calls.lock().unwrap(), ["GET /catalog/members?follow=1&since=41 HTTP/1.1\r\n"; 3]);
+    assert_eq!(*gateway.calls.lock().unwrap(), ["GET /catalog/members?follow=1&since=41 HTTP/1.1\r\n"; 4]);
     assert!(gateway.log().contains("status 503") && gateway.log().contains("malformed list"));
+    assert!(gateway.log().contains("servers[0].cell"), "{}", gateway.log());
     thread::sleep(Duration::from_millis(250));
     let mut client = gateway.client();
     assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
