--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -50,6 +50,8 @@
     pub listen: SocketAddr,
     /// Where discovery is.
     pub discovery: SocketAddr,
+    /// Where operators connect, if they do.
+    pub console: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// File descriptors that may be held.
@@ -72,6 +74,8 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    #[serde(default)]
+    console: Option<SocketAddr>,
     seed: String,
     limits: Limits,
     known: Members,
@@ -159,6 +163,10 @@
             name: variable("EDGE_NAME").unwrap_or(file.name),
             listen: address("EDGE_LISTEN", file.listen)?,
             discovery: address("EDGE_DISCOVERY", file.discovery)?,
+            console: match variable("EDGE_CONSOLE") {
+                Some(_) => Some(address("EDGE_CONSOLE", file.listen)?),
+                None => file.console,
+            },
             seed,
             sockets: file.limits.sockets,
             most_bytes: file.limits.memory_mb.saturating_mul(1024 * 1024) / PARTS,
@@ -192,7 +200,9 @@
         assert_eq!(config.listen.port(), 5432);
         let config = parse(&[("EDGE_NAME", "n7"), ("EDGE_LISTEN", "127.0.0.2:6000")]).unwrap();
         assert_eq!((config.name.as_str(), config.listen.port()), ("n7", 6000));
-        assert_eq!(config.discovery.port(), 8500);
+        assert_eq!((config.discovery.port(), config.console), (8500, None));
+        let config = parse(&[("EDGE_CONSOLE", "127.0.0.3:7000")]).unwrap();
+        assert_eq!(config.console.unwrap().to_string(), "127.0.0.3:7000");
     }
 
     #[test]
--- a/gateway/src/core/admit.rs
+++ b/gateway/src/core/admit.rs
@@ -5,39 +5,41 @@
 use super::{Answer, Ask, Core, Payload, Scope};
 
 impl<B: Payload> Core<B> {
-    /// The class and group of a request that is let in, or the answer to one that is not.
-    pub(super) fn admit(&self, ask: &Ask<B>) -> Result<(usize, u64), Answer> {
+    /// The class and group of a request that is let in, or the answer to one that is not and its class if it has one.
+    pub(super) fn admit(&self, ask: &Ask<B>) -> Result<(usize, u64), (Option<usize>, Answer)> {
         let (limits, classes) = (&self.deployment.module.limits, &self.deployment.module.classes);
         let retry_after = limits.retry_after.then_some(limits.max_retry_after);
         let placed = match &ask.scope {
             Scope::Class(class, group) => {
                 let class = self.deployment.class_names.iter().position(|name| name == class);
-                class.map(|class| (class, *group)).ok_or(Answer::Invalid("no such class"))
+                class.map(|class| (class, *group)).ok_or((None, Answer::Invalid("no such class")))
             }
             // The least demanding reads there are, and the first group that has a server.
             Scope::Anyone => {
                 let reads = |f: Freshness| matches!(f, Freshness::Any | Freshness::Bounded(_));
                 let class = classes.iter().position(|c| c.effect == Effect::Idempotent && reads(c.freshness));
-                let class = class.ok_or(Answer::Invalid("no class of reads that may be old"))?;
-                let group = self.directory.first_group().ok_or(Answer::Refused { retry_after })?;
+                let none = (None, Answer::Invalid("no class of reads that may be old"));
+                let class = class.ok_or(none)?;
+                let group = self.directory.first_group();
+                let group = group.ok_or((Some(class), Answer::Refused { retry_after }))?;
                 Ok((class, group))
             }
         };
         // Guards against: running out of memory in a jam. Refusing is harmless, nothing has been sent.
         let full =
             self.held.len() >= self.deployment.max_open || self.bytes + ask.body.bytes() > self.most_bytes;
-        match placed? {
+        let (class, group) = placed?;
+        let turned_away = match () {
             // Guards against: attempts spent on what no db host can use.
-            (class, _) if ask.writes != (classes[class].freshness == Freshness::Write) => {
-                Err(Answer::Invalid("the statement does not fit its class"))
+            () if ask.writes != (classes[class].freshness == Freshness::Write) => {
+                Answer::Invalid("the statement does not fit its class")
             }
             // Guards against: a client that sends another's open request once more. It would get what is not
             // its own, and a second copy would go out.
-            _ if self.names.contains(&ask.name) => {
-                Err(Answer::Invalid("a request of this id is open already"))
-            }
-            _ if full => Err(Answer::Refused { retry_after }),
-            placed => Ok(placed),
-        }
+            () if self.names.contains(&ask.name) => Answer::Invalid("a request of this id is open already"),
+            () if full => Answer::Refused { retry_after },
+            () => return Ok((class, group)),
+        };
+        Err((Some(class), turned_away))
     }
 }
--- a/gateway/src/core/directory.rs
+++ b/gateway/src/core/directory.rs
@@ -38,12 +38,16 @@
         self.members.get(&server)
     }
 
-    /// How many db hosts are held.
-    #[cfg(test)]
+    /// How many db hosts are listed.
     pub fn held(&self) -> usize {
         self.members.len()
     }
 
+    /// How many of them take no requests.
+    pub fn draining(&self) -> usize {
+        self.members.values().filter(|member| !member.serving).count()
+    }
+
     /// The lowest group that has a db host which takes requests.
     pub fn first_group(&self) -> Option<u64> {
         self.members.values().filter(|member| member.serving).map(|member| member.group).min()
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod route;
 mod send;
 mod take_in;
+mod tally;
 #[cfg(test)]
 mod tests;
 
@@ -28,6 +29,8 @@
 use crate::proto::catalog::Members;
 use crate::timers::Timers;
 pub use directory::Directory;
+use tally::End;
+pub use tally::{Results, Tally};
 
 /// A client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -134,6 +137,8 @@
     Members(Members),
     /// The watch could not be opened, or it broke.
     WatchBroken,
+    /// A client's request could not be read; it has been told so.
+    Unreadable,
 }
 
 /// Something to be done outside.
@@ -171,6 +176,7 @@
 
 struct Held<B> {
     client: ClientId,
+    class: usize,
     name: Vec<u8>,
     body: Rc<B>,
     sends: u32,
@@ -200,6 +206,7 @@
     /// Bytes of held requests, and the most there may be.
     bytes: usize,
     most_bytes: usize,
+    tally: Tally,
 }
 
 impl<B: Payload> Core<B> {
@@ -214,6 +221,7 @@
         effects: &mut Vec<Effect<B>>,
     ) -> Result<Self, SettingsError> {
         let router = Router::new(deployment.module.clone(), seed)?;
+        let tally = Tally::new(deployment.class_names.len());
         let mut core = Self {
             clock,
             deployment,
@@ -229,6 +237,7 @@
             taken: 0,
             bytes: 0,
             most_bytes,
+            tally,
         };
         core.begin(now, known, effects);
         Ok(core)
@@ -243,6 +252,7 @@
             Input::Probed(server, ended) => self.book_probe(now, server, &ended, effects),
             Input::Members(members) => self.book_members(now, members, effects),
             Input::WatchBroken => self.book_broken_watch(now, effects),
+            Input::Unreadable => self.tally.count(None, End::Aborted),
         }
     }
 
@@ -266,6 +276,21 @@
         &self.directory
     }
 
+    /// How many requests ended how.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
+    /// Requests held.
+    pub fn outstanding(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Listed db hosts that get nothing at `now`: those that drain, and those that the module avoids.
+    pub fn ejected(&self, now: Instant) -> usize {
+        self.directory.draining() + self.router.avoided(now)
+    }
+
     /// The settings in force.
     pub fn deployment(&self) -> &Deployment {
         &self.deployment
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -5,12 +5,23 @@
 use tracing::error;
 use yewroute::interface::{Event, RequestId};
 
-use super::{Answer, ClientId, Core, Effect, Held, Payload};
+use super::{Answer, ClientId, Core, Effect, End, Held, Payload};
+
+impl Answer {
+    /// What a request that gets this counts as.
+    pub(super) fn end(&self) -> End {
+        match self {
+            Self::Served(_) => End::Succeeded,
+            Self::Refused { .. } => End::Declined,
+            Self::Failed | Self::Invalid(_) => End::Aborted,
+        }
+    }
+}
 
 impl<B: Payload> Core<B> {
     /// The final answer; a request that is not held any more has had its own.
     pub(super) fn relay(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect<B>>) {
-        if let Some(held) = self.release(id) {
+        if let Some(held) = self.release(id, answer.end()) {
             effects.push(Effect::Answer(held.client, answer));
         }
     }
@@ -19,7 +30,7 @@
     /// its end still teaches the module.
     pub(super) fn leave(&mut self, now: Instant, client: ClientId, effects: &mut Vec<Effect<B>>) {
         let Some(id) = self.by_client.get(&client).copied() else { return };
-        let held = self.release(id);
+        let held = self.release(id, End::Aborted);
         effects.extend(held.and_then(|held| held.out).map(Effect::Withdraw));
         self.route(now, Event::Gone(id), effects);
     }
@@ -33,8 +44,10 @@
         self.route(now, Event::Gone(id), effects);
     }
 
-    fn release(&mut self, id: RequestId) -> Option<Held<B>> {
+    /// A request has ended: it is counted and its room is free.
+    fn release(&mut self, id: RequestId, end: End) -> Option<Held<B>> {
         let held = self.held.remove(&id)?;
+        self.tally.count(Some(held.class), end);
         self.by_client.remove(&held.client);
         self.names.remove(&held.name);
         self.bytes -= held.body.bytes();
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -22,7 +22,8 @@
     ) {
         let (class, group) = match self.admit(&ask) {
             Ok(placed) => placed,
-            Err(answer) => {
+            Err((class, answer)) => {
+                self.tally.count(class, answer.end());
                 effects.push(Effect::Answer(client, answer));
                 return;
             }
@@ -45,7 +46,7 @@
         if !ask.name.is_empty() {
             self.names.insert(ask.name.clone());
         }
-        let held = Held { client, name: ask.name, body: Rc::new(ask.body), sends: 0, out: None };
+        let held = Held { client, class, name: ask.name, body: Rc::new(ask.body), sends: 0, out: None };
         self.held.insert(id, held);
         self.by_client.insert(client, id);
         self.timers.set(now + wait + OVERDUE, Due::Overdue(id));
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use tracing::warn;
+use yewroute_lifecycle::Leaving;
 
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
@@ -13,14 +14,12 @@
 use crate::core::{Answer, Ask, ClientId, Scope};
 use crate::proto::pg::code;
 use crate::proto::pg::frame::LONGEST_QUERY;
-use crate::proto::pg::frontend::{self, Opening};
+use crate::proto::pg::frontend::{self, Local, Opening};
 use crate::proto::pg::request::{Body, Wanted};
 use crate::proto::pg::session::{Final, Session, Terms, Took};
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
 
-/// Connections that may wait to be accepted.
-const BACKLOG: i32 = 1024;
 /// Read ahead: a whole message and a little, or while a request is out only a little.
 const MOST_BUFFERED: usize = LONGEST_QUERY + CHUNK;
 /// Answers that wait to be written, beyond which no further message is taken.
@@ -37,6 +36,8 @@
 /// Where descriptors are short, connections give way after so long: such as have sent no request, and idle ones.
 const SILENT: Duration = Duration::from_millis(50);
 const IDLE: Duration = Duration::from_secs(2);
+/// While clients leave, a connection is given so long to say what it came for.
+const FRESH: Duration = Duration::from_millis(150);
 /// How long accepting rests when it failed for want of descriptors.
 const REST: Duration = Duration::from_millis(20);
 
@@ -89,13 +90,26 @@
     accepted: u64,
     most: usize,
     most_bytes: usize,
-    draining: bool,
+    welcome: Welcome,
     scratch: Vec<u8>,
     /// The statements of all clients.
     table: Table,
     rules: Rules,
 }
 
+/// What clients are told of this gateway's stage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Welcome {
+    /// Which connections leave.
+    pub leaving: Leaving,
+    /// What an empty query is answered.
+    pub yes: bool,
+    /// New connections are taken.
+    pub accepts: bool,
+    /// The listener stays open.
+    pub listens: bool,
+}
+
 /// How clients are served beyond simple queries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rules {
@@ -108,34 +122,30 @@
 }
 
 impl Clients {
-    /// Listens, for at most `most` connections that have read at most `most_bytes` ahead together.
-    pub fn listen(
-        now: Instant,
-        addr: SocketAddr,
-        most: usize,
-        most_bytes: usize,
-        rules: Rules,
-        poller: &Poller,
-    ) -> io::Result<Self> {
-        let listener = TcpListener::bind(addr)?;
-        listener.set_nonblocking(true)?;
-        rustix::net::listen(&listener, BACKLOG)?;
-        poller.add(&listener, Token::Listener, Interest::READ)?;
+    /// At most `most` connections that have read at most `most_bytes` ahead together.
+    pub fn new(now: Instant, most: usize, most_bytes: usize, rules: Rules) -> Self {
         let mut timers = Timers::new();
         timers.set(now + SWEEP, Due::Sweep);
-        Ok(Self {
-            listener: Some(listener),
-            listening: true,
+        Self {
+            listener: None,
+            listening: false,
             clients: HashMap::new(),
             timers,
             accepted: 0,
             most,
             most_bytes,
-            draining: false,
+            welcome: Welcome { leaving: Leaving::None, yes: true, accepts: true, listens: true },
             scratch: vec![0; CHUNK],
             table: Table::new(rules.table_bytes),
             rules,
-        })
+        }
+    }
+
+    /// Takes connections from this listener.
+    pub fn listen(&mut self, listener: TcpListener, poller: &Poller) -> io::Result<()> {
+        poller.add(&listener, Token::Listener, Interest::READ)?;
+        (self.listener, self.listening) = (Some(listener), true);
+        Ok(())
     }
 
     /// Connections that may be open, and bytes read ahead, from now on.
@@ -213,23 +223,44 @@
         }
     }
 
-    /// Closes the listener, once all that waits is accepted, and the connections between requests; the others
-    /// follow when they have their answers.
-    pub fn drain(&mut self, now: Instant, poller: &Poller) {
-        self.accept(now, poller);
-        self.listener = None;
-        self.draining = true;
-        for number in self.clients.keys().copied().collect::<Vec<_>>() {
-            let Some(client) = self.clients.get_mut(&number) else { continue };
-            if client.between() && client.buffer.is_empty() {
-                client.phase = Phase::Closing;
-                self.settle(now, number, poller);
+    /// Takes over what clients are told from now on. A listener that nobody will accept on again is emptied and closed.
+    pub fn welcome(&mut self, now: Instant, welcome: Welcome, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        if self.welcome == welcome {
+            return;
+        }
+        let before = std::mem::replace(&mut self.welcome, welcome);
+        if before.accepts && !welcome.listens {
+            self.accept(now, poller);
+        }
+        if !welcome.listens {
+            (self.listener, self.listening) = (None, false);
+        } else if let Some(listener) = &self.listener {
+            if self.listening && !welcome.accepts {
+                self.listening = poller.remove(listener).is_err();
+            } else if !self.listening && welcome.accepts {
+                self.timers.set(now, Due::Accept);
             }
         }
+        if welcome.leaving > before.leaving {
+            self.send_away(now, poller, inbox);
+        }
+    }
+
+    /// Closes the connections that are to leave without waiting for an answer.
+    fn send_away(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        let leaving = self.welcome.leaving;
+        let leaves = |client: &Client| client.leaves(now, leaving);
+        let numbers = self.clients.iter().filter(|(_, client)| leaves(client)).map(|(number, _)| *number);
+        for number in numbers.collect::<Vec<_>>() {
+            let Some(client) = self.clients.get_mut(&number) else { continue };
+            client.phase = Phase::Closing;
+            self.work(now, number, poller, inbox);
+        }
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.clients.is_empty()
+    /// Connections, those that are closing included.
+    pub fn len(&self) -> usize {
+        self.clients.len()
     }
 
     pub fn next(&self) -> Option<Instant> {
@@ -244,7 +275,9 @@
                     self.timers.set(now + SWEEP, Due::Sweep);
                 }
                 Due::Accept => {
-                    if let (false, Some(listener)) = (self.listening, &self.listener) {
+                    if let (false, true, Some(listener)) =
+                        (self.listening, self.welcome.accepts, &self.listener)
+                    {
                         self.listening = poller.add(listener, Token::Listener, Interest::READ).is_ok();
                         self.accept(now, poller);
                     }
@@ -256,6 +289,9 @@
     /// Guards against: connections kept open by clients that say nothing, stop within a message, or never
     /// take their answers.
     fn sweep(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        if self.welcome.leaving >= Leaving::Idle {
+            self.send_away(now, poller, inbox);
+        }
         let pipeline_idle = self.rules.pipeline_idle;
         let overdue = |client: &Client| client.overdue(now) || client.stalled(now, pipeline_idle);
         let numbers = self.clients.iter().filter(|(_, client)| overdue(client)).map(|(number, _)| *number);
@@ -358,9 +394,10 @@
     fn work(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return };
-            let stalled = client.take_messages(now, number, &mut self.table, inbox);
+            let stalled = client.take_messages(now, number, self.welcome.yes, &mut self.table, inbox);
             let idle = client.takes() && !stalled;
-            if client.ended && idle || self.draining && client.between() && idle {
+            let leaves = self.welcome.leaving >= Leaving::Answered && client.answered_last();
+            if (client.ended || leaves) && idle {
                 client.phase = Phase::Closing;
             }
             if !self.settle(now, number, poller) {
@@ -450,6 +487,24 @@
         matches!(self.phase, Phase::Idle(_)) && !self.session.open()
     }
 
+    /// It has just been answered, and nothing more of it has come.
+    fn answered_last(&self) -> bool {
+        self.asked && self.between() && self.buffer.is_empty() && self.wire.unwritten() > 0
+    }
+
+    /// It is to go at this stage without waiting for an answer. Guards against: a request that has come and is not
+    /// read yet, and a connection that has only just been made.
+    fn leaves(&self, now: Instant, leaving: Leaving) -> bool {
+        let fresh = now.saturating_duration_since(self.accepted) < FRESH;
+        let here = match self.phase {
+            Phase::Opening => true,
+            Phase::Idle(_) => !self.session.open() || leaving == Leaving::Parts,
+            _ => false,
+        };
+        let whole = self.buffer.is_empty() || leaving == Leaving::Parts;
+        leaving >= Leaving::Idle && here && whole && !fresh && self.wire.quiet()
+    }
+
     /// It has begun a pipeline and says neither more nor Sync. Guards against: portals and their rows held for
     /// a client that will never come back to them.
     fn stalled(&self, now: Instant, than: Duration) -> bool {
@@ -486,6 +541,7 @@
         &mut self,
         now: Instant,
         number: u64,
+        yes: bool,
         table: &mut Table,
         inbox: &mut VecDeque<Input>,
     ) -> bool {
@@ -499,7 +555,7 @@
             let step = if self.phase == Phase::Opening {
                 self.open(now, used)
             } else {
-                self.take_message(now, number, used, table, inbox)
+                self.take_message(now, number, used, yes, table, inbox)
             };
             match step {
                 Ok(Some(len)) => used += len,
@@ -541,13 +597,27 @@
         now: Instant,
         number: u64,
         from: usize,
+        yes: bool,
         table: &mut Table,
         inbox: &mut VecDeque<Input>,
     ) -> Result<Option<usize>, String> {
         let message = frontend::message(&self.buffer[from..]).map_err(|e| e.to_string())?;
         let Some((message, len)) = message else { return Ok(None) };
         let query = matches!(message, frontend::Message::Query(_));
-        match self.session.take(&message, table, self.wire.out())? {
+        if let (false, frontend::Message::Query(text), false) = (yes, &message, self.session.open()) {
+            if frontend::local(text) == Some(Local::Empty) {
+                let out = self.wire.out();
+                frontend::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, "this gateway drains", None);
+                frontend::put_ready(out);
+                self.asked = true;
+                return Ok(Some(len));
+            }
+        }
+        let took = self.session.take(&message, table, self.wire.out());
+        if took.is_err() && query {
+            inbox.push_back(Input::Unreadable);
+        }
+        match took? {
             Took::Close => self.phase = Phase::Closing,
             Took::Ask(wanted) => {
                 inbox.push_back(Input::Ask(ClientId(number), ask(wanted)));
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -75,6 +75,8 @@
     sent: Sent,
     /// Part of an answer has come.
     begun: bool,
+    /// An attempt is being written, whose last byte is not out yet.
+    forwarding: bool,
     writable: bool,
 }
 
@@ -94,6 +96,8 @@
     timers: Timers<Due>,
     opened: u64,
     started: u64,
+    /// Attempts written whole.
+    forwards: u64,
     most: usize,
     /// Bytes that answers under way may take.
     most_bytes: usize,
@@ -139,6 +143,7 @@
             timers,
             opened: 0,
             started: 0,
+            forwards: 0,
             most,
             most_bytes,
             speech,
@@ -158,6 +163,11 @@
         self.speech = speech;
     }
 
+    /// Attempts written whole so far.
+    pub fn forwards(&self) -> u64 {
+        self.forwards
+    }
+
     /// Starts an attempt.
     pub fn start(
         &mut self,
@@ -339,6 +349,8 @@
         job.conn = Some(number);
         conn.state = State::Busy(id);
         conn.begun = false;
+        // An attempt that is written once more, as its statement was not there, is the same one.
+        conn.forwarding = matches!(id, JobId::Attempt(_)) && !job.again;
         let wait = job.cut_at.saturating_duration_since(a.now);
         let body = job.body.clone();
         conn.sent = Sent::default();
@@ -350,7 +362,7 @@
             }
             None => backend::put_query(conn.wire.out(), |out| out.extend(backend::SHOW_LOAD)),
         }
-        if conn.flush(number, a).is_err() {
+        if conn.flush(number, &mut self.forwards, a).is_err() {
             self.lose(number, a);
         }
     }
@@ -365,7 +377,9 @@
             conn.state = State::Starting;
             backend::put_startup(conn.wire.out());
         }
-        if (event.write || conn.state == State::Starting) && conn.flush(number, a).is_err() {
+        if (event.write || conn.state == State::Starting)
+            && conn.flush(number, &mut self.forwards, a).is_err()
+        {
             self.lose(number, a);
             return;
         }
@@ -538,6 +552,7 @@
             prepared: Prepared::default(),
             sent: Sent::default(),
             begun: false,
+            forwarding: false,
             writable: false,
         }
     }
@@ -548,8 +563,12 @@
     }
 
     /// Writes what there is room for, and asks to be woken for the rest.
-    fn flush(&mut self, number: u64, a: &mut Around) -> std::io::Result<()> {
+    fn flush(&mut self, number: u64, forwards: &mut u64, a: &mut Around) -> std::io::Result<()> {
         let writable = !self.wire.flush()?;
+        if self.forwarding && !writable {
+            self.forwarding = false;
+            *forwards += 1;
+        }
         if writable != self.writable || self.state == State::Starting {
             self.writable = writable;
             let interest = Interest { read: true, write: writable };
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -1,8 +1,10 @@
 //! Adapters to sockets and signals, on one thread: epoll wakes it, the core says what is to be done.
 
 mod clients;
+mod console;
 mod discovery;
 mod hosts;
+mod listener;
 pub(crate) mod poller;
 mod signals;
 pub(crate) mod wire;
@@ -17,14 +19,17 @@
 use tracing::{error, info, warn};
 use yewroute::interface::SettingsError;
 use yewroute_edge::Edge;
+use yewroute_lifecycle::{Lifecycle, Stage};
 
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::core::{self, Core, Payload};
+use crate::core::{self, Core, Payload, Results};
+use crate::proto::console::{self as calls, Call, Figures};
 use crate::proto::pg::exchange::Dialect;
 use crate::proto::pg::request::Body;
 use crate::proto::pg::session::{Limits, Terms};
-use clients::{Clients, Rules};
+use clients::{Clients, Rules, Welcome};
+use console::Console;
 use discovery::Discovery;
 use hosts::{Around, Hosts, Speech};
 use poller::{Interest, Poller, Ready, Token};
@@ -41,11 +46,8 @@
 
 /// Descriptors kept for the listener, the poller, the watch, signals and the standard streams.
 const RESERVED: usize = 16;
-/// How long after SIGTERM new connections are still taken: clients hear of it only then.
-const NOTICE: Duration = Duration::from_millis(500);
-
-/// Past the longest deadline, to let the last answers out.
-const LEEWAY: Duration = Duration::from_millis(100);
+/// How long a gateway that is run by a console waits for a list before it serves without one.
+const LIST_WAIT: Duration = Duration::from_secs(3);
 
 /// Why the gateway cannot run.
 #[derive(Debug, Error)]
@@ -56,6 +58,9 @@
     /// The listener.
     #[error("cannot listen on {0}: {1}")]
     Listen(SocketAddr, io::Error),
+    /// The console.
+    #[error("console: cannot listen on {0}: {1}")]
+    Console(SocketAddr, io::Error),
     /// The poller or the signals.
     #[error("{0}")]
     Io(#[from] io::Error),
@@ -79,7 +84,8 @@
 
 /// How many connections clients and db hosts may have.
 fn shares(config: &Config) -> (usize, usize) {
-    let usable = config.sockets - RESERVED;
+    let console = config.console.map_or(0, |_| console::share(config.sockets));
+    let usable = config.sockets - RESERVED - console;
     (usable - usable / 2, usable / 2)
 }
 
@@ -89,18 +95,17 @@
     hosts: Hosts,
     discovery: Discovery,
     signals: Signals,
+    console: Option<Console>,
     core: Core<Body>,
+    life: Lifecycle,
+    /// When it serves even without a list, while it does not yet.
+    serves_by: Option<Instant>,
     /// As they were at the start; they stay so.
     name: String,
     listen: SocketAddr,
     edge_file: Option<PathBuf>,
     inbox: VecDeque<Input>,
     effects: Vec<Effect>,
-    /// Since SIGTERM: when the listener closes, and when nothing can be owed any more.
-    drain_at: Option<Instant>,
-    stop_at: Option<Instant>,
-    longest_deadline: Duration,
-    draining: bool,
 }
 
 /// Serves until SIGTERM has come and all is answered.
@@ -109,8 +114,8 @@
     let mut ready = Vec::new();
     let mut now = Instant::now();
     gateway.settle(now);
-    while !gateway.done(now) {
-        gateway.poller.wait(now, gateway.next(), &mut ready)?;
+    while !gateway.life.done(now, gateway.clients.len()) {
+        gateway.poller.wait(now, gateway.next(now), &mut ready)?;
         now = Instant::now();
         for event in ready.drain(..) {
             gateway.ready(now, event);
@@ -131,8 +136,13 @@
         let (most_clients, most_hosts) = shares(&config);
         let listen = config.listen;
         let (rules, speech) = manners(&config.edge);
-        let clients = Clients::listen(now, listen, most_clients, config.most_bytes, rules, &poller)
-            .map_err(|error| RunError::Listen(listen, error))?;
+        let operated = config.console.is_some();
+        let mut clients = Clients::new(now, most_clients, config.most_bytes, rules);
+        let console = config.console.map(|addr| {
+            let console = Console::listen(now, addr, console::share(config.sockets), &poller);
+            console.map_err(|error| RunError::Console(addr, error))
+        });
+        let console = console.transpose()?;
         let deployment = config.deployment;
         let longest_deadline = deployment.module.classes.iter().map(|class| class.deadline).max();
         let longest_deadline = longest_deadline.unwrap_or_default();
@@ -154,42 +164,40 @@
             config.known,
             &mut effects,
         )?;
+        let wrong = |error| RunError::Listen(listen, error);
+        clients.listen(listener::bind(listen, operated).map_err(wrong)?, &poller).map_err(wrong)?;
         let addr = clients.addr()?;
         info!(name = config.name, %addr, "listening");
+        if let Some(console) = &console {
+            info!(addr = %console.addr()?, "console listening");
+        }
         Ok(Self {
             poller,
             clients,
             hosts,
             discovery: Discovery::new(config.discovery),
             signals,
+            console,
             core,
+            life: Lifecycle::new(longest_deadline),
+            serves_by: Some(if operated { now + LIST_WAIT } else { now }),
             name: config.name,
             listen,
             edge_file: config.edge_file,
             inbox: VecDeque::new(),
             effects,
-            drain_at: None,
-            stop_at: None,
-            longest_deadline,
-            draining: false,
         })
     }
 
-    /// Nothing is owed any more. Clients that hold a connection without a request, or stopped within one, do
-    /// not keep the program running.
-    fn done(&self, now: Instant) -> bool {
-        self.draining && (self.clients.is_empty() || self.stop_at.is_some_and(|at| at <= now))
-    }
-
-    fn next(&self) -> Option<Instant> {
-        let drain_at = self.drain_at.filter(|_| !self.draining);
+    fn next(&self, now: Instant) -> Option<Instant> {
         let next = [
             self.core.next(),
             self.hosts.next(),
             self.clients.next(),
             self.discovery.next(),
-            drain_at,
-            self.stop_at,
+            self.console.as_ref().and_then(Console::next),
+            self.life.next(now),
+            self.serves_by,
         ];
         next.into_iter().flatten().min()
     }
@@ -202,10 +210,9 @@
                 if came.reload {
                     self.reload(now);
                 }
-                if came.terminate && self.drain_at.is_none() {
+                if came.terminate {
                     info!("SIGTERM: draining");
-                    self.drain_at = Some(now + NOTICE);
-                    self.stop_at = Some(now + NOTICE + self.longest_deadline + LEEWAY);
+                    self.life.terminate(now);
                 }
             }
             Token::Watch(number) => {
@@ -214,6 +221,9 @@
             Token::Client(number) => {
                 self.clients.ready(now, number, event, &self.poller, &mut self.inbox);
             }
+            Token::Console(number) => {
+                self.callers(now, number);
+            }
             Token::Host(number) => {
                 let (hosts, mut around) = self.hosts(now);
                 hosts.ready(number, event, &mut around);
@@ -256,9 +266,86 @@
         // What has come counts before what is overdue.
         self.settle(now);
         self.core.tick(now, &mut self.effects);
-        if !self.draining && self.drain_at.is_some_and(|at| at <= now) {
-            self.draining = true;
-            self.clients.drain(now, &self.poller);
+        if let Some(console) = &mut self.console {
+            console.tick(now, &self.poller);
+        }
+        self.attend(now);
+    }
+
+    /// Lets the stage that it is at have its way with the clients.
+    fn attend(&mut self, now: Instant) {
+        if self.serves_by.is_some_and(|by| by <= now || self.core.directory().first_group().is_some()) {
+            self.serves_by = None;
+            self.life.serves();
+        }
+        let welcome = Welcome {
+            leaving: self.life.leaving(now),
+            yes: self.life.says_yes(),
+            accepts: self.life.accepts(now),
+            listens: !self.life.closes_listener(now),
+        };
+        self.clients.welcome(now, welcome, &self.poller, &mut self.inbox);
+    }
+
+    /// Reads the console's callers, those that wait to be taken if `number` is the listener's, and answers calls.
+    fn callers(&mut self, now: Instant, number: u64) {
+        for _ in 0..console::AT_ONCE {
+            let Some(console) = &mut self.console else { return };
+            let caller = if number == 0 { console.accept(now, &self.poller) } else { Some(number) };
+            let Some(caller) = caller else { return };
+            if let Some(call) = console.read(now, caller, &self.poller) {
+                let mut answer = Vec::new();
+                self.call(now, call, &mut answer);
+                let Some(console) = &mut self.console else { return };
+                console.answer(now, caller, &self.poller, |out| out.extend(answer));
+            }
+            if number != 0 {
+                return;
+            }
+        }
+    }
+
+    /// Answers an operator's call.
+    fn call(&mut self, now: Instant, call: Call, out: &mut Vec<u8>) {
+        let stage = |gateway: &Self| match gateway.life.stage(gateway.clients.len()) {
+            Stage::Starting => "starting",
+            Stage::Ready => "ready",
+            Stage::Draining => "draining",
+            Stage::Drained => "drained",
+            Stage::Stopping => "stopping",
+        };
+        match call {
+            Call::Ready => calls::put_word(out, self.life.ready(), stage(self)),
+            Call::Drain => {
+                info!("console: drain");
+                self.life.drain(now);
+                calls::put_word(out, true, stage(self));
+            }
+            Call::Undrain => {
+                info!("console: undrain");
+                match self.life.undrain() {
+                    true => calls::put_word(out, true, stage(self)),
+                    false => calls::put_conflict(out, stage(self)),
+                }
+            }
+            Call::Metrics => calls::put_figures(out, &self.figures(now)),
+        }
+        self.attend(now);
+    }
+
+    fn figures(&self, now: Instant) -> Figures<'_> {
+        let names = self.core.deployment().class_names.iter().map(String::as_str);
+        let tally = self.core.tally();
+        let mut results: Vec<_> = names.zip(tally.classes().iter().copied()).collect();
+        if tally.unlisted() != Results::default() {
+            results.push(("", tally.unlisted()));
+        }
+        Figures {
+            results,
+            forwards: self.hosts.forwards(),
+            outstanding: self.core.outstanding(),
+            discovered: self.core.directory().held(),
+            ejected: self.core.ejected(now),
         }
     }
 
--- a/gateway/src/net/poller.rs
+++ b/gateway/src/net/poller.rs
@@ -24,6 +24,8 @@
     Client(u64),
     /// A connection to a db host.
     Host(u64),
+    /// A caller of the console; 0 is its listener.
+    Console(u64),
 }
 
 impl Token {
@@ -34,6 +36,7 @@
             Self::Watch(number) => number << 3 | 2,
             Self::Client(number) => number << 3 | 3,
             Self::Host(number) => number << 3 | 4,
+            Self::Console(number) => number << 3 | 5,
         }
     }
 
@@ -43,7 +46,8 @@
             (1, _) => Self::Signals,
             (2, number) => Self::Watch(number),
             (3, number) => Self::Client(number),
-            (_, number) => Self::Host(number),
+            (4, number) => Self::Host(number),
+            (_, number) => Self::Console(number),
         }
     }
 }
--- /dev/null
+++ b/gateway/src/proto/console.rs
@@ -0,0 +1,249 @@
+//! The operators' calls: HTTP/1.1, one on a connection, without I/O.
+
+use std::fmt::Write;
+
+use crate::core::Results;
+
+/// The longest head of a call that is read.
+pub const LONGEST_HEAD: usize = 4 * 1024;
+/// The most header fields of one.
+const MOST_FIELDS: usize = 32;
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process takes clients.
+    Ready,
+    /// The figures.
+    Metrics,
+    /// Send clients away.
+    Drain,
+    /// Take clients again.
+    Undrain,
+}
+
+/// A call that is not answered with what it asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It cannot be read.
+    Malformed,
+    /// Nothing is at this path.
+    UnknownPath,
+    /// The path has another method.
+    Method(&'static str),
+    /// The head is too long.
+    TooLong,
+    /// It has not come whole in time.
+    Late,
+}
+
+/// Paths, with the one method of each.
+const CALLS: [(&str, &str, Call); 4] = [
+    ("/ready", "GET", Call::Ready),
+    ("/metrics", "GET", Call::Metrics),
+    ("/drain", "PUT", Call::Drain),
+    ("/undrain", "PUT", Call::Undrain),
+];
+
+/// Reads a call once its head is whole; a body is not looked at.
+pub fn call(bytes: &[u8]) -> Result<Option<Call>, Fault> {
+    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut request = httparse::Request::new(&mut fields);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Complete(len)) if len > LONGEST_HEAD => Err(Fault::TooLong),
+        Ok(httparse::Status::Complete(_)) => {
+            let (path, method) = (request.path.unwrap_or_default(), request.method.unwrap_or_default());
+            let path = path.split('?').next().unwrap_or_default();
+            let found = CALLS.iter().find(|(known, ..)| *known == path).ok_or(Fault::UnknownPath)?;
+            if found.1 == method {
+                Ok(Some(found.2))
+            } else {
+                Err(Fault::Method(found.1))
+            }
+        }
+        Ok(httparse::Status::Partial) if bytes.len() >= LONGEST_HEAD => Err(Fault::TooLong),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(Fault::TooLong),
+        Err(_) => Err(Fault::Malformed),
+    }
+}
+
+/// Appends a whole answer.
+fn put(out: &mut Vec<u8>, status: &str, kind: &str, more: &str, body: &str) {
+    let len = body.len();
+    let head = format!(
+        "HTTP/1.1 {status}\r\nContent-Type: {kind}\r\nContent-Length: {len}\r\n{more}Connection: close\r\n\r\n"
+    );
+    out.extend(head.as_bytes());
+    out.extend(body.as_bytes());
+}
+
+/// Appends the answer yes or no, with a word on why.
+pub fn put_word(out: &mut Vec<u8>, yes: bool, word: &str) {
+    let status = if yes { "200 OK" } else { "503 Service Unavailable" };
+    put(out, status, "text/plain", "", &format!("{word}\n"));
+}
+
+/// Appends the answer to an undrain that comes too late.
+pub fn put_conflict(out: &mut Vec<u8>, word: &str) {
+    put(out, "409 Conflict", "text/plain", "", &format!("{word}\n"));
+}
+
+/// Appends the answer to a call at fault.
+pub fn put_fault(out: &mut Vec<u8>, fault: Fault) {
+    let (status, more) = match fault {
+        Fault::Malformed => ("400 Bad Request", String::new()),
+        Fault::UnknownPath => ("404 Not Found", String::new()),
+        Fault::Method(allowed) => ("405 Method Not Allowed", format!("Allow: {allowed}\r\n")),
+        Fault::Late => ("408 Request Timeout", String::new()),
+        Fault::TooLong => ("431 Request Header Fields Too Large", String::new()),
+    };
+    put(out, status, "text/plain", &more, &format!("{}\n", &status[4..]));
+}
+
+/// What `GET /metrics` tells.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures<'a> {
+    /// Classes by name.
+    pub results: Vec<(&'a str, Results)>,
+    /// Attempts written whole to db hosts.
+    pub forwards: u64,
+    /// Requests held.
+    pub outstanding: usize,
+    /// Db hosts in the list.
+    pub discovered: usize,
+    /// Those of them that are avoided.
+    pub ejected: usize,
+}
+
+/// Appends the figures in the text format that Prometheus reads.
+pub fn put_figures(out: &mut Vec<u8>, figures: &Figures<'_>) {
+    let mut body = String::from("# TYPE svc_results counter\n");
+    for (class, results) in &figures.results {
+        let class = escaped(class);
+        let Results { succeeded, declined, aborted } = *results;
+        for (disposition, count) in [("succeeded", succeeded), ("declined", declined), ("aborted", aborted)] {
+            let _ =
+                writeln!(body, "svc_results{{service=\"{class}\",disposition=\"{disposition}\"}} {count}");
+        }
+    }
+    let _ = writeln!(body, "# TYPE svc_forwards counter\nsvc_forwards {}", figures.forwards);
+    let Figures { outstanding, discovered, ejected, .. } = figures;
+    for (name, value) in [("outstanding", outstanding), ("discovered", discovered), ("ejected", ejected)] {
+        let _ = writeln!(body, "# TYPE svc_{name} gauge\nsvc_{name} {value}");
+    }
+    put(out, "200 OK", "text/plain; version=0.0.4", "", &body);
+}
+
+/// A label's value: backslash, quote and line end are escaped.
+fn escaped(text: &str) -> String {
+    text.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The same however a call is split: byte by byte, what is read of each beginning never changes.
+    fn read(text: &[u8]) -> Result<Option<Call>, Fault> {
+        let whole = call(text);
+        for len in 0..text.len() {
+            match call(&text[..len]) {
+                Ok(None) => {}
+                early => assert_eq!(early, whole, "after {len} bytes of {}", text.escape_ascii()),
+            }
+        }
+        whole
+    }
+
+    #[test]
+    fn calls_are_read_at_any_split() {
+        let cases: &[(&str, Result<Option<Call>, Fault>)] = &[
+            ("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n", Ok(Some(Call::Ready))),
+            ("GET /metrics?all=1 HTTP/1.1\r\nHost: a\r\nAccept: */*\r\n\r\n", Ok(Some(Call::Metrics))),
+            ("PUT /drain HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", Ok(Some(Call::Drain))),
+            ("PUT /undrain HTTP/1.0\r\n\r\n", Ok(Some(Call::Undrain))),
+            ("GET /ready HTTP/1.1\nHost: a\n\n", Ok(Some(Call::Ready))),
+            ("GET /drain HTTP/1.1\r\n\r\n", Err(Fault::Method("PUT"))),
+            ("POST /drain HTTP/1.1\r\n\r\n", Err(Fault::Method("PUT"))),
+            ("PUT /ready HTTP/1.1\r\n\r\n", Err(Fault::Method("GET"))),
+            ("GET / HTTP/1.1\r\n\r\n", Err(Fault::UnknownPath)),
+            ("GET /readyy HTTP/1.1\r\n\r\n", Err(Fault::UnknownPath)),
+            ("GET /ready HTTP/2.0\r\n\r\n", Err(Fault::Malformed)),
+            ("GET /ready\r\n\r\n", Err(Fault::Malformed)),
+            ("\x16\x03\x01\x02", Err(Fault::Malformed)),
+            ("GET /ready HTTP/1.1\r\nno colon\r\n\r\n", Err(Fault::Malformed)),
+            ("GET /ready HTTP/1.1\r\nHost: a\r\n", Ok(None)),
+            ("", Ok(None)),
+        ];
+        for (text, want) in cases {
+            assert_eq!(read(text.as_bytes()), *want, "{text:?}");
+        }
+        let long = format!("GET /ready HTTP/1.1\r\nX: {}", "x".repeat(LONGEST_HEAD));
+        assert_eq!(call(long.as_bytes()), Err(Fault::TooLong));
+        let many = format!("GET /ready HTTP/1.1\r\n{}\r\n", "X: y\r\n".repeat(MOST_FIELDS + 1));
+        assert_eq!(call(many.as_bytes()), Err(Fault::TooLong));
+    }
+
+    #[test]
+    fn answers_are_written_whole() {
+        let text = |write: &dyn Fn(&mut Vec<u8>)| {
+            let mut out = Vec::new();
+            write(&mut out);
+            String::from_utf8(out).unwrap()
+        };
+        assert_eq!(
+            text(&|out| put_word(out, true, "ready")),
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\nConnection: close\r\n\r\nready\n"
+        );
+        let starts = |write: &dyn Fn(&mut Vec<u8>), want: &str| {
+            let text = text(write);
+            assert!(text.starts_with(want), "{text}");
+        };
+        starts(&|out| put_word(out, false, "draining"), "HTTP/1.1 503 ");
+        starts(&|out| put_conflict(out, "stopping"), "HTTP/1.1 409 ");
+        for (fault, status) in [
+            (Fault::Malformed, "400"),
+            (Fault::UnknownPath, "404"),
+            (Fault::Late, "408"),
+            (Fault::TooLong, "431"),
+        ] {
+            starts(&|out| put_fault(out, fault), &format!("HTTP/1.1 {status} "));
+        }
+        let method = text(&|out| put_fault(out, Fault::Method("PUT")));
+        assert!(method.starts_with("HTTP/1.1 405 ") && method.contains("\r\nAllow: PUT\r\n"), "{method}");
+    }
+
+    #[test]
+    fn figures_list_every_class_and_escape_its_name() {
+        let some = Results { succeeded: 812, declined: 3, aborted: 1 };
+        let figures = Figures {
+            results: vec![("flight-view", some), ("odd \"\\\n", Results::default())],
+            forwards: 901,
+            outstanding: 14,
+            discovered: 8,
+            ejected: 2,
+        };
+        let mut out = Vec::new();
+        put_figures(&mut out, &figures);
+        let text = String::from_utf8(out).unwrap();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap();
+        assert!(head.contains(&format!("Content-Length: {}", body.len())), "{head}");
+        let lines: Vec<_> = body.lines().filter(|line| !line.starts_with('#')).collect();
+        assert_eq!(
+            lines,
+            [
+                r#"svc_results{service="flight-view",disposition="succeeded"} 812"#,
+                r#"svc_results{service="flight-view",disposition="declined"} 3"#,
+                r#"svc_results{service="flight-view",disposition="aborted"} 1"#,
+                r#"svc_results{service="odd \"\\\n",disposition="succeeded"} 0"#,
+                r#"svc_results{service="odd \"\\\n",disposition="declined"} 0"#,
+                r#"svc_results{service="odd \"\\\n",disposition="aborted"} 0"#,
+                "svc_forwards 901",
+                "svc_outstanding 14",
+                "svc_discovered 8",
+                "svc_ejected 2",
+            ]
+        );
+    }
+}
--- a/gateway/src/proto/mod.rs
+++ b/gateway/src/proto/mod.rs
@@ -2,6 +2,7 @@
 //! and a length is checked before anything is set aside for it.
 
 pub mod catalog;
+pub mod console;
 pub mod http;
 pub use yewroute_pgwire as pg;
 #[cfg(test)]
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -3,8 +3,8 @@
 // Each test program uses its own part of this.
 #![allow(dead_code)]
 
-use std::io::{BufRead, BufReader, Write};
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::Sender;
@@ -38,6 +38,8 @@
     pub discovery: SocketAddr,
     config: String,
     folder: tempfile::TempDir,
+    /// Where its console is, if it has one.
+    pub console: Option<SocketAddr>,
 }
 
 impl Gateway {
@@ -51,15 +53,26 @@
 
     /// Discovery answers the first calls as given, and closes; only then does it open a watch.
     pub fn start_after(first: &'static [&'static str], known: &str, settings: &str) -> Self {
-        Self::launch(first, known, settings, None)
+        Self::launch(first, known, settings, None, false)
     }
 
     /// The gateway with an operator's file.
     pub fn with_edge(known: &str, edge: &str) -> Self {
-        Self::launch(&[], known, include_str!("settings.json"), Some(edge))
+        Self::launch(&[], known, include_str!("settings.json"), Some(edge), false)
     }
 
-    fn launch(first: &'static [&'static str], known: &str, settings: &str, edge: Option<&str>) -> Self {
+    /// The gateway with a console.
+    pub fn operated(known: &str) -> Self {
+        Self::launch(&[], known, include_str!("settings.json"), None, true)
+    }
+
+    fn launch(
+        first: &'static [&'static str],
+        known: &str,
+        settings: &str,
+        edge: Option<&str>,
+        operated: bool,
+    ) -> Self {
         let Discovery { addr: discovery_addr, news, calls } = Discovery::start(first);
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("config.json");
@@ -76,6 +89,8 @@
         let mut child = command
             .env_clear()
             .env("EDGE_CONFIG", path)
+            .env("TMPDIR", folder.path())
+            .envs(operated.then_some(("EDGE_CONSOLE", "127.0.0.1:0")))
             .env("EDGE_DISCOVERY", discovery_addr.to_string())
             .stderr(Stdio::piped())
             .spawn()
@@ -83,6 +98,8 @@
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let first = lines.next().unwrap().unwrap();
         let addr = first.rsplit("addr=").next().unwrap().parse().expect("it says where it listens");
+        let mut place = |line: String| line.rsplit("addr=").next().and_then(|addr| addr.parse().ok());
+        let console = if operated { lines.next().and_then(Result::ok).and_then(&mut place) } else { None };
         let log = Arc::new(Mutex::new(String::new()));
         let kept = Arc::clone(&log);
         thread::spawn(move || {
@@ -90,7 +107,7 @@
                 kept.lock().unwrap().push_str(&(line + "\n"));
             }
         });
-        Self { child, addr, news, calls, log, discovery: discovery_addr, config, folder }
+        Self { child, addr, news, calls, log, discovery: discovery_addr, config, folder, console }
     }
 
     /// One primary and one replica, both well.
@@ -105,6 +122,25 @@
         client
     }
 
+    /// An operator's call: status and body.
+    pub fn call(&self, call: &str) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.console.expect("with a console")).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(format!("{call} HTTP/1.1\r\nHost: gateway\r\n\r\n").as_bytes()).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        let (head, body) = text.split_once("\r\n\r\n").unwrap_or_else(|| panic!("{text:?}"));
+        (head.split(' ').nth(1).unwrap().parse().unwrap(), body.to_owned())
+    }
+
+    /// A figure, such as `svc_outstanding`.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (status, body) = self.call("GET /metrics");
+        assert_eq!(status, 200);
+        let value = body.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+        value.unwrap_or_else(|| panic!("no {name} in {body}")).parse().unwrap()
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
--- /dev/null
+++ b/gateway/tests/service.rs
@@ -0,0 +1,234 @@
+//! Daily service on real sockets: console, figures, drains.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::*;
+
+#[test]
+fn a_console_answers_within_a_second_beside_a_hundred_silent_callers() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    let console = gateway.console.unwrap();
+    let silent: Vec<_> = (0..100).map(|_| TcpStream::connect(console).unwrap()).collect();
+    let mut half = TcpStream::connect(console).unwrap();
+    half.write_all(b"GET /rea").unwrap();
+    for _ in 0..20 {
+        let start = Instant::now();
+        assert_eq!(gateway.call("GET /ready"), (200, "ready\n".to_owned()));
+        assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+    }
+    assert_eq!(gateway.client().ask(&statement("view", 1000, "")), b"TDCZ", "clients are served beside them");
+    half.write_all(b"dy HTTP/1.1\r\n\r\n").unwrap();
+    let mut answer = String::new();
+    half.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200 "), "in two pieces: {answer:?}");
+    drop(silent);
+    for (call, status) in [("PUT /ready", 405), ("GET /nothing", 404), ("GET", 400)] {
+        assert_eq!(gateway.call(call).0, status, "{call}");
+    }
+    // One that has said half a call is told so in the end.
+    let mut late = TcpStream::connect(console).unwrap();
+    late.write_all(b"GET /ready").unwrap();
+    let mut answer = String::new();
+    late.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer:?}");
+}
+
+#[test]
+fn without_a_console_the_address_is_this_process_s_alone() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    assert!(gateway.console.is_none() && !gateway.log().contains("console"));
+    let socket =
+        rustix::net::socket(rustix::net::AddressFamily::INET, rustix::net::SocketType::STREAM, None).unwrap();
+    rustix::net::sockopt::set_socket_reuseport(&socket, true).unwrap();
+    assert!(rustix::net::bind(&socket, &gateway.addr).is_err());
+}
+
+/// Counts that the figures tell.
+fn results(gateway: &Gateway, class: &str) -> [u64; 3] {
+    let of = |end: &str| gateway.figure(&format!(r#"svc_results{{service="{class}",disposition="{end}"}}"#));
+    [of("succeeded"), of("declined"), of("aborted")]
+}
+
+#[test]
+fn figures_agree_with_what_db_hosts_and_clients_saw() {
+    let replica = Host::start(|query| match query {
+        _ if query.contains("k=fail") => Do::Say(answers::error("XX000", "no")),
+        _ if query.contains("k=wait") => Do::Nothing,
+        _ => well(false, query),
+    });
+    let primary = Host::start(|query| match query {
+        _ if query.contains("k=fail") => Do::Say(answers::error("XX000", "no")),
+        _ => well(true, query),
+    });
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    for class in ["view", "order"] {
+        assert_eq!(results(&gateway, class), [0; 3], "listed from the start");
+    }
+    assert_eq!((gateway.figure("svc_discovered"), gateway.figure("svc_ejected")), (2, 0));
+    let mut client = gateway.client();
+    let mut seen = [0; 3];
+    for n in 0..60 {
+        let more = if n % 6 == 5 { ",k=fail" } else { "" };
+        match client.ask(&statement("order", 400, more))[..] {
+            [b'T', ..] => seen[0] += 1,
+            _ if client.error.contains("53300") => seen[1] += 1,
+            _ => seen[2] += 1,
+        }
+    }
+    // An open id a second time, a statement that does not fit, a class that is not listed, a bad statement.
+    let open = statement("view", 900, ",k=wait");
+    let mut first = gateway.client();
+    first.send(&open);
+    until(|| gateway.figure("svc_outstanding") == 1, || gateway.log());
+    assert_eq!(gateway.client().ask(&open), b"EZ");
+    assert_eq!(client.ask(&statement("view", 900, "").replace("SELECT doc", "DELETE doc")), b"EZ");
+    assert_eq!(results(&gateway, "view"), [0, 0, 2]);
+    assert_eq!(client.ask(&statement("nothing", 900, "")), b"EZ");
+    client.send("SELECT 1");
+    assert_eq!(client.answer(), b"E");
+    assert_eq!(results(&gateway, ""), [0, 0, 2]);
+    assert_eq!(seen[0], 50, "{seen:?}");
+    assert_eq!(results(&gateway, "order"), seen);
+    first.answer();
+    assert_eq!(gateway.figure("svc_outstanding"), 0);
+    assert_eq!(results(&gateway, "view").iter().sum::<u64>(), 3);
+    let written = primary.asked().len() + replica.asked().len();
+    assert_eq!(gateway.figure("svc_forwards"), written as u64, "probes are none of them");
+    // One drains, one is gone: the list has one, and it gets nothing.
+    let entries = [entry("s-a", &primary, "primary", "Terminating", 0)];
+    gateway.news.send(list(42, true, &entries)).unwrap();
+    until(|| gateway.figure("svc_discovered") == 1, || gateway.log());
+    assert_eq!(gateway.figure("svc_ejected"), 1);
+}
+
+/// A client that asks again and again and opens a new connection when its own is closed. What is counted: requests
+/// served, those that met a closed connection after they were sent, and any other answer.
+struct Asker {
+    counts: Arc<[AtomicU32; 3]>,
+    stop: Arc<AtomicBool>,
+    thread: thread::JoinHandle<()>,
+}
+
+impl Asker {
+    fn start(addr: std::net::SocketAddr, pause: Duration, pipelined: bool) -> Self {
+        let (counts, stop) = (Arc::new([const { AtomicU32::new(0) }; 3]), Arc::new(AtomicBool::new(false)));
+        let (kept, end) = (Arc::clone(&counts), Arc::clone(&stop));
+        let thread = thread::spawn(move || {
+            while !end.load(Ordering::SeqCst) {
+                let Ok(mut client) = Client::connect(addr) else { return };
+                if client.stream.write_all(&startup()).is_err() || client.answer().last() != Some(&b'Z') {
+                    continue;
+                }
+                while !end.load(Ordering::SeqCst) {
+                    let asked = if pipelined { 2 } else { 1 };
+                    for _ in 0..asked {
+                        let text = statement("order", 2_000, "");
+                        if client.stream.write_all(&frame(b'Q', &[text.as_bytes(), b"\0"].concat())).is_err()
+                        {
+                            break;
+                        }
+                    }
+                    let mut over = false;
+                    for _ in 0..asked {
+                        let place = match client.answer()[..] {
+                            [b'T', .., b'Z'] => 0,
+                            [] => 1,
+                            _ => 2,
+                        };
+                        kept[place].fetch_add(1, Ordering::SeqCst);
+                        over |= place == 1;
+                    }
+                    thread::sleep(pause);
+                    client.stream.set_nonblocking(true).unwrap();
+                    over |= matches!(client.stream.read(&mut [0]), Ok(0));
+                    client.stream.set_nonblocking(false).unwrap();
+                    if over {
+                        break;
+                    }
+                }
+            }
+        });
+        Self { counts, stop, thread }
+    }
+
+    /// Served, met closed connections, otherwise answered.
+    fn end(self) -> [u32; 3] {
+        self.stop.store(true, Ordering::SeqCst);
+        self.thread.join().unwrap();
+        [0, 1, 2].map(|n| self.counts[n].load(Ordering::SeqCst))
+    }
+}
+
+#[test]
+fn a_drain_under_load_sends_all_clients_away_and_loses_no_request() {
+    let slow = |query: &str| match well(true, query) {
+        Do::Say(bytes) if query != "SHOW load" => Do::SayLater(Duration::from_millis(20), bytes),
+        other => other,
+    };
+    let (primary, replica) = (Host::start(slow), Host::well(false));
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    let askers: Vec<_> =
+        (0..8).map(|n| Asker::start(gateway.addr, Duration::from_millis(n * 3), n % 4 == 3)).collect();
+    let idle: Vec<_> = (0..10).map(|_| gateway.client()).collect();
+    let mut front = gateway.client();
+    assert_eq!(front.ask(""), b"IZ");
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(gateway.call("PUT /drain").0, 200);
+    let drained = Instant::now();
+    assert_eq!(front.ask(""), b"EZ", "no yes");
+    assert!(front.error.contains("57P03"), "{}", front.error);
+    assert_eq!(gateway.call("GET /ready").0, 503);
+    assert_eq!(gateway.call("PUT /drain"), (200, "draining\n".to_owned()), "twice the same");
+    // The front has heard the no; its clients come no more.
+    thread::sleep(Duration::from_millis(250));
+    let ends: Vec<_> = askers.into_iter().map(Asker::end).collect();
+    for [served, met, other] in ends {
+        assert!(served > 0 && met == 0 && other == 0, "{served} {met} {other}");
+    }
+    for mut client in idle {
+        assert_eq!(client.answer(), b"", "closed without a word");
+    }
+    until(|| gateway.call("GET /ready").1 == "drained\n", || gateway.log());
+    assert!(drained.elapsed() < Duration::from_secs(3), "{:?}", drained.elapsed());
+    assert_eq!(gateway.call("PUT /undrain"), (200, "ready\n".to_owned()));
+    assert_eq!(gateway.client().ask(""), b"IZ");
+    assert_eq!(gateway.client().ask(&statement("order", 2_000, "")), b"TDCZ");
+}
+
+#[test]
+fn clients_that_go_on_during_a_drain_lose_nothing_and_leave_between_requests() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    gateway.call("PUT /drain");
+    thread::sleep(Duration::from_millis(400));
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&statement("order", 2_000, "")), b"TDCZ", "a taken request is answered");
+    assert_eq!(client.answer(), b"", "and its connection closed behind the answer");
+    // One that stopped within a message goes as well, two seconds after the drain began.
+    let mut part = gateway.client();
+    part.write(b"Q\0\0\0\x80SELECT");
+    assert_eq!(part.answer(), b"");
+    drop((client, part));
+    until(|| gateway.call("GET /ready").1 == "drained\n", || gateway.log());
+}
+
+#[test]
+fn sigterm_within_a_drain_ends_the_process_and_a_late_undrain_is_a_conflict() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let mut gateway = Gateway::operated(&pair(&primary, &replica));
+    let _held = gateway.client();
+    gateway.call("PUT /drain");
+    gateway.terminate();
+    gateway.logs("SIGTERM: draining");
+    assert_eq!(gateway.call("PUT /undrain"), (409, "stopping\n".to_owned()));
+    assert!(gateway.wait().success());
+}
--- a/src/measured.rs
+++ b/src/measured.rs
@@ -29,6 +29,33 @@
 const QUEUE_FULL: f64 = 2.0;
 const QUEUE_GAIN: f64 = 0.5;
 
+/// In what time half of a blame is forgotten, and the limits of what counts.
+const BLAME_HALF: Duration = Duration::from_secs(3);
+const BLAME_LEAST: f64 = 0.5;
+const BLAME_MOST: f64 = 24.0;
+
+/// What a server's failures weigh; it fades, and little of it is nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Blame(Fading);
+
+impl Blame {
+    /// What it weighs at `now`.
+    pub fn get(&self, now: Instant) -> f64 {
+        let left = self.0.get(now, BLAME_HALF);
+        left * f64::from(u8::from(left >= BLAME_LEAST))
+    }
+
+    /// One failure more.
+    pub fn add(&mut self, now: Instant, weight: f64) {
+        self.0.set(now, BLAME_MOST.min(self.get(now) + weight));
+    }
+
+    /// It has served something.
+    pub fn halve(&mut self, now: Instant) {
+        self.0.set(now, self.get(now) / 2.0);
+    }
+}
+
 /// How long answers take, by class.
 pub struct Latencies {
     /// In the mean.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,18 +12,15 @@
 
 use crate::fading::{since, Fading};
 use crate::interface::*;
-use crate::measured::{Commits, Doubt, Latencies, Queue, Tries};
+use crate::measured::{Blame, Commits, Doubt, Latencies, Queue, Tries};
 use crate::validate;
 
 /// Type weights of the mechanism. An update (weight 3) is a write as far as a request can tell.
 const READ_WEIGHT: f64 = 1.0;
 const WRITE_WEIGHT: f64 = 2.0;
-/// What a server's failures weigh, when half of that is forgotten, and the limits of what counts.
+/// What a server's failures weigh.
 const FAILED: f64 = 4.0;
 const TURNED_AWAY: f64 = 1.0;
-const BLAME_HALF: Duration = Duration::from_secs(3);
-const BLAME_LEAST: f64 = 0.5;
-const BLAME_MOST: f64 = 24.0;
 /// An answer is overdue after this many mean latencies of its class, within the two limits.
 const SILENT_LATENCIES: f64 = 4.0;
 const SILENT_MIN: Duration = Duration::from_millis(100);
@@ -99,7 +96,7 @@
     warm_at: Option<Instant>,
     weight: f64,
     /// What its failures weigh; when it last answered anything.
-    blame: Fading,
+    blame: Blame,
     heard_at: Option<Instant>,
     out: u32,
     limit: f64,
@@ -270,6 +267,11 @@
         self.servers.len()
     }
 
+    /// How many servers that take requests get nothing at `now`, as they do not answer or asked for rest.
+    pub fn avoided(&self, now: Instant) -> usize {
+        self.servers.values().filter(|s| s.usable && s.resting(now)).count()
+    }
+
     fn on_entry(&mut self, kind: ListKind, entry: &Entry) {
         let fresh = !self.servers.contains_key(&entry.server);
         let server = self.servers.entry(entry.server).or_insert_with(|| Server::new(entry.group));
@@ -518,7 +520,7 @@
             if !server.reaches(floor, now, checked) {
                 // One that has just turned a read away is not asked again at once by the next.
                 let advanced = server.position.filter(|p| ahead.is_none_or(|(position, _)| *p > position));
-                if let (true, Some(position)) = (server.blame(now) == 0.0, advanced) {
+                if let (true, Some(position)) = (server.blame.get(now) == 0.0, advanced) {
                     ahead = Some((position, *member));
                 }
                 continue;
@@ -532,7 +534,7 @@
             }
             // Ties by chance: the roll orders them anew for each request.
             let place = Rng::with_seed(roll ^ u64::from(member.0)).u64(..);
-            let key = (server.weight + server.blame(now), place, *member);
+            let key = (server.weight + server.blame.get(now), place, *member);
             if best.is_none_or(|best| key < best) {
                 best = Some(key);
             }
@@ -679,7 +681,7 @@
                 Status::Error if !p.erred.contains(&o.server) => p.erred.push(o.server),
                 Status::Good => {
                     for id in &p.erred {
-                        self.servers.entry(*id).and_modify(|s| s.accuse(now, FAILED));
+                        self.servers.entry(*id).and_modify(|s| s.blame.add(now, FAILED));
                     }
                 }
                 _ => {}
@@ -724,18 +726,18 @@
         }
         match status {
             Status::NotSent | Status::Error | Status::Spoilt => {}
-            Status::Good => server.accuse(now, -server.blame(now) / 2.0),
+            Status::Good => server.blame.halve(now),
             // A write turned away says nothing against reads there.
             Status::Miss if write => {}
             Status::Miss => {
-                server.accuse(now, TURNED_AWAY);
+                server.blame.add(now, TURNED_AWAY);
                 server.position_at = Some(now);
             }
             Status::Full => {
-                server.accuse(now, TURNED_AWAY);
+                server.blame.add(now, TURNED_AWAY);
                 server.retry_at = Some(now + FULL_REST.mul_f64(0.5 + self.rng.f64()));
             }
-            _ => server.accuse(now, FAILED),
+            _ => server.blame.add(now, FAILED),
         }
         let silent = status == Status::Timeout && !server.lately(now);
         if matches!(status, Status::ConnectFailed | Status::Reset) {
@@ -940,8 +942,11 @@
     /// Whether anything may be sent there now.
     fn answers(&self, now: Instant) -> bool {
         let cold = Some(now) < self.warm_at;
-        let paced = Some(now) < self.retry_at || (cold && self.owed > self.credit);
-        self.usable && !self.down && !paced && self.overdue_at.is_none_or(|at| now < at)
+        self.usable && !self.resting(now) && !(cold && self.owed > self.credit)
+    }
+
+    fn resting(&self, now: Instant) -> bool {
+        self.down || Some(now) < self.retry_at || self.overdue_at.is_some_and(|at| now >= at)
     }
 
     fn chill(&mut self, since: Option<Instant>, settings: &Settings) {
@@ -949,11 +954,6 @@
         self.warm_at = self.cold_from.and_then(|from| from.checked_add(settings.rules.cold));
     }
 
-    fn blame(&self, now: Instant) -> f64 {
-        let left = self.blame.get(now, BLAME_HALF);
-        left * f64::from(u8::from(left >= BLAME_LEAST))
-    }
-
     /// A known position never goes back, so it is safe as it is. Where servers check for themselves, the
     /// lag last seen is taken to hold.
     fn reaches(&self, floor: Option<Instant>, now: Instant, checked: bool) -> bool {
@@ -963,10 +963,6 @@
         floor.is_none() || asks || self.position.map(|position| position + age) >= floor
     }
 
-    fn accuse(&mut self, now: Instant, weight: f64) {
-        self.blame.set(now, BLAME_MOST.min(self.blame(now) + weight));
-    }
-
     fn heard(&mut self, now: Instant, settings: &Settings) {
         self.heard_at = Some(now);
         self.broken = 0;
