--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -8,79 +8,31 @@
 use tracing::warn;
 use yewroute_lifecycle::Leaving;
 
+use super::client::{Client, Phase};
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
 use super::Input;
-use crate::core::{Answer, Ask, ClientId, Scope};
+use crate::core::{Answer, ClientId};
 use crate::proto::pg::code;
-use crate::proto::pg::frame::LONGEST_QUERY;
-use crate::proto::pg::frontend::{self, Local, Opening};
-use crate::proto::pg::request::{Body, Wanted};
-use crate::proto::pg::session::{Final, Session, Terms, Took};
+use crate::proto::pg::frontend;
+use crate::proto::pg::session::{Final, Terms};
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
 
-/// Read ahead: a whole message and a little, or while a request is out only a little.
-const MOST_BUFFERED: usize = LONGEST_QUERY + CHUNK;
-/// Answers that wait to be written, beyond which no further message is taken.
-const MOST_UNWRITTEN: usize = CHUNK;
-/// A connection on which no query has come whole by then is closed, and so is one that leaves a message
-/// unfinished for so long.
-const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
-/// A client that has taken none of its answers for so long is given up.
-const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a closed connection is given to take its last bytes.
-const LINGER: Duration = Duration::from_secs(1);
 /// How often those times are looked after.
 const SWEEP: Duration = Duration::from_millis(200);
 /// Where descriptors are short, connections give way after so long: such as have sent no request, and idle ones.
 const SILENT: Duration = Duration::from_millis(50);
 const IDLE: Duration = Duration::from_secs(2);
-/// While clients leave, a connection is given so long to say what it came for.
-const FRESH: Duration = Duration::from_millis(150);
 /// How long accepting rests when it failed for want of descriptors.
 const REST: Duration = Duration::from_millis(20);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// Before the startup message.
-    Opening,
-    /// Between requests.
-    Idle(Instant),
-    /// A request is with the core.
-    Busy,
-    /// Nothing more is taken; closed once all is written.
-    Closing,
-    /// All is written; waiting for the client to close.
-    Lingering(Instant),
-}
-
 #[derive(Clone, Copy)]
 enum Due {
     Sweep,
     Accept,
 }
 
-struct Client {
-    wire: Wire,
-    phase: Phase,
-    /// What it has prepared and bound.
-    session: Session,
-    /// Something is to be written that must not wait for the next answer.
-    prompt: bool,
-    buffer: Vec<u8>,
-    /// The client sends no more; it may still read.
-    ended: bool,
-    interest: Interest,
-    accepted: Instant,
-    /// A query has come whole; and one that was a request, not only an empty one or a parameter's.
-    asked: bool,
-    requested: bool,
-    /// Since when a message lies unfinished, and since when the client has taken none of its answers.
-    unfinished: Option<Instant>,
-    stuck: Option<Instant>,
-}
-
 /// All clients' connections, and the listener.
 pub struct Clients {
     listener: Option<TcpListener>,
@@ -182,20 +134,7 @@
                     });
                     match wire {
                         Ok(wire) => {
-                            let client = Client {
-                                wire,
-                                phase: Phase::Opening,
-                                session: Session::new(self.rules.terms),
-                                prompt: false,
-                                buffer: Vec::new(),
-                                ended: false,
-                                interest: Interest::READ,
-                                accepted: now,
-                                asked: false,
-                                requested: false,
-                                unfinished: None,
-                                stuck: None,
-                            };
+                            let client = Client::new(now, wire, self.rules.terms);
                             self.clients.insert(number, client);
                         }
                         Err(error) => warn!(%error, "cannot take a client's connection"),
@@ -459,183 +398,6 @@
     }
 }
 
-impl Client {
-    /// It has kept its connection for longer than it may as things stand.
-    fn overdue(&self, now: Instant) -> bool {
-        let older = |since: Option<Instant>, than| since.is_some_and(|since| now - since >= than);
-        let silent = !self.asked && now - self.accepted >= MESSAGE_TIMEOUT;
-        older(self.stuck, STUCK_TIMEOUT)
-            || match self.phase {
-                Phase::Opening | Phase::Idle(_) => {
-                    self.stuck.is_none() && (silent || older(self.unfinished, MESSAGE_TIMEOUT))
-                }
-                Phase::Busy | Phase::Closing => false,
-                Phase::Lingering(since) => now - since >= LINGER,
-            }
-    }
-
-    /// What is to be written can wait for the answer that is out: it only tells that a statement was parsed, bound or
-    /// described, in a pipeline whose Sync or Flush is yet to come. PostgreSQL does the same; it spares a write and a
-    /// wake-up for each request. A final answer never waits.
-    fn holds_back(&self) -> bool {
-        let little = self.wire.unwritten() < MOST_UNWRITTEN;
-        self.phase == Phase::Busy && self.session.open() && !self.prompt && little && self.stuck.is_none()
-    }
-
-    /// Nothing is owed on either side.
-    fn between(&self) -> bool {
-        matches!(self.phase, Phase::Idle(_)) && !self.session.open()
-    }
-
-    /// It has just been answered, and nothing more of it has come.
-    fn answered_last(&self) -> bool {
-        self.asked && self.between() && self.buffer.is_empty() && self.wire.unwritten() > 0
-    }
-
-    /// It is to go at this stage without waiting for an answer. Guards against: a request that has come and is not
-    /// read yet, and a connection that has only just been made.
-    fn leaves(&self, now: Instant, leaving: Leaving) -> bool {
-        let fresh = now.saturating_duration_since(self.accepted) < FRESH;
-        let here = match self.phase {
-            Phase::Opening => true,
-            Phase::Idle(_) => !self.session.open() || leaving == Leaving::Parts,
-            _ => false,
-        };
-        let whole = self.buffer.is_empty() || leaving == Leaving::Parts;
-        leaving >= Leaving::Idle && here && whole && !fresh && self.wire.quiet()
-    }
-
-    /// It has begun a pipeline and says neither more nor Sync. Guards against: portals and their rows held for
-    /// a client that will never come back to them.
-    fn stalled(&self, now: Instant, than: Duration) -> bool {
-        let since = if let Phase::Idle(since) = self.phase { Some(since) } else { None };
-        self.session.open() && self.stuck.is_none() && since.is_some_and(|since| now - since >= than)
-    }
-
-    /// Says why, and closes once that is written.
-    fn turn_out(&mut self, sqlstate: &str, why: &str) {
-        frontend::put_error(self.wire.out(), "FATAL", sqlstate, why, None);
-        self.buffer = Vec::new();
-        self.unfinished = None;
-        self.phase = Phase::Closing;
-    }
-
-    /// Nothing has come that is not read yet, or it would not be taken anyway.
-    fn silent(&self) -> bool {
-        matches!(self.phase, Phase::Lingering(_)) || self.wire.quiet()
-    }
-
-    /// More bytes are wanted.
-    fn reads(&self) -> bool {
-        let most = if self.phase == Phase::Busy { CHUNK } else { MOST_BUFFERED };
-        !self.ended && self.buffer.len() < most
-    }
-
-    /// Messages are taken as they come.
-    fn takes(&self) -> bool {
-        matches!(self.phase, Phase::Opening | Phase::Idle(_))
-    }
-
-    /// Takes messages until one has to be waited for; true if it stopped short of that.
-    fn take_messages(
-        &mut self,
-        now: Instant,
-        number: u64,
-        yes: bool,
-        table: &mut Table,
-        inbox: &mut VecDeque<Input>,
-    ) -> bool {
-        let (mut used, mut stalled) = (0, false);
-        while self.takes() {
-            // Guards against: answers piling up for a client that sends and never reads.
-            stalled = self.wire.unwritten() >= MOST_UNWRITTEN;
-            if stalled {
-                break;
-            }
-            let step = if self.phase == Phase::Opening {
-                self.open(now, used)
-            } else {
-                self.take_message(now, number, used, yes, table, inbox)
-            };
-            match step {
-                Ok(Some(len)) => used += len,
-                Ok(None) => break,
-                Err(why) => {
-                    warn!(why, "closed a client's connection");
-                    self.turn_out(code::PROTOCOL_VIOLATION, &why);
-                    used = 0;
-                }
-            }
-        }
-        self.buffer.drain(..used);
-        let unfinished = !self.buffer.is_empty() && self.takes() && !stalled;
-        self.unfinished = if used > 0 { None } else { self.unfinished }.filter(|_| unfinished);
-        self.unfinished = self.unfinished.or(unfinished.then_some(now));
-        if self.buffer.is_empty() && self.buffer.capacity() > 2 * CHUNK {
-            self.buffer = Vec::new();
-        }
-        stalled
-    }
-
-    fn open(&mut self, now: Instant, from: usize) -> Result<Option<usize>, String> {
-        let opening = frontend::opening(&self.buffer[from..]).map_err(|e| e.to_string())?;
-        let Some((opening, len)) = opening else { return Ok(None) };
-        match opening {
-            Opening::Encryption => self.wire.out().push(frontend::NO_ENCRYPTION),
-            Opening::Cancel => self.phase = Phase::Closing,
-            Opening::Startup { minor } => {
-                frontend::put_welcome(self.wire.out(), minor);
-                self.phase = Phase::Idle(now);
-            }
-            Opening::Version(major) => return Err(format!("unsupported protocol version {major}")),
-        }
-        Ok(Some(len))
-    }
-
-    fn take_message(
-        &mut self,
-        now: Instant,
-        number: u64,
-        from: usize,
-        yes: bool,
-        table: &mut Table,
-        inbox: &mut VecDeque<Input>,
-    ) -> Result<Option<usize>, String> {
-        let message = frontend::message(&self.buffer[from..]).map_err(|e| e.to_string())?;
-        let Some((message, len)) = message else { return Ok(None) };
-        let query = matches!(message, frontend::Message::Query(_));
-        if let (false, frontend::Message::Query(text), false) = (yes, &message, self.session.open()) {
-            if frontend::local(text) == Some(Local::Empty) {
-                let out = self.wire.out();
-                frontend::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, "this gateway drains", None);
-                frontend::put_ready(out);
-                self.asked = true;
-                return Ok(Some(len));
-            }
-        }
-        let took = self.session.take(&message, table, self.wire.out());
-        if took.is_err() && query {
-            inbox.push_back(Input::Unreadable);
-        }
-        match took? {
-            Took::Close => self.phase = Phase::Closing,
-            Took::Ask(wanted) => {
-                inbox.push_back(Input::Ask(ClientId(number), ask(wanted)));
-                self.phase = Phase::Busy;
-                (self.asked, self.requested) = (true, true);
-            }
-            Took::Flush => self.prompt = true,
-            Took::Done => {
-                self.phase = Phase::Idle(now);
-                self.asked |= query || self.session.holds();
-                // A client that has prepared something is no stranger that only holds a connection.
-                self.requested |= self.session.holds();
-            }
-        }
-        Ok(Some(len))
-    }
-}
-
 /// Closes a connection that nothing is owed on: one that is over, else one that has sent no request and been
 /// silent for longest, else the one idle longest.
 ///
@@ -665,17 +427,3 @@
     clients.remove(&number);
     true
 }
-
-/// A request as the core has it.
-fn ask(wanted: Wanted) -> Ask<Body> {
-    Ask {
-        name: wanted.id,
-        writes: wanted.writes,
-        scope: wanted.scope.map_or(Scope::Anyone, |(class, group)| Scope::Class(class, group)),
-        wait: wanted.wait,
-        key: wanted.key,
-        after: wanted.after,
-        resent: wanted.resent,
-        body: wanted.body,
-    }
-}
--- /dev/null
+++ b/gateway/src/net/host_conn.rs
@@ -0,0 +1,118 @@
+//! One connection to a db host: what it is used for, and what has come of the answer.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use yewroute::interface::{Role, ServerId, Status};
+
+use super::hosts::Around;
+use super::poller::{Interest, Token};
+use super::wire::Wire;
+use crate::core::{AttemptId, Ended, HostNote};
+use crate::proto::pg::backend::{self, Gather, Reply, Verdict};
+use crate::proto::pg::exchange::{Prepared, Sent};
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) enum JobId {
+    Attempt(AttemptId),
+    Probe(ServerId),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    Connecting,
+    /// Connected, not welcomed yet.
+    Starting,
+    Idle(Instant),
+    Busy(JobId),
+}
+
+/// A connection.
+pub(super) struct Conn {
+    pub(super) server: ServerId,
+    pub(super) addr: SocketAddr,
+    pub(super) wire: Wire,
+    pub(super) state: State,
+    pub(super) buffer: Vec<u8>,
+    pub(super) gather: Gather,
+    /// What has been prepared on it, and what was written last.
+    pub(super) prepared: Prepared,
+    pub(super) sent: Sent,
+    /// Part of an answer has come.
+    pub(super) begun: bool,
+    /// An attempt is being written, whose last byte is not out yet.
+    pub(super) forwarding: bool,
+    pub(super) writable: bool,
+}
+
+impl Conn {
+    /// One that is being dialled.
+    pub(super) fn new(server: ServerId, addr: SocketAddr, wire: Wire) -> Self {
+        Self {
+            server,
+            addr,
+            wire,
+            state: State::Connecting,
+            buffer: Vec::new(),
+            gather: Gather::default(),
+            prepared: Prepared::default(),
+            sent: Sent::default(),
+            begun: false,
+            forwarding: false,
+            writable: false,
+        }
+    }
+
+    /// All has been written without which it cannot run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.wire.unwritten() <= self.sent.tail
+    }
+
+    /// Writes what there is room for, and asks to be woken for the rest.
+    pub(super) fn flush(&mut self, number: u64, forwards: &mut u64, a: &mut Around) -> std::io::Result<()> {
+        let writable = !self.wire.flush()?;
+        if self.forwarding && !writable {
+            self.forwarding = false;
+            *forwards += 1;
+        }
+        if writable != self.writable || self.state == State::Starting {
+            self.writable = writable;
+            let interest = Interest { read: true, write: writable };
+            a.poller.change(&self.wire, Token::Host(number), interest)?;
+        }
+        Ok(())
+    }
+}
+
+/// An answer as the core has it.
+pub(super) fn ended(id: JobId, reply: Reply) -> Ended {
+    let status = match reply.verdict {
+        // The statement's own fault is an answer as well: every db host would give it.
+        Verdict::Served | Verdict::Rejected => Status::Good,
+        Verdict::Miss => Status::Miss,
+        Verdict::TurnedAway | Verdict::Lost => Status::Full,
+        Verdict::Error => Status::Error,
+    };
+    let role = |role: backend::Role| match role {
+        backend::Role::Primary => Role::Primary,
+        backend::Role::Replica => Role::Replica,
+    };
+    let probe = matches!(id, JobId::Probe(_));
+    let row = if probe { std::str::from_utf8(reply.value()).ok() } else { None };
+    let report = reply.load.as_deref().or(row);
+    let load = report.map(backend::load);
+    let status = match (status, load) {
+        // The probe has no other answer than a report: one that cannot be read is as good as none.
+        (Status::Good, None | Some(None)) if probe => Status::Spoilt,
+        _ => status,
+    };
+    let load = load.flatten().unwrap_or_default();
+    let note = HostNote {
+        role: reply.role.map(role),
+        applied_ms: reply.applied_ms,
+        report_position: load.x0,
+        report_role: load.x1.map(role),
+    };
+    Ended { status, served: if probe { Vec::new() } else { reply.messages }, note }
+}
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -1,19 +1,19 @@
 //! Connections to db hosts: a pool for each, one request at a time on each connection.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tracing::warn;
-use yewroute::interface::{Role, ServerId, Status};
+use yewroute::interface::{ServerId, Status};
 
+use super::host_conn::{ended, Conn, JobId, State};
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
 use super::Input;
-use crate::core::{AttemptId, Directory, Ended, HostNote};
-use crate::proto::pg::backend::{self, Gather, Reply, Step, Verdict};
-use crate::proto::pg::exchange::{Dialect, Prepared, Sent};
+use crate::core::{AttemptId, Directory, Ended};
+use crate::proto::pg::backend::{self, Reply, Step, Verdict};
+use crate::proto::pg::exchange::{Dialect, Sent};
 use crate::proto::pg::request::Body;
 use crate::timers::Timers;
 
@@ -24,13 +24,6 @@
 /// How often that is looked after.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// What a connection is used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum JobId {
-    Attempt(AttemptId),
-    Probe(ServerId),
-}
-
 struct Job {
     server: ServerId,
     /// None for a probe.
@@ -54,32 +47,6 @@
     Sweep,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    Connecting,
-    /// Connected, not welcomed yet.
-    Starting,
-    Idle(Instant),
-    Busy(JobId),
-}
-
-struct Conn {
-    server: ServerId,
-    addr: SocketAddr,
-    wire: Wire,
-    state: State,
-    buffer: Vec<u8>,
-    gather: Gather,
-    /// What has been prepared on it, and what was written last.
-    prepared: Prepared,
-    sent: Sent,
-    /// Part of an answer has come.
-    begun: bool,
-    /// An attempt is being written, whose last byte is not out yet.
-    forwarding: bool,
-    writable: bool,
-}
-
 #[derive(Default)]
 struct Pool {
     /// The one used last is used next, so that those not needed grow old.
@@ -539,76 +506,5 @@
     }
 }
 
-impl Conn {
-    /// One that is being dialled.
-    fn new(server: ServerId, addr: SocketAddr, wire: Wire) -> Self {
-        Self {
-            server,
-            addr,
-            wire,
-            state: State::Connecting,
-            buffer: Vec::new(),
-            gather: Gather::default(),
-            prepared: Prepared::default(),
-            sent: Sent::default(),
-            begun: false,
-            forwarding: false,
-            writable: false,
-        }
-    }
-
-    /// All has been written without which it cannot run.
-    fn may_have_run(&self) -> bool {
-        self.wire.unwritten() <= self.sent.tail
-    }
-
-    /// Writes what there is room for, and asks to be woken for the rest.
-    fn flush(&mut self, number: u64, forwards: &mut u64, a: &mut Around) -> std::io::Result<()> {
-        let writable = !self.wire.flush()?;
-        if self.forwarding && !writable {
-            self.forwarding = false;
-            *forwards += 1;
-        }
-        if writable != self.writable || self.state == State::Starting {
-            self.writable = writable;
-            let interest = Interest { read: true, write: writable };
-            a.poller.change(&self.wire, Token::Host(number), interest)?;
-        }
-        Ok(())
-    }
-}
-
-/// An answer as the core has it.
-fn ended(id: JobId, reply: Reply) -> Ended {
-    let status = match reply.verdict {
-        // The statement's own fault is an answer as well: every db host would give it.
-        Verdict::Served | Verdict::Rejected => Status::Good,
-        Verdict::Miss => Status::Miss,
-        Verdict::TurnedAway | Verdict::Lost => Status::Full,
-        Verdict::Error => Status::Error,
-    };
-    let role = |role: backend::Role| match role {
-        backend::Role::Primary => Role::Primary,
-        backend::Role::Replica => Role::Replica,
-    };
-    let probe = matches!(id, JobId::Probe(_));
-    let row = if probe { std::str::from_utf8(reply.value()).ok() } else { None };
-    let report = reply.load.as_deref().or(row);
-    let load = report.map(backend::load);
-    let status = match (status, load) {
-        // The probe has no other answer than a report: one that cannot be read is as good as none.
-        (Status::Good, None | Some(None)) if probe => Status::Spoilt,
-        _ => status,
-    };
-    let load = load.flatten().unwrap_or_default();
-    let note = HostNote {
-        role: reply.role.map(role),
-        applied_ms: reply.applied_ms,
-        report_position: load.x0,
-        report_role: load.x1.map(role),
-    };
-    Ended { status, served: if probe { Vec::new() } else { reply.messages }, note }
-}
-
 #[cfg(test)]
 mod tests;
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -1,8 +1,10 @@
 //! Adapters to sockets and signals, on one thread: epoll wakes it, the core says what is to be done.
 
+mod client;
 mod clients;
 mod console;
 mod discovery;
+mod host_conn;
 mod hosts;
 mod listener;
 pub(crate) mod poller;
