--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -12,6 +12,8 @@
 const LONGEST_SAYING: usize = 8 * 1024;
 const LONGEST_PARAMETER: usize = 1024;
 const LONGEST_TAG: usize = 64;
+/// Length, count of columns and length of the value of a row of one column.
+const ROW_HEAD: usize = 4 + 2 + 4;
 const LONGEST_REPLY: usize = frame::LONGEST_ANSWER + 16 * 1024;
 
 /// Appends the startup message.
@@ -114,6 +116,11 @@
 pub enum Step {
     /// More is to come.
     More,
+    /// A value begins that is too long to be held: the description, and the head of its row. What follows are its
+    /// parts, the messages behind it, and ReadyForQuery with those messages alone.
+    Begins(Vec<u8>),
+    /// The next bytes of that value, as many as were taken.
+    Part,
     /// ReadyForQuery: the answer is whole.
     Ready(Reply),
 }
@@ -127,6 +134,8 @@
     /// After a query: a row's description or an error.
     Description,
     Row,
+    /// So many bytes of a value that has begun are yet to come.
+    Value(usize),
     Complete,
     /// In answer to an extended query: what [`Script`] says.
     Extended(Part),
@@ -216,11 +225,19 @@
     /// are there.
     pub fn next(&mut self, bytes: &[u8]) -> Result<Option<(Step, usize)>, Spoilt> {
         let Some(kind) = bytes.first() else { return Ok(None) };
+        if let Stage::Value(left) = self.stage {
+            let len = left.min(bytes.len());
+            self.stage = if len == left { Stage::Complete } else { Stage::Value(left - len) };
+            return Ok(Some((Step::Part, len)));
+        }
         let longest = self.longest(*kind).ok_or(Spoilt::OutOfPlace(*kind))?;
-        if let Some(length) = frame::length(&bytes[1..], frame::LONGEST_ANSWER)? {
+        if let Some(length) = frame::length(&bytes[1..], frame::LONGEST_STREAMED)? {
             if length > longest {
                 return Err(Spoilt::TooLong(*kind, length));
             }
+            if (self.stage, *kind) == (Stage::Row, b'D') && length > frame::LONGEST_HELD + ROW_HEAD {
+                return self.begin(bytes, length);
+            }
         }
         let Some(frame) = frame::next(bytes, frame::LONGEST_ANSWER)? else { return Ok(None) };
         self.bytes += frame.len;
@@ -255,7 +272,7 @@
             (b'K', Stage::Welcome) => 12,
             (b'v', Stage::Welcome) => LONGEST_SAYING,
             (b'T', Stage::Description) => LONGEST_PARAMETER,
-            (b'D', Stage::Row) => frame::LONGEST_ANSWER,
+            (b'D', Stage::Row) => frame::LONGEST_STREAMED,
             (b'C', Stage::Complete) => LONGEST_TAG,
             (b'Z', Stage::Welcome | Stage::Ready) => 5,
             _ => return None,
@@ -263,6 +280,27 @@
         Some(longest)
     }
 
+    /// Takes the head of a row whose value is passed on as it comes. Guards against: beginning a row that lies about
+    /// its length, which could not be taken back.
+    fn begin(&mut self, bytes: &[u8], length: usize) -> Result<Option<(Step, usize)>, Spoilt> {
+        /// Type, length, count of columns, length of the value.
+        const HEAD: usize = 1 + ROW_HEAD;
+        let Some(head) = bytes.first_chunk::<HEAD>() else { return Ok(None) };
+        let value = u32::from_be_bytes([head[7], head[8], head[9], head[10]]) as usize;
+        if head[5..7] != [0, 1] || value + ROW_HEAD != length {
+            return Err(Spoilt::Inside(b'D'));
+        }
+        let mut begun = std::mem::take(&mut self.reply.messages);
+        begun.extend(head);
+        self.stage = Stage::Value(value);
+        Ok(Some((Step::Begins(begun), HEAD)))
+    }
+
+    /// A value has begun to be passed on and its answer is not whole.
+    pub fn within_value(&self) -> bool {
+        matches!(self.stage, Stage::Value(_))
+    }
+
     /// Takes a message that is in place; none if its inside does not fit.
     fn take(&mut self, frame: &Frame<'_>, raw: &[u8]) -> Option<Step> {
         match frame.kind {
--- a/crates/pgwire/src/frame.rs
+++ b/crates/pgwire/src/frame.rs
@@ -5,7 +5,11 @@
 /// The longest message taken from a client: a value of 64 KiB in hexadecimal, and room for the statement
 /// round it.
 pub const LONGEST_QUERY: usize = 144 * 1024;
-/// The longest message taken from a db host. The protocol page promises values up to 64 KiB; ones of 400 KB come.
+/// A value longer than this is passed on as it comes; shorter ones are held until their answer is whole.
+pub const LONGEST_HELD: usize = 64 * 1024;
+/// The longest row that is passed on as it comes, as its length counts.
+pub const LONGEST_STREAMED: usize = 16 * 1024 * 1024;
+/// The longest message from a db host that is held whole.
 pub const LONGEST_ANSWER: usize = 1024 * 1024;
 /// The longest startup message, as PostgreSQL has it.
 pub const LONGEST_STARTUP: usize = 10_000;
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -20,6 +20,8 @@
     Say(Vec<u8>),
     /// Says this after a while.
     SayLater(Duration, Vec<u8>),
+    /// Says this in pieces of so many bytes, with a pause after each.
+    SayInPieces(Vec<u8>, usize, Duration),
     /// Says this and breaks the connection.
     SayAndBreak(Vec<u8>),
     /// Breaks the connection.
@@ -368,6 +370,13 @@
                 thread::sleep(wait);
                 say(bytes)
             }
+            Do::SayInPieces(bytes, size, pause) => {
+                for piece in bytes.chunks(size.max(1)) {
+                    self.stream.write_all(piece).ok()?;
+                    thread::sleep(pause);
+                }
+                Some(())
+            }
             Do::SayAndBreak(bytes) => {
                 say(bytes)?;
                 self.flush()?;
--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -4,14 +4,18 @@
 
 use yewroute::interface::{Event, ListKind, Note, Outcome, Report, ServerId, Status};
 
-use super::{Answer, AttemptId, Core, Effect, Ended, HostNote, Payload};
+use super::{Answer, Attempt, AttemptId, Core, Effect, Ended, HostNote, Payload};
 use crate::clock::Clock;
 use crate::proto::catalog::Members;
 
 impl<B: Payload> Core<B> {
     pub(super) fn book(&mut self, now: Instant, id: AttemptId, ended: Ended, effects: &mut Vec<Effect<B>>) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
-        let (request, number) = id;
+        let (request, _) = id;
+        if attempt.first_byte.is_some() {
+            self.end_value(now, id, &attempt, ended, effects);
+            return;
+        }
         if ended.status == Status::Good {
             self.relay(request, Answer::Served(ended.served), effects);
         }
@@ -20,20 +24,32 @@
         if let Some(held) = held {
             held.out = None;
         }
-        let outcome = Outcome {
+        let outcome = Outcome { finished, ..self.outcome(now, id, &attempt, ended.status, ended.note) };
+        self.route(now, Event::Outcome(outcome), effects);
+    }
+
+    /// The end of an attempt whose request is over, as the module has it.
+    pub(super) fn outcome(
+        &self,
+        now: Instant,
+        (request, number): AttemptId,
+        attempt: &Attempt,
+        status: Status,
+        note: HostNote,
+    ) -> Outcome {
+        Outcome {
             request,
             attempt: number,
             server: attempt.server,
-            status: ended.status,
-            elapsed: now.saturating_duration_since(attempt.sent),
-            finished,
+            status,
+            elapsed: attempt.elapsed(now),
+            finished: true,
             note: Note {
-                role: ended.note.role,
-                position: ended.note.applied_ms.and_then(|ms| self.clock.applied(now, ms)),
+                role: note.role,
+                position: note.applied_ms.and_then(|ms| self.clock.applied(now, ms)),
             },
-            report: report(now, &ended.note, &self.clock),
-        };
-        self.route(now, Event::Outcome(outcome), effects);
+            report: report(now, &note, &self.clock),
+        }
     }
 
     pub(super) fn book_probe(
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod relay;
 mod route;
 mod send;
+mod stream;
 mod take_in;
 mod tally;
 #[cfg(test)]
@@ -139,6 +140,14 @@
     WatchBroken,
     /// A client's request could not be read; it has been told so.
     Unreadable,
+    /// An attempt's value has begun that is too long to be held: its first bytes, in the form of its connection.
+    Began(AttemptId, Vec<u8>),
+    /// More bytes of it.
+    Part(AttemptId, Vec<u8>),
+    /// So much waits for a client to be taken that nothing more is wanted for now.
+    Full(ClientId),
+    /// It has taken it.
+    Room(ClientId),
 }
 
 /// Something to be done outside.
@@ -157,6 +166,16 @@
         /// When to give up.
         cut_at: Instant,
     },
+    /// Pass these bytes of its value on to the client; more follow.
+    Pass(ClientId, Vec<u8>),
+    /// The value has broken off: end the connection, so that the client can tell.
+    BreakOff(ClientId),
+    /// Read no more of this attempt's value for now.
+    Pause(AttemptId),
+    /// Go on reading it.
+    Resume(AttemptId),
+    /// Nobody wants this attempt's value any more: drop it, nothing is to be told of it.
+    Abandon(AttemptId),
     /// Nobody waits for this attempt any more: drop it if none of it has been sent.
     Withdraw(AttemptId),
     /// Ask a db host for its report.
@@ -181,11 +200,23 @@
     body: Rc<B>,
     sends: u32,
     out: Option<AttemptId>,
+    /// Its value is being passed on.
+    passing: bool,
 }
 
 struct Attempt {
     server: ServerId,
     sent: Instant,
+    /// When its value began, if it is passed on as it comes; and the module has been told that it is served.
+    first_byte: Option<Instant>,
+    booked: bool,
+}
+
+impl Attempt {
+    /// How long it took up to its answer, or to the first byte of a value that is passed on as it comes.
+    fn elapsed(&self, now: Instant) -> Duration {
+        self.first_byte.unwrap_or(now).saturating_duration_since(self.sent)
+    }
 }
 
 /// Holds requests and attempts round the module.
@@ -252,6 +283,10 @@
             Input::Probed(server, ended) => self.book_probe(now, server, &ended, effects),
             Input::Members(members) => self.book_members(now, members, effects),
             Input::WatchBroken => self.book_broken_watch(now, effects),
+            Input::Began(attempt, bytes) => self.begin_value(now, attempt, bytes, effects),
+            Input::Part(attempt, bytes) => self.pass_on(attempt, bytes, effects),
+            Input::Full(client) => self.throttle(client, true, effects),
+            Input::Room(client) => self.throttle(client, false, effects),
             Input::Unreadable => self.tally.count(None, End::Aborted),
         }
     }
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -21,6 +21,11 @@
 impl<B: Payload> Core<B> {
     /// The final answer; a request that is not held any more has had its own.
     pub(super) fn relay(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect<B>>) {
+        // Guards against: an answer in the middle of a value.
+        let passing = self.held.get(&id).is_some_and(|held| held.passing);
+        if passing && !matches!(answer, Answer::Served(_)) {
+            return;
+        }
         if let Some(held) = self.release(id, answer.end()) {
             effects.push(Effect::Answer(held.client, answer));
         }
@@ -31,21 +36,27 @@
     pub(super) fn leave(&mut self, now: Instant, client: ClientId, effects: &mut Vec<Effect<B>>) {
         let Some(id) = self.by_client.get(&client).copied() else { return };
         let held = self.release(id, End::Aborted);
-        effects.extend(held.and_then(|held| held.out).map(Effect::Withdraw));
+        match held.map(|held| (held.out, held.passing)) {
+            Some((Some(out), true)) => self.abandon_value(now, out, effects),
+            Some((out, _)) => effects.extend(out.map(Effect::Withdraw)),
+            None => {}
+        }
         self.route(now, Event::Gone(id), effects);
     }
 
     /// Guards against: a request that nobody answers, such as one whose attempt never ends. The module ends
     /// each in time; this is the last line behind it.
     pub(super) fn overdue(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect<B>>) {
-        let Some(out) = self.held.get(&id).map(|held| held.out) else { return };
+        // A value that is being passed on ends by itself, or its client or db host is given up.
+        let held = self.held.get(&id).filter(|held| !held.passing);
+        let Some(out) = held.map(|held| held.out) else { return };
         error!(attempt_out = out.is_some(), "request overdue: failed by the gateway itself");
         self.relay(id, Answer::Failed, effects);
         self.route(now, Event::Gone(id), effects);
     }
 
     /// A request has ended: it is counted and its room is free.
-    fn release(&mut self, id: RequestId, end: End) -> Option<Held<B>> {
+    pub(super) fn release(&mut self, id: RequestId, end: End) -> Option<Held<B>> {
         let held = self.held.remove(&id)?;
         self.tally.count(Some(held.class), end);
         self.by_client.remove(&held.client);
--- a/gateway/src/core/send.rs
+++ b/gateway/src/core/send.rs
@@ -34,7 +34,7 @@
             }
         };
         let attempt = (id, number);
-        self.attempts.insert(attempt, Attempt { server, sent: now });
+        self.attempts.insert(attempt, Attempt { server, sent: now, first_byte: None, booked: false });
         effects.push(Effect::Start { attempt, server, body, cut_at });
     }
 }
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -46,7 +46,15 @@
         if !ask.name.is_empty() {
             self.names.insert(ask.name.clone());
         }
-        let held = Held { client, class, name: ask.name, body: Rc::new(ask.body), sends: 0, out: None };
+        let held = Held {
+            client,
+            class,
+            name: ask.name,
+            body: Rc::new(ask.body),
+            sends: 0,
+            out: None,
+            passing: false,
+        };
         self.held.insert(id, held);
         self.by_client.insert(client, id);
         self.timers.set(now + wait + OVERDUE, Due::Overdue(id));
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -309,6 +309,56 @@
     assert!(matches!(answers(&effects)[..], [(3, Answer::Refused { .. })]), "{effects:?}");
 }
 
+/// A gateway that has sent a read, and the attempt.
+fn reading() -> (Bench, AttemptId) {
+    let (mut b, _) = Bench::new();
+    let effects = b.ask(1, "view", 1200);
+    let [(attempt, _)] = starts(&effects)[..] else { panic!("{effects:?}") };
+    (b, attempt)
+}
+
+#[test]
+fn a_long_value_is_passed_on_as_it_comes_and_outlives_its_request_s_time() {
+    let (mut b, attempt) = reading();
+    let pass = |bytes: &[u8]| Effect::Pass(ClientId(1), bytes.to_vec());
+    assert_eq!(b.give(Input::Began(attempt, b"head".to_vec())), [pass(b"head")]);
+    assert_eq!(b.core.tally().classes()[0], Results::default(), "not over yet");
+    let effects = b.pass(Duration::from_secs(9));
+    assert_eq!((answers(&effects), starts(&effects)), (vec![], vec![]), "no other attempt, no time-out");
+    assert_eq!(b.give(Input::Part(attempt, b"more".to_vec())), [pass(b"more")]);
+    assert_eq!(b.give(Input::Full(ClientId(1))), [Effect::Pause(attempt)]);
+    assert_eq!(b.give(Input::Room(ClientId(1))), [Effect::Resume(attempt)]);
+    assert_eq!(answers(&b.end(attempt, Status::Good)), [(1, &Answer::Served(b"row".to_vec()))]);
+    assert_eq!((b.core.tally().classes()[0].succeeded, b.core.outstanding()), (1, 0));
+    assert_eq!(b.give(Input::Full(ClientId(1))), [], "nothing to pause any more");
+    assert_eq!(b.core.bytes, 0);
+}
+
+#[test]
+fn a_value_that_breaks_off_ends_its_connection_and_is_not_tried_again() {
+    let (mut b, attempt) = reading();
+    b.give(Input::Began(attempt, b"head".to_vec()));
+    let effects = b.end(attempt, Status::Reset);
+    assert_eq!(effects, [Effect::BreakOff(ClientId(1))]);
+    assert_eq!(b.core.tally().classes()[0], Results { aborted: 1, ..Results::default() });
+    assert_eq!((b.core.bytes, b.core.names.len(), b.core.attempts.len()), (0, 0, 0));
+    assert_eq!(b.pass(Duration::from_secs(4)), []);
+}
+
+#[test]
+fn a_client_that_leaves_within_its_value_has_it_dropped() {
+    let (mut b, attempt) = reading();
+    b.give(Input::Began(attempt, b"head".to_vec()));
+    assert_eq!(b.give(Input::ClientGone(ClientId(1))), [Effect::Abandon(attempt)]);
+    assert_eq!((b.core.attempts.len(), b.core.outstanding()), (0, 0));
+    // One that left before its value began.
+    let effects = b.ask(2, "view", 1200);
+    let [(attempt, _)] = starts(&effects)[..] else { panic!("{effects:?}") };
+    b.give(Input::ClientGone(ClientId(2)));
+    assert_eq!(b.give(Input::Began(attempt, b"head".to_vec())), [Effect::Abandon(attempt)]);
+    assert_eq!(b.core.attempts.len(), 0);
+}
+
 /// What the list does next, or a client.
 #[derive(Clone, Debug)]
 enum Move {
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -61,6 +61,9 @@
     /// A query has come whole; and one that was a request, not only an empty one or a parameter's.
     pub(super) asked: bool,
     pub(super) requested: bool,
+    /// A value is being passed on to it; and so much of it waits that no more is wanted.
+    pub(super) passing: bool,
+    pub(super) full: bool,
     /// Since when a message lies unfinished, and since when the client has taken none of its answers.
     pub(super) unfinished: Option<Instant>,
     pub(super) stuck: Option<Instant>,
@@ -80,6 +83,8 @@
             accepted: now,
             asked: false,
             requested: false,
+            passing: false,
+            full: false,
             unfinished: None,
             stuck: None,
         }
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -19,6 +19,9 @@
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
 
+/// Bytes of a long value that may wait for a client, at the least and at the most.
+const LEAST_WINDOW: usize = 16 * 1024;
+const MOST_WINDOW: usize = 128 * 1024;
 /// How often those times are looked after.
 const SWEEP: Duration = Duration::from_millis(200);
 /// Where descriptors are short, connections give way after so long: such as have sent no request, and idle ones.
@@ -269,7 +272,7 @@
                 // then the answer to these bytes is a reset.
                 Ok(Taken::End) => {
                     client.ended = true;
-                    if client.phase == Phase::Busy {
+                    if client.phase == Phase::Busy && !client.passing {
                         frontend::put_notice(client.wire.out(), "still waiting for the answer");
                         client.prompt = true;
                     }
@@ -326,6 +329,48 @@
         client.session.answered(answer, &mut self.table, client.wire.out());
         client.prompt = true;
         client.phase = Phase::Idle(now);
+        (client.passing, client.full) = (false, false);
+        self.work(now, number, poller, inbox);
+    }
+
+    /// Passes bytes of a long value on to a client, and asks for a pause when its share of the memory waits there.
+    pub fn pass(
+        &mut self,
+        now: Instant,
+        ClientId(number): ClientId,
+        bytes: &[u8],
+        poller: &Poller,
+        inbox: &mut VecDeque<Input>,
+    ) {
+        let Some(client) = self.clients.get_mut(&number) else { return };
+        (client.passing, client.prompt) = (true, true);
+        client.wire.out().extend(bytes);
+        self.work(now, number, poller, inbox);
+        let waits = self.clients.get(&number).map_or(0, |client| client.wire.unwritten());
+        if waits > LEAST_WINDOW && waits > self.window() {
+            if let Some(client) = self.clients.get_mut(&number).filter(|client| !client.full) {
+                client.full = true;
+                inbox.push_back(Input::Full(ClientId(number)));
+            }
+        }
+    }
+
+    /// Bytes of a value that may wait for a client: a share of the memory, of as many as there are.
+    fn window(&self) -> usize {
+        let passing = self.clients.values().filter(|client| client.passing).count();
+        (self.most_bytes / passing.max(1)).clamp(LEAST_WINDOW, MOST_WINDOW)
+    }
+
+    /// A value has broken off: the end of its connection within a message tells the client.
+    pub fn break_off(
+        &mut self,
+        now: Instant,
+        ClientId(number): ClientId,
+        poller: &Poller,
+        inbox: &mut VecDeque<Input>,
+    ) {
+        let Some(client) = self.clients.get_mut(&number) else { return };
+        (client.phase, client.passing, client.buffer) = (Phase::Closing, false, Vec::new());
         self.work(now, number, poller, inbox);
     }
 
@@ -343,6 +388,12 @@
                 self.gone(number, inbox);
                 return;
             }
+            if let Some(client) = self.clients.get_mut(&number) {
+                if client.full && client.wire.unwritten() <= LEAST_WINDOW / 2 {
+                    client.full = false;
+                    inbox.push_back(Input::Room(ClientId(number)));
+                }
+            }
             // Guards against: messages left lying when the answers before them could be written at once, as
             // nothing would wake for them.
             let written = self.clients.get(&number).is_some_and(|client| client.wire.unwritten() == 0);
--- a/gateway/src/net/host_conn.rs
+++ b/gateway/src/net/host_conn.rs
@@ -41,6 +41,10 @@
     pub(super) sent: Sent,
     /// Part of an answer has come.
     pub(super) begun: bool,
+    /// When bytes of an answer came last; and its value is passed on as it comes, paused or not.
+    pub(super) moved: Instant,
+    pub(super) passing: bool,
+    pub(super) paused: bool,
     /// An attempt is being written, whose last byte is not out yet.
     pub(super) forwarding: bool,
     pub(super) writable: bool,
@@ -48,7 +52,7 @@
 
 impl Conn {
     /// One that is being dialled.
-    pub(super) fn new(server: ServerId, addr: SocketAddr, wire: Wire) -> Self {
+    pub(super) fn new(now: Instant, server: ServerId, addr: SocketAddr, wire: Wire) -> Self {
         Self {
             server,
             addr,
@@ -59,6 +63,9 @@
             prepared: Prepared::default(),
             sent: Sent::default(),
             begun: false,
+            moved: now,
+            passing: false,
+            paused: false,
             forwarding: false,
             writable: false,
         }
@@ -78,11 +85,25 @@
         }
         if writable != self.writable || self.state == State::Starting {
             self.writable = writable;
-            let interest = Interest { read: true, write: writable };
-            a.poller.change(&self.wire, Token::Host(number), interest)?;
+            self.listen(number, a)?;
         }
         Ok(())
     }
+
+    /// Asks to be woken for what is wanted.
+    fn listen(&self, number: u64, a: &Around) -> std::io::Result<()> {
+        let interest = Interest { read: !self.paused, write: self.writable };
+        a.poller.change(&self.wire, Token::Host(number), interest)
+    }
+
+    /// Stops reading, or goes on.
+    pub(super) fn pause(&mut self, number: u64, paused: bool, a: &Around) -> std::io::Result<()> {
+        if self.paused == paused {
+            return Ok(());
+        }
+        (self.paused, self.moved) = (paused, a.now);
+        self.listen(number, a)
+    }
 }
 
 /// An answer as the core has it.
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -19,8 +19,9 @@
 
 /// Idle connections are retired after this share of the time that a db host leaves them open.
 const RETIRE_AFTER: f64 = 0.6;
-/// An answer of which a part has come is whole within this time, or spoilt.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// An answer of which a part has come goes on within this time, or is spoilt; and so does a value that is passed on.
+const ANSWER_GAP: Duration = Duration::from_millis(250);
+const VALUE_GAP: Duration = Duration::from_secs(5);
 /// How often that is looked after.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -194,11 +195,7 @@
                     }
                 }
                 Due::Cut(id, number) => self.cut(id, number, a),
-                Due::Answer(number, id) => {
-                    if self.conns.get(&number).is_some_and(|conn| conn.state == State::Busy(id)) {
-                        self.malformed(number, "not whole in time", a);
-                    }
-                }
+                Due::Answer(number, id) => self.answer_due(number, id, a),
                 Due::Sweep => {
                     self.sweep(a);
                     self.timers.set(a.now + SWEEP, Due::Sweep);
@@ -207,10 +204,42 @@
         }
     }
 
+    /// Guards against: waiting for the rest of an answer that stopped.
+    fn answer_due(&mut self, number: u64, id: JobId, a: &mut Around) {
+        let conn = self.conns.get(&number).filter(|conn| conn.state == State::Busy(id) && !conn.passing);
+        let Some(at) = conn.map(|conn| conn.moved + ANSWER_GAP) else { return };
+        if at <= a.now {
+            self.malformed(number, "not whole in time", a);
+        } else {
+            self.timers.set(at, Due::Answer(number, id));
+        }
+    }
+
+    /// Stops reading the value of an attempt for now, or goes on.
+    pub fn pause(&mut self, attempt: AttemptId, paused: bool, a: &mut Around) {
+        let number = self.jobs.get(&JobId::Attempt(attempt)).and_then(|job| job.conn);
+        let Some((number, conn)) = number.and_then(|n| Some((n, self.conns.get_mut(&n)?))) else { return };
+        if conn.passing && conn.pause(number, paused, a).is_err() {
+            self.lose(number, a);
+        }
+    }
+
+    /// Drops an attempt whose value nobody wants any more, with its connection.
+    pub fn abandon(&mut self, attempt: AttemptId) {
+        let job = self.jobs.remove(&JobId::Attempt(attempt));
+        if let Some(number) = job.and_then(|job| job.conn) {
+            self.conns.remove(&number);
+        }
+    }
+
     /// Guards against: a second copy. The connection of an attempt that is given up is closed before anything
     /// else can be sent for the request, and never used again.
     fn cut(&mut self, id: JobId, number: u64, a: &mut Around) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.number == number) else { return };
+        // What is timed of a value that is passed on is its first byte.
+        if job.conn.and_then(|conn| self.conns.get(&conn)).is_some_and(|conn| conn.passing) {
+            return;
+        }
         let written = job.conn.and_then(|conn| self.conns.remove(&conn)).map(|conn| conn.may_have_run());
         let status = match (id, written) {
             (_, Some(true)) => Status::Timeout,
@@ -223,6 +252,11 @@
     /// Closes connections that have been idle for long, before the db host does, and those to db hosts that
     /// are to get nothing more.
     fn sweep(&mut self, a: &mut Around) {
+        let stopped = |conn: &Conn| conn.passing && !conn.paused && a.now - conn.moved >= VALUE_GAP;
+        let stopped = self.conns.iter().filter(|(_, conn)| stopped(conn)).map(|(number, _)| *number);
+        for number in stopped.collect::<Vec<_>>() {
+            self.malformed(number, "a value that stopped", a);
+        }
         for (server, pool) in &mut self.pools {
             let open = a.directory.open(*server).is_some();
             pool.idle.retain(|number| {
@@ -281,7 +315,7 @@
             match dialled {
                 Ok(wire) => {
                     self.timers.set(a.now + self.connect_timeout, Due::Connect(number));
-                    let conn = Conn::new(server, addr, wire);
+                    let conn = Conn::new(a.now, server, addr, wire);
                     self.conns.insert(number, conn);
                     self.pools.entry(server).or_default().dialing += 1;
                 }
@@ -315,7 +349,7 @@
         let (Some(conn), Some(job)) = (self.conns.get_mut(&number), self.jobs.get_mut(&id)) else { return };
         job.conn = Some(number);
         conn.state = State::Busy(id);
-        conn.begun = false;
+        (conn.begun, conn.passing, conn.paused) = (false, false, false);
         // An attempt that is written once more, as its statement was not there, is the same one.
         conn.forwarding = matches!(id, JobId::Attempt(_)) && !job.again;
         let wait = job.cut_at.saturating_duration_since(a.now);
@@ -350,6 +384,11 @@
             self.lose(number, a);
             return;
         }
+        // Guards against: a busy loop over a connection that has broken and is not read from.
+        if conn.paused && !event.broken {
+            return;
+        }
+        conn.moved = a.now;
         let taken = match conn.wire.read(&mut self.scratch, &mut conn.buffer) {
             Ok(taken) => taken,
             Err(_) => Taken::End,
@@ -388,9 +427,26 @@
             match conn.gather.next(&conn.buffer[used..]) {
                 Ok(Some((step, len))) => {
                     used += len;
-                    if let Step::Ready(reply) = step {
-                        whole = used;
-                        self.answered(number, reply, a);
+                    match step {
+                        Step::More => {}
+                        Step::Ready(reply) => {
+                            whole = used;
+                            self.answered(number, reply, a);
+                        }
+                        Step::Begins(head) => {
+                            let State::Busy(JobId::Attempt(attempt)) = conn.state else {
+                                self.malformed(number, "a long value that was not asked for", a);
+                                return;
+                            };
+                            conn.passing = true;
+                            a.inbox.push_back(Input::Began(attempt, head));
+                        }
+                        Step::Part => {
+                            if let State::Busy(JobId::Attempt(attempt)) = conn.state {
+                                let part = conn.buffer[used - len..used].to_vec();
+                                a.inbox.push_back(Input::Part(attempt, part));
+                            }
+                        }
                     }
                 }
                 Ok(None) => {
@@ -399,9 +455,9 @@
                     if !came {
                         return;
                     }
-                    if let (State::Busy(id), false) = (conn.state, conn.begun) {
+                    if let (State::Busy(id), false, false) = (conn.state, conn.begun, conn.passing) {
                         conn.begun = true;
-                        self.timers.set(a.now + ANSWER_TIMEOUT, Due::Answer(number, id));
+                        self.timers.set(a.now + ANSWER_GAP, Due::Answer(number, id));
                     }
                     return;
                 }
--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -14,7 +14,7 @@
     let addr = listener.local_addr().unwrap();
     let stream = TcpStream::connect(addr).unwrap();
     rustix::net::sockopt::set_socket_send_buffer_size(&stream, 1).unwrap();
-    let conn = Conn::new(ServerId(0), addr, Wire::accepted(stream).unwrap());
+    let conn = Conn::new(std::time::Instant::now(), ServerId(0), addr, Wire::accepted(stream).unwrap());
     (conn, listener.accept().unwrap().0)
 }
 
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -370,6 +370,15 @@
             Effect::Start { attempt, server, body, cut_at } => {
                 hosts.start(attempt, server, body, cut_at, &mut around);
             }
+            Effect::Pass(client, bytes) => {
+                self.clients.pass(now, client, &bytes, &self.poller, &mut self.inbox);
+            }
+            Effect::BreakOff(client) => {
+                self.clients.break_off(now, client, &self.poller, &mut self.inbox);
+            }
+            Effect::Pause(attempt) => hosts.pause(attempt, true, &mut around),
+            Effect::Resume(attempt) => hosts.pause(attempt, false, &mut around),
+            Effect::Abandon(attempt) => hosts.abandon(attempt),
             Effect::Withdraw(attempt) => hosts.withdraw(attempt, &mut around),
             Effect::Probe(server) => hosts.probe(server, &mut around),
             Effect::CloseIdle(server) => hosts.close_idle(server),
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -71,7 +71,13 @@
             match self.stream.write(&self.out[self.written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => self.written += n,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    // Guards against: what has been written of a long value being kept until all of it is.
+                    if self.written > CHUNK {
+                        self.out.drain(..std::mem::take(&mut self.written));
+                    }
+                    return Ok(false);
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
--- a/gateway/tests/service.rs
+++ b/gateway/tests/service.rs
@@ -232,3 +232,118 @@
     assert_eq!(gateway.call("PUT /undrain"), (409, "stopping\n".to_owned()));
     assert!(gateway.wait().success());
 }
+
+/// Resident memory of a process at its highest, in KiB.
+fn peak_kib(pid: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
+
+const LONG: usize = 4 * 1024 * 1024;
+
+/// A value of this length in which every part differs.
+fn value(len: usize) -> Vec<u8> {
+    (0..len).map(|n| (n ^ (n >> 8) ^ (n >> 16)) as u8).collect()
+}
+
+#[test]
+fn values_of_4_mib_pass_through_in_odd_pieces_and_to_slow_readers_within_the_memory() {
+    // Reads that overflow go to the primary: it has the same long values.
+    let start = |primary: bool| {
+        let answer = answers::served_value(if primary { "primary" } else { "replica" }, &value(LONG));
+        Host::start(move |query| match query {
+            "SHOW load" => well(primary, query),
+            _ if query.contains("k=odd") => Do::SayInPieces(answer.clone(), 70_001, Duration::from_millis(1)),
+            _ if query.contains("k=bytes") => {
+                // The head in small pieces, past any split that there is.
+                let served = answers::served_value("replica", &value(70_000));
+                Do::SayInPieces(served, 997, Duration::from_micros(50))
+            }
+            _ if query.contains("k=short") => well(primary, query),
+            _ => Do::Say(answer.clone()),
+        })
+    };
+    let (primary, replica) = (start(true), start(false));
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    let mut client = gateway.client();
+    for (more, len) in [("", LONG), (",k=odd", LONG), (",k=bytes", 70_000)] {
+        assert_eq!(client.ask(&statement("view", 1000, more)), b"TDCZ", "{more}");
+        assert!(client.rows[0][6..] == value(len), "another value came: {more}");
+        assert_eq!(client.ask(&statement("order", 1000, ",k=short")), b"TDCZ", "the connection goes on");
+    }
+    // 64 at once, together 256 MiB, read slowly.
+    let before = peak_kib(gateway.pid());
+    let readers: Vec<_> = (0..64)
+        .map(|_| {
+            let mut client = gateway.client();
+            thread::spawn(move || {
+                // Refused while the db host has enough to do; then again.
+                loop {
+                    client.send(&statement("view", 1000, ""));
+                    match client.message() {
+                        Some(b'T') => break,
+                        Some(b'E') => assert_eq!(client.answer(), b"Z"),
+                        other => panic!("{other:?}"),
+                    }
+                    thread::sleep(Duration::from_millis(20));
+                }
+                thread::sleep(Duration::from_millis(300));
+                let mut left = LONG;
+                let mut piece = vec![0; 256 * 1024];
+                while left > 0 {
+                    let n = client.stream.read(&mut piece).unwrap();
+                    assert!(n > 0, "the value is whole");
+                    left = left.saturating_sub(n);
+                    thread::sleep(Duration::from_millis(5));
+                }
+            })
+        })
+        .collect();
+    readers.into_iter().for_each(|reader| reader.join().unwrap());
+    let peak = peak_kib(gateway.pid());
+    assert!(peak < 48 * 1024, "{before} to {peak} KiB");
+    assert_eq!(results(&gateway, "view")[0], 67);
+}
+
+#[test]
+fn a_value_that_breaks_off_closes_its_client_s_connection_and_one_nobody_wants_is_dropped() {
+    let answer = answers::served_value("replica", &value(LONG));
+    let replica = Host::start(move |query| {
+        let answer = answer.clone();
+        match query {
+            "SHOW load" => well(false, query),
+            _ if query.contains("k=half") => Do::SayAndBreak(answer[..LONG / 2].to_vec()),
+            _ if query.contains("k=lies") => {
+                let mut lies = answer;
+                let row_at = answers::columns().len();
+                lies[row_at + 7..row_at + 11].copy_from_slice(&(LONG as u32 + 1).to_be_bytes());
+                Do::Say(lies)
+            }
+            _ => Do::Say(answer),
+        }
+    });
+    let primary = Host::well(true);
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    let mut client = gateway.client();
+    assert_eq!(
+        client.ask(&statement("view", 1000, ",k=half")),
+        b"T",
+        "no row, and no other answer behind it"
+    );
+    assert_eq!(results(&gateway, "view"), [0, 0, 1]);
+    let tries = replica.asked().len();
+    assert_eq!(tries, 1, "no other attempt once a byte has been passed on");
+    // A row that lies about its length is never begun; the primary serves the request.
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&statement("view", 1000, ",k=lies")), b"TDCZ");
+    gateway.logs("spoilt answer from a db host");
+    // A client that leaves in the middle: its db host's connection goes with it.
+    client.send(&statement("view", 1000, ""));
+    client.stream.read_exact(&mut [0; 100_000]).unwrap();
+    let open = replica.open.load(Ordering::SeqCst);
+    drop(client);
+    until(|| replica.open.load(Ordering::SeqCst) < open, || gateway.log());
+    assert_eq!(gateway.figure("svc_outstanding"), 0);
+    assert_eq!(gateway.client().ask(&statement("view", 1000, "")), b"TDCZ");
+}
