Take statements of 8 MiB: bytes set aside before they are read on, one buffer to the db host

Need: a query over 144 KiB was turned away as malformed, and all that was taken was copied twice. A message over 64 KiB is read on once its stated length is set aside (crates/ledger: in order, nobody waits while holding a part), and the buffer it was read into is what is written to its db host. A message is judged by progress, not by 2 s in all: 2.5 s without a byte, 8 s for one within 64 KiB, 30 s for a longer one.

Measured in a test: twelve writes of 4 MiB at once, 100 MB, at a limit of 32 MB: each reaches its db host once, byte for byte, and the process stays under 32 MB; one that stops and one that leaves free their room.

--- a/crates/pgwire/src/frame.rs
+++ b/crates/pgwire/src/frame.rs
@@ -2,8 +2,9 @@
 
 use thiserror::Error;
 
-/// The longest message taken from a client: a value of 64 KiB in hexadecimal, and room for the statement
-/// round it.
+/// The longest simple query taken from a client: a value of 4 MiB in hexadecimal, and room for the statement round it.
+pub const LONGEST_STATEMENT: usize = 8 * 1024 * 1024 + 64 * 1024;
+/// The longest of a client's other messages.
 pub const LONGEST_QUERY: usize = 144 * 1024;
 /// A value longer than this is passed on as it comes; shorter ones are held until their answer is whole.
 pub const LONGEST_HELD: usize = 64 * 1024;
--- a/crates/pgwire/src/frontend.rs
+++ b/crates/pgwire/src/frontend.rs
@@ -60,9 +60,25 @@
     Unknown(u8),
 }
 
+/// The most that the length of a message of this type may say.
+fn longest(kind: u8) -> usize {
+    if kind == b'Q' {
+        frame::LONGEST_STATEMENT
+    } else {
+        frame::LONGEST_QUERY
+    }
+}
+
+/// How many bytes the next message has in all, once its head is there.
+pub fn stated(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+    let Some((kind, rest)) = bytes.split_first() else { return Ok(None) };
+    Ok(frame::length(rest, longest(*kind))?.map(|len| 1 + len))
+}
+
 /// Reads the next message, if all of it is there, and its length.
 pub fn message(bytes: &[u8]) -> Result<Option<(Message<'_>, usize)>, Malformed> {
-    let Some(frame) = frame::next(bytes, frame::LONGEST_QUERY)? else { return Ok(None) };
+    let longest = bytes.first().map_or(0, |kind| longest(*kind));
+    let Some(frame) = frame::next(bytes, longest)? else { return Ok(None) };
     let message = match frame.kind {
         b'Q' => match frame.body.split_last() {
             Some((0, text)) if !text.contains(&0) => Message::Query(text),
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -3,6 +3,7 @@
 //! Messages go in one after the other; none is taken while a request is out, so answers keep the order of the
 //! messages whatever db hosts do. One Execute is one request.
 
+use std::borrow::Cow;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -163,7 +164,7 @@
             Message::Extended(..) if !self.terms.extended => {
                 self.fail(out, (code::NOT_SUPPORTED, "extended queries are not supported".to_owned()));
             }
-            Message::Query(text) => return self.query(text, out),
+            Message::Query(text) => return self.query(Cow::Borrowed(text), out),
             Message::Extended(kind, body) => {
                 self.open = true;
                 let took = match kind {
@@ -185,6 +186,17 @@
         Ok(Took::Done)
     }
 
+    /// Takes a simple query whose text is not to be copied.
+    ///
+    /// # Errors
+    /// As [`Session::take`].
+    pub fn take_query(&mut self, text: Vec<u8>, out: &mut Vec<u8>) -> Result<Took, String> {
+        if self.skipping {
+            return Ok(Took::Done);
+        }
+        self.query(Cow::Owned(text), out)
+    }
+
     fn fail(&mut self, out: &mut Vec<u8>, (sqlstate, why): Fault) {
         frontend::put_error(out, "ERROR", sqlstate, &why, None);
         self.skip();
@@ -205,7 +217,7 @@
         frontend::put_ready(out);
     }
 
-    fn query(&mut self, text: &[u8], out: &mut Vec<u8>) -> Result<Took, String> {
+    fn query(&mut self, text: Cow<'_, [u8]>, out: &mut Vec<u8>) -> Result<Took, String> {
         if self.deferred.is_some() {
             self.fail(out, cannot_describe());
             return Ok(Took::Done);
@@ -214,16 +226,16 @@
             self.bytes -= cost_of_statement(b"", &unnamed);
         }
         self.drop_portal(b"");
-        if let Some(local) = frontend::local(text) {
+        if let Some(local) = frontend::local(&text) {
             frontend::put_local(out, local);
             self.sync(out);
             return Ok(Took::Done);
         }
+        let verb = if self.terms.extended { statement::writes(statement::trim(&text)) } else { None };
         let wanted = match Wanted::simple(text) {
             Ok(wanted) => wanted,
             // A driver that begins a transaction is told so, and may go on with something else.
             Err(why) if self.terms.extended => {
-                let verb = statement::writes(statement::trim(text));
                 let why = NotTaken::Malformed(if verb.is_some() { why } else { Malformed::Verb });
                 frontend::put_error(out, "ERROR", sqlstate_of(&why), &why.to_string(), None);
                 self.sync(out);
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -21,9 +21,15 @@
 const MOST_BUFFERED: usize = LONGEST_QUERY + CHUNK;
 /// Answers that wait to be written, beyond which no further message is taken.
 const MOST_UNWRITTEN: usize = CHUNK;
-/// A connection on which no query has come whole by then is closed, and so is one that leaves a message
-/// unfinished for so long.
-const MESSAGE_TIMEOUT: Duration = Duration::from_secs(2);
+/// A connection on which no query has come is closed after so long without a byte, and so is one that leaves a message
+/// unfinished. A client may spend 2 s on a head.
+const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// The longest that a message may take in all, and one for which bytes are set aside; and how long it waits for them.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(8);
+const LONG_TIMEOUT: Duration = Duration::from_secs(30);
+const ROOM_TIMEOUT: Duration = Duration::from_secs(20);
+/// Bytes are set aside for a longer message before it is read on.
+const LONGEST_UNASKED: usize = 64 * 1024;
 /// A client that has taken none of its answers for so long is given up.
 const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a closed connection is given to take its last bytes.
@@ -45,6 +51,17 @@
     Lingering(Instant),
 }
 
+/// A message of so many bytes in all that is longer than is read unasked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Long {
+    /// Its head has come; whether there is room is not asked yet.
+    Comes(usize),
+    /// It waits for room, and is not read on.
+    Waits(usize),
+    /// All its bytes are set aside, until its request has its answer.
+    Held(usize),
+}
+
 /// A client's connection.
 pub(super) struct Client {
     pub(super) wire: Wire,
@@ -64,6 +81,10 @@
     /// A value is being passed on to it; and so much of it waits that no more is wanted.
     pub(super) passing: bool,
     pub(super) full: bool,
+    /// A message is coming for which bytes must be set aside, or are.
+    pub(super) long: Option<Long>,
+    /// When bytes came last.
+    pub(super) heard: Instant,
     /// Since when a message lies unfinished, and since when the client has taken none of its answers.
     pub(super) unfinished: Option<Instant>,
     pub(super) stuck: Option<Instant>,
@@ -85,6 +106,8 @@
             requested: false,
             passing: false,
             full: false,
+            long: None,
+            heard: now,
             unfinished: None,
             stuck: None,
         }
@@ -93,17 +116,30 @@
     /// It has kept its connection for longer than it may as things stand.
     pub(super) fn overdue(&self, now: Instant) -> bool {
         let older = |since: Option<Instant>, than| since.is_some_and(|since| now - since >= than);
-        let silent = !self.asked && now - self.accepted >= MESSAGE_TIMEOUT;
+        let quiet = now.saturating_duration_since(self.heard);
+        let age = now.saturating_duration_since(self.accepted);
+        let silent = !self.asked && self.long.is_none() && (quiet >= MESSAGE_TIMEOUT || age >= HEAD_TIMEOUT);
         older(self.stuck, STUCK_TIMEOUT)
             || match self.phase {
-                Phase::Opening | Phase::Idle(_) => {
-                    self.stuck.is_none() && (silent || older(self.unfinished, MESSAGE_TIMEOUT))
-                }
+                Phase::Opening | Phase::Idle(_) => self.stuck.is_none() && (silent || self.late(now)),
                 Phase::Busy | Phase::Closing => false,
                 Phase::Lingering(since) => now - since >= LINGER,
             }
     }
 
+    /// A message has stopped coming, or takes too long in all. One that waits for room is not at fault, and waits only so
+    /// long.
+    pub(super) fn late(&self, now: Instant) -> bool {
+        let Some(since) = self.unfinished else { return false };
+        let past = now.saturating_duration_since(since);
+        let stopped = now.saturating_duration_since(self.heard.max(since)) >= MESSAGE_TIMEOUT;
+        match self.long {
+            Some(Long::Waits(_)) => past >= ROOM_TIMEOUT,
+            Some(_) => stopped || past >= LONG_TIMEOUT,
+            None => stopped || past >= HEAD_TIMEOUT,
+        }
+    }
+
     /// What is to be written can wait for the answer that is out: it only tells that a statement was parsed, bound or
     /// described, in a pipeline whose Sync or Flush is yet to come. PostgreSQL does the same; it spares a write and a
     /// wake-up for each request. A final answer never waits.
@@ -142,11 +178,19 @@
         self.session.open() && self.stuck.is_none() && since.is_some_and(|since| now - since >= than)
     }
 
+    /// Bytes are set aside for its long message. The buffer gets them at once, so that growing never takes twice as much.
+    pub(super) fn hold(&mut self, now: Instant, len: usize) {
+        (self.long, self.heard) = (Some(Long::Held(len)), now);
+        self.unfinished = Some(now);
+        // A read may bring what lies behind it as well.
+        self.buffer.reserve_exact((len + CHUNK).saturating_sub(self.buffer.len()));
+    }
+
     /// Says why, and closes once that is written.
     pub(super) fn turn_out(&mut self, sqlstate: &str, why: &str) {
         frontend::put_error(self.wire.out(), "FATAL", sqlstate, why, None);
         self.buffer = Vec::new();
-        self.unfinished = None;
+        (self.unfinished, self.long) = (None, None);
         self.phase = Phase::Closing;
     }
 
@@ -157,7 +201,12 @@
 
     /// More bytes are wanted.
     pub(super) fn reads(&self) -> bool {
-        let most = if self.phase == Phase::Busy { CHUNK } else { MOST_BUFFERED };
+        let most = match (self.phase, self.long) {
+            (Phase::Busy, _) => CHUNK,
+            (_, Some(Long::Comes(_) | Long::Waits(_))) => 0,
+            (_, Some(Long::Held(len))) => len,
+            _ => MOST_BUFFERED,
+        };
         !self.ended && self.buffer.len() < most
     }
 
@@ -183,12 +232,12 @@
                 break;
             }
             let step = if self.phase == Phase::Opening {
-                self.open(now, used)
+                self.open(now, used).map(|len| len.map(|len| used + len))
             } else {
                 self.take_message(now, number, used, yes, table, inbox)
             };
             match step {
-                Ok(Some(len)) => used += len,
+                Ok(Some(end)) => used = end,
                 Ok(None) => break,
                 Err(why) => {
                     warn!(why, "closed a client's connection");
@@ -222,6 +271,7 @@
         Ok(Some(len))
     }
 
+    /// Takes the message that begins at `from`, and says where it ends; none if it is not all there.
     fn take_message(
         &mut self,
         now: Instant,
@@ -231,6 +281,15 @@
         table: &mut Table,
         inbox: &mut VecDeque<Input>,
     ) -> Result<Option<usize>, String> {
+        let stated = frontend::stated(&self.buffer[from..]).map_err(|e| e.to_string())?;
+        let Some(len) = stated else { return Ok(None) };
+        if len > LONGEST_UNASKED && !matches!(self.long, Some(Long::Held(_))) {
+            self.long = Some(Long::Comes(len));
+            return Ok(None);
+        }
+        if len > LONGEST_UNASKED && self.buffer[from] == b'Q' {
+            return self.take_long(now, number, from, len, inbox);
+        }
         let message = frontend::message(&self.buffer[from..]).map_err(|e| e.to_string())?;
         let Some((message, len)) = message else { return Ok(None) };
         let query = matches!(message, frontend::Message::Query(_));
@@ -240,14 +299,49 @@
                 frontend::put_error(out, "ERROR", code::CANNOT_CONNECT_NOW, "this gateway drains", None);
                 frontend::put_ready(out);
                 self.asked = true;
-                return Ok(Some(len));
+                return Ok(Some(from + len));
             }
         }
         let took = self.session.take(&message, table, self.wire.out());
         if took.is_err() && query {
             inbox.push_back(Input::Unreadable);
         }
-        match took? {
+        self.took(now, number, took?, query, inbox);
+        Ok(Some(from + len))
+    }
+
+    /// Takes a long query, which is not copied. It ends where the bytes begin that came behind it.
+    fn take_long(
+        &mut self,
+        now: Instant,
+        number: u64,
+        from: usize,
+        len: usize,
+        inbox: &mut VecDeque<Input>,
+    ) -> Result<Option<usize>, String> {
+        if self.buffer.len() < from + len {
+            return Ok(None);
+        }
+        let rest = self.buffer.split_off(from + len);
+        let mut text = std::mem::replace(&mut self.buffer, rest);
+        text.drain(..from + 5);
+        let took = match text.pop() {
+            Some(0) if !text.contains(&0) => self.session.take_query(text, self.wire.out()),
+            _ => Err("a query without an end".to_owned()),
+        };
+        if took.is_err() {
+            inbox.push_back(Input::Unreadable);
+        }
+        self.took(now, number, took?, true, inbox);
+        Ok(Some(0))
+    }
+
+    fn took(&mut self, now: Instant, number: u64, took: Took, query: bool, inbox: &mut VecDeque<Input>) {
+        // What has been set aside for a request stays so until its answer.
+        if !matches!(took, Took::Ask(_)) {
+            self.long = None;
+        }
+        match took {
             Took::Close => self.phase = Phase::Closing,
             Took::Ask(wanted) => {
                 inbox.push_back(Input::Ask(ClientId(number), ask(wanted)));
@@ -262,7 +356,6 @@
                 self.requested |= self.session.holds();
             }
         }
-        Ok(Some(len))
     }
 }
 
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, Instant};
 
 use tracing::warn;
+use yewroute_ledger::{Grant, Ledger};
 use yewroute_lifecycle::Leaving;
 
-use super::client::{Client, Phase};
+use super::client::{Client, Long, Phase};
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
 use super::Input;
@@ -45,6 +46,8 @@
     accepted: u64,
     most: usize,
     most_bytes: usize,
+    /// Bytes set aside for long messages, from their heads to their answers.
+    room: Ledger,
     welcome: Welcome,
     scratch: Vec<u8>,
     /// The statements of all clients.
@@ -77,8 +80,9 @@
 }
 
 impl Clients {
-    /// At most `most` connections that have read at most `most_bytes` ahead together.
-    pub fn new(now: Instant, most: usize, most_bytes: usize, rules: Rules) -> Self {
+    /// At most `most` connections that have read at most `most_bytes` ahead together, and hold at most
+    /// `statement_bytes` of long statements.
+    pub fn new(now: Instant, most: usize, most_bytes: usize, statement_bytes: usize, rules: Rules) -> Self {
         let mut timers = Timers::new();
         timers.set(now + SWEEP, Due::Sweep);
         Self {
@@ -89,6 +93,7 @@
             accepted: 0,
             most,
             most_bytes,
+            room: Ledger::new(long_bytes(statement_bytes)),
             welcome: Welcome { leaving: Leaving::None, yes: true, accepts: true, listens: true },
             scratch: vec![0; CHUNK],
             table: Table::new(rules.table_bytes),
@@ -104,8 +109,9 @@
     }
 
     /// Connections that may be open, and bytes read ahead, from now on.
-    pub fn limit(&mut self, most: usize, most_bytes: usize) {
+    pub fn limit(&mut self, most: usize, most_bytes: usize, statement_bytes: usize) {
         (self.most, self.most_bytes) = (most, most_bytes);
+        self.room.limit(long_bytes(statement_bytes));
     }
 
     /// How clients are served from now on. Those that are connected keep the terms that they were welcomed with.
@@ -240,7 +246,11 @@
         for number in numbers.collect::<Vec<_>>() {
             match self.clients.get_mut(&number) {
                 Some(client) if client.unfinished.is_some() && client.takes() && client.stuck.is_none() => {
-                    client.turn_out(code::PROTOCOL_VIOLATION, "a message was not finished in time");
+                    let (sqlstate, why) = match client.long {
+                        Some(Long::Waits(_)) => (code::TOO_MANY, "no room for so long a statement"),
+                        _ => (code::PROTOCOL_VIOLATION, "a message was not finished in time"),
+                    };
+                    client.turn_out(sqlstate, why);
                     self.work(now, number, poller, inbox);
                 }
                 Some(client) if client.stalled(now, pipeline_idle) => {
@@ -267,7 +277,8 @@
         }
         if client.reads() {
             match client.wire.read(&mut self.scratch, &mut client.buffer) {
-                Ok(Taken::Some | Taken::Nothing) => {}
+                Ok(Taken::Some) => client.heard = now,
+                Ok(Taken::Nothing) => {}
                 // It may have closed one direction only, and still wait for its answers; or it has gone, and
                 // then the answer to these bytes is a reset.
                 Ok(Taken::End) => {
@@ -283,9 +294,10 @@
                 }
             }
         }
-        let long = client.buffer.len() > CHUNK && client.phase != Phase::Busy;
+        let long = client.buffer.len() > CHUNK && client.phase != Phase::Busy && client.long.is_none();
         // Guards against: long messages of many clients, all unfinished, that together fill the memory.
-        if long && self.clients.values().map(|c| c.buffer.len()).sum::<usize>() > self.most_bytes {
+        let unasked = |client: &Client| if client.long.is_none() { client.buffer.len() } else { 0 };
+        if long && self.clients.values().map(unasked).sum::<usize>() > self.most_bytes {
             if let Some(client) = self.clients.get_mut(&number) {
                 warn!("out of memory for clients: one connection closed");
                 client.turn_out(code::OUT_OF_MEMORY, "too many bytes of clients");
@@ -329,7 +341,7 @@
         client.session.answered(answer, &mut self.table, client.wire.out());
         client.prompt = true;
         client.phase = Phase::Idle(now);
-        (client.passing, client.full) = (false, false);
+        (client.passing, client.full, client.long) = (false, false, None);
         self.work(now, number, poller, inbox);
     }
 
@@ -374,8 +386,49 @@
         self.work(now, number, poller, inbox);
     }
 
-    /// Takes the messages that have come, writes what there is and sees what is next.
+    /// Does what there is to do for a client, and for those whose turn comes by that.
     fn work(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        self.work_on(now, number, poller, inbox);
+        if self.settle_room(now, number) {
+            // Its message was let in at once.
+            self.work_on(now, number, poller, inbox);
+        }
+        self.let_in(now, poller, inbox);
+    }
+
+    /// Sees that bytes are set aside for a client's long message, or no longer; true if it may go on reading.
+    fn settle_room(&mut self, now: Instant, number: u64) -> bool {
+        let Some(client) = self.clients.get_mut(&number).filter(|client| client.long.is_some()) else {
+            self.room.release(number);
+            return false;
+        };
+        let Some(Long::Comes(len)) = client.long else { return false };
+        match self.room.reserve(number, len) {
+            Grant::Given => client.hold(now, len),
+            Grant::Waits => client.long = Some(Long::Waits(len)),
+            Grant::Never => client.turn_out(code::LIMIT, "a statement beyond the memory for statements"),
+        }
+        client.long != Some(Long::Waits(len))
+    }
+
+    /// Lets those in whose turn has come.
+    fn let_in(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        while let Some((number, grant)) = self.room.next_turn() {
+            let Some(client) = self.clients.get_mut(&number) else {
+                self.room.release(number);
+                continue;
+            };
+            match (grant, client.long) {
+                (Grant::Given, Some(Long::Waits(len))) => client.hold(now, len),
+                _ => client.turn_out(code::LIMIT, "a statement beyond the memory for statements"),
+            }
+            self.work_on(now, number, poller, inbox);
+            self.settle_room(now, number);
+        }
+    }
+
+    /// Takes the messages that have come, writes what there is and sees what is next.
+    fn work_on(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return };
             let stalled = client.take_messages(now, number, self.welcome.yes, &mut self.table, inbox);
@@ -425,7 +478,7 @@
             // Guards against: an answer lost to a reset, which closing with unread bytes would cause.
             client.wire.end_sending();
             client.phase = Phase::Lingering(now);
-            client.buffer = Vec::new();
+            (client.buffer, client.long) = (Vec::new(), None);
         }
         if matches!(client.phase, Phase::Lingering(_)) {
             client.buffer.clear();
@@ -443,12 +496,18 @@
     }
 
     fn gone(&mut self, number: u64, inbox: &mut VecDeque<Input>) {
+        self.room.release(number);
         if self.clients.remove(&number).is_some_and(|client| client.phase == Phase::Busy) {
             inbox.push_back(Input::ClientGone(ClientId(number)));
         }
     }
 }
 
+/// Bytes for long messages, of those for all statements: an eighth is left to short ones.
+fn long_bytes(statement_bytes: usize) -> usize {
+    statement_bytes - statement_bytes / 8
+}
+
 /// Closes a connection that nothing is owed on: one that is over, else one that has sent no request and been
 /// silent for longest, else the one idle longest.
 ///
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -9,7 +9,7 @@
 
 use super::host_conn::{ended, Conn, JobId, State};
 use super::poller::{Interest, Poller, Ready, Token};
-use super::wire::{Taken, Wire, CHUNK};
+use super::wire::{Shared, Taken, Wire, CHUNK};
 use super::Input;
 use crate::core::{AttemptId, Directory, Ended};
 use crate::proto::pg::backend::{self, Reply, Step, Verdict};
@@ -165,11 +165,18 @@
         self.pump(server, a);
     }
 
-    /// Drops an attempt that nobody waits for, if none of it has been sent.
+    /// Drops an attempt that nobody waits for, if it cannot have run.
     pub fn withdraw(&mut self, attempt: AttemptId, a: &mut Around) {
         let id = JobId::Attempt(attempt);
-        if self.jobs.get(&id).is_some_and(|job| job.conn.is_none()) {
-            self.end(id, Ended::silent(Status::NotSent), a);
+        let Some(job) = self.jobs.get(&id) else { return };
+        match job.conn {
+            None => self.end(id, Ended::silent(Status::NotSent), a),
+            // Guards against: a long statement held for a client that has gone.
+            Some(number) if self.conns.get(&number).is_some_and(|conn| !conn.may_have_run()) => {
+                self.conns.remove(&number);
+                self.end(id, Ended::silent(Status::NotSent), a);
+            }
+            Some(_) => {}
         }
     }
 
@@ -356,6 +363,14 @@
         let body = job.body.clone();
         conn.sent = Sent::default();
         match &body {
+            // A long statement is one buffer from its client to every db host that it is written to.
+            Some(body) if body.bytes() > CHUNK && matches!(**body, Body::Simple(_)) => {
+                if let Body::Simple(simple) = &**body {
+                    simple.put_head(conn.wire.out(), wait);
+                    conn.wire.share(Rc::clone(body) as Rc<dyn Shared>, 0..simple.wait_at.start);
+                    simple.put_tail(conn.wire.out(), wait);
+                }
+            }
             Some(body) => {
                 let Speech { dialect, statements } = self.speech;
                 let (out, gather) = (conn.wire.out(), &mut conn.gather);
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -40,6 +40,15 @@
 type Input = core::Input<Body>;
 type Effect = core::Effect<Body>;
 
+impl wire::Shared for Body {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Self::Simple(simple) => &simple.text,
+            Self::Execute(_) | Self::Describe(_) => &[],
+        }
+    }
+}
+
 impl Payload for Body {
     fn bytes(&self) -> usize {
         self.bytes()
@@ -139,7 +148,7 @@
         let listen = config.listen;
         let (rules, speech) = manners(&config.edge);
         let operated = config.console.is_some();
-        let mut clients = Clients::new(now, most_clients, config.most_bytes, rules);
+        let mut clients = Clients::new(now, most_clients, config.most_bytes, config.statement_bytes, rules);
         let console = config.console.map(|addr| {
             let console = Console::listen(now, addr, console::share(config.sockets), &poller);
             console.map_err(|error| RunError::Console(addr, error))
@@ -162,7 +171,7 @@
             Clock::start(),
             deployment,
             config.seed,
-            config.most_bytes,
+            config.statement_bytes,
             config.known,
             &mut effects,
         )?;
@@ -245,9 +254,9 @@
         };
         info!(discovery = %config.discovery, "SIGHUP: configuration read again");
         let (most_clients, most_hosts) = shares(&config);
-        self.clients.limit(most_clients, config.most_bytes);
+        self.clients.limit(most_clients, config.most_bytes, config.statement_bytes);
         self.hosts.limit(most_hosts, config.most_bytes);
-        self.core.limit(config.most_bytes);
+        self.core.limit(config.statement_bytes);
         let (rules, speech) = manners(&config.edge);
         self.clients.rule(rules);
         self.hosts.speak(speech);
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -1,8 +1,11 @@
 //! A non-blocking connection: what is still to be written, and reading without a copy too many.
 
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::ops::Range;
 use std::os::fd::{AsFd, BorrowedFd};
+use std::rc::Rc;
 
 use rustix::io::Errno;
 use rustix::net::{connect, ipproto, socket_with, AddressFamily, SocketFlags, SocketType};
@@ -21,11 +24,34 @@
     End,
 }
 
+/// Bytes that are written from where they are, without a copy.
+pub trait Shared {
+    /// All of them.
+    fn bytes(&self) -> &[u8];
+}
+
+/// What is to be written behind what has been copied.
+enum Piece {
+    Shared(Rc<dyn Shared>, Range<usize>),
+    Own(Vec<u8>),
+}
+
+impl Piece {
+    fn len(&self) -> usize {
+        match self {
+            Self::Shared(_, range) => range.len(),
+            Self::Own(bytes) => bytes.len(),
+        }
+    }
+}
+
 /// A connection.
 pub struct Wire {
     stream: TcpStream,
     out: Vec<u8>,
     written: usize,
+    /// Written after `out`, in this order.
+    behind: VecDeque<Piece>,
 }
 
 impl Wire {
@@ -33,7 +59,11 @@
     pub fn accepted(stream: TcpStream) -> io::Result<Self> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
-        Ok(Self { stream, out: Vec::new(), written: 0 })
+        Ok(Self::new(stream))
+    }
+
+    fn new(stream: TcpStream) -> Self {
+        Self { stream, out: Vec::new(), written: 0, behind: VecDeque::new() }
     }
 
     /// Begins to connect; room to write tells that it is done, one way or the other.
@@ -47,7 +77,7 @@
         }
         let stream = TcpStream::from(socket);
         stream.set_nodelay(true)?;
-        Ok(Self { stream, out: Vec::new(), written: 0 })
+        Ok(Self::new(stream))
     }
 
     /// This side's address.
@@ -62,11 +92,52 @@
 
     /// Where to append what is to be written.
     pub fn out(&mut self) -> &mut Vec<u8> {
-        &mut self.out
+        if self.behind.is_empty() {
+            return &mut self.out;
+        }
+        if !matches!(self.behind.back(), Some(Piece::Own(_))) {
+            self.behind.push_back(Piece::Own(Vec::new()));
+        }
+        match self.behind.back_mut() {
+            Some(Piece::Own(bytes)) => bytes,
+            _ => &mut self.out,
+        }
+    }
+
+    /// Appends bytes that are not copied.
+    pub fn share(&mut self, bytes: Rc<dyn Shared>, range: Range<usize>) {
+        self.behind.push_back(Piece::Shared(bytes, range));
     }
 
     /// Writes as much as there is room for; true when nothing is left.
     pub fn flush(&mut self) -> io::Result<bool> {
+        loop {
+            if !self.flush_out()? {
+                return Ok(false);
+            }
+            match self.behind.pop_front() {
+                None => return Ok(true),
+                Some(Piece::Own(bytes)) => self.out = bytes,
+                Some(Piece::Shared(bytes, mut range)) => {
+                    while !range.is_empty() {
+                        match self.stream.write(&bytes.bytes()[range.clone()]) {
+                            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                            Ok(n) => range.start += n,
+                            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                                self.behind.push_front(Piece::Shared(bytes, range));
+                                return Ok(false);
+                            }
+                            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                            Err(e) => return Err(e),
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// Writes as much of what has been copied as there is room for; true when nothing of it is left.
+    fn flush_out(&mut self) -> io::Result<bool> {
         while self.written < self.out.len() {
             match self.stream.write(&self.out[self.written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
@@ -93,7 +164,7 @@
 
     /// Bytes still to be written.
     pub fn unwritten(&self) -> usize {
-        self.out.len() - self.written
+        self.out.len() - self.written + self.behind.iter().map(Piece::len).sum::<usize>()
     }
 
     /// Reads once, by way of `scratch`, into `buffer`.
--- a/gateway/src/proto/tests.rs
+++ b/gateway/src/proto/tests.rs
@@ -4,7 +4,7 @@
 
 use super::http::Lines;
 use super::pg::backend::{load, put_query, put_startup, Gather, Load, Reply, Role, Step};
-use super::pg::frame::{put, put_text, put_untyped, LONGEST_ANSWER, LONGEST_QUERY};
+use super::pg::frame::{put, put_text, put_untyped, LONGEST_ANSWER, LONGEST_STATEMENT};
 use super::pg::frontend::{self, local, message, opening};
 use super::pg::statement::request;
 
@@ -83,7 +83,7 @@
         ("a negative length", [startup.clone(), b"Q\xff\xff\xff\xff".to_vec()].concat()),
         (
             "a length over the longest",
-            [&startup[..], b"Q", &(LONGEST_QUERY as i32 + 1).to_be_bytes()].concat(),
+            [&startup[..], b"Q", &(LONGEST_STATEMENT as i32 + 1).to_be_bytes()].concat(),
         ),
         ("a startup over the longest", 10_001_i32.to_be_bytes().to_vec()),
         ("a startup too short for a version", 4_i32.to_be_bytes().to_vec()),
--- a/gateway/tests/service.rs
+++ b/gateway/tests/service.rs
@@ -347,3 +347,60 @@
     assert_eq!(gateway.figure("svc_outstanding"), 0);
     assert_eq!(gateway.client().ask(&statement("view", 1000, "")), b"TDCZ");
 }
+
+/// A write whose value has so many bytes, in hexadecimal.
+fn long_write(len: usize, more: &str) -> String {
+    let hex: String = value(len).iter().map(|byte| format!("{byte:02x}")).collect();
+    statement("order", 3_000, more).replace("9f03", &hex)
+}
+
+#[test]
+fn statements_of_4_mib_are_read_slowly_beyond_the_memory_and_reach_their_db_host_unchanged() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    gateway.reload(r#""memory_mb":192"#, r#""memory_mb":32"#);
+    gateway.logs("SIGHUP: configuration read again");
+    let write = long_write(LONG, ",k=5c0f");
+    // Twelve at once, 100 MB, in pieces of odd sizes; one stops in the middle and one leaves.
+    let (mut stops, mut leaves) = (gateway.client(), gateway.client());
+    let message = frame(b'Q', &[write.as_bytes(), b"\0"].concat());
+    stops.write(&message[..200_000]);
+    leaves.write(&message[..200_000]);
+    drop(leaves);
+    let writers: Vec<_> = (0..12)
+        .map(|n| {
+            let mut client = gateway.client();
+            let write = write.replace("/* id=", &format!("/* id=w{n}"));
+            thread::spawn(move || {
+                let message = frame(b'Q', &[write.as_bytes(), b"\0"].concat());
+                for piece in message.chunks(90_001 + n * 7) {
+                    client.write(piece);
+                    thread::sleep(Duration::from_micros(200));
+                }
+                assert_eq!(client.answer(), b"TDCZ", "{}", client.error);
+                assert_eq!(client.ask(&statement("order", 3_000, ",k=1")), b"TDCZ", "and goes on");
+                write
+            })
+        })
+        .collect();
+    let small = gateway.client().ask(&statement("view", 1_000, ""));
+    assert_eq!(small, b"TDCZ", "short ones do not wait for room");
+    let sent: Vec<String> = writers.into_iter().map(|writer| writer.join().unwrap()).collect();
+    assert_eq!(stops.answer(), b"E", "it was told so");
+    assert!(stops.error.contains("08P01"), "{}", stops.error);
+    let without_wait = |text: &str| {
+        let at = text.rfind(",d=").unwrap() + 3;
+        let end = at + text[at..].find(',').unwrap();
+        format!("{}{}", &text[..at], &text[end..])
+    };
+    let asked = primary.asked();
+    for text in &sent {
+        let same = asked.iter().filter(|asked| without_wait(asked) == without_wait(text)).count();
+        assert_eq!(same, 1, "once, byte for byte");
+    }
+    let peak = peak_kib(gateway.pid());
+    assert!(peak < 32 * 1024, "{peak} KiB");
+    assert_eq!(results(&gateway, "order"), [24, 0, 0]);
+    // All that was set aside is free again.
+    assert_eq!(gateway.client().ask(&long_write(LONG, ",k=5c10")), b"TDCZ");
+}
