Hand the listener over to the process that replaces this one, and share the limits

Need: with SO_REUSEPORT alone each process has an accept queue of its own, and what sits in the old one's between its last accept and its close is reset; the two processes also took the limits twice. The new process asks for the listening socket over a Unix socket in TMPDIR, whose end tells each that the other is gone. The old one keeps what it holds of descriptors and memory and leaves the rest; it ends by itself, or goes on if the new one dies first.

Measured in a test with real processes: ten replacements under load, connections made anew for each request: none lost or reset at the door, no error, at most 5 of over 500 requests crossed the end of an idle connection.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub struct Ledger {
     most: usize,
+    /// The most that there may ever be room for, where `most` is narrowed for a while.
+    widest: usize,
     held: usize,
     given: HashMap<u64, usize>,
     waiting: VecDeque<(u64, usize)>,
@@ -31,12 +33,12 @@
     /// Room for `most` bytes.
     #[must_use]
     pub fn new(most: usize) -> Self {
-        Self { most, held: 0, given: HashMap::new(), waiting: VecDeque::new() }
+        Self { most, widest: most, held: 0, given: HashMap::new(), waiting: VecDeque::new() }
     }
 
-    /// Room for so many bytes from now on. What is given stays given.
-    pub fn limit(&mut self, most: usize) {
-        self.most = most;
+    /// Room for so many bytes from now on, and for `widest` later. What is given stays given; what fits only later waits.
+    pub fn limit(&mut self, most: usize, widest: usize) {
+        (self.most, self.widest) = (most, widest);
     }
 
     /// Bytes set aside.
@@ -47,7 +49,7 @@
 
     /// Asks for bytes for `who`, who neither has any nor waits.
     pub fn reserve(&mut self, who: u64, bytes: usize) -> Grant {
-        if bytes > self.most {
+        if bytes > self.widest {
             return Grant::Never;
         }
         if self.waiting.is_empty() && self.held + bytes <= self.most {
@@ -82,7 +84,7 @@
         let (who, bytes) = *self.waiting.front()?;
         let grant = match self.held + bytes <= self.most {
             true => Grant::Given,
-            false if bytes > self.most => Grant::Never,
+            false if bytes > self.widest => Grant::Never,
             false => return None,
         };
         self.waiting.pop_front();
@@ -126,7 +128,9 @@
         ledger.release(2);
         assert_eq!(ledger.next_turn(), Some((3, Grant::Given)));
         ledger.reserve(4, 9);
-        ledger.limit(6);
+        ledger.limit(6, 10);
+        assert_eq!(ledger.next_turn(), None, "narrowed for a while only");
+        ledger.limit(6, 6);
         assert_eq!(ledger.next_turn(), Some((4, Grant::Never)));
         assert_eq!(ledger.held(), 10, "what is given stays given");
     }
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -5,8 +5,12 @@
 //! of what each event does at each stage.
 #![forbid(unsafe_code)]
 
+mod overlap;
+
 use std::time::{Duration, Instant};
 
+pub use overlap::{Means, Word};
+
 /// How long the front may go on dealing new connections to a gateway that drains.
 const NOTICE: Duration = Duration::from_millis(300);
 /// Since a drain began: when connections between requests go, and when those within a message go.
@@ -113,6 +117,12 @@
         self.stop = self.stop.filter(|stop| stop.terminated).map(|stop| Stop { handed: false, ..stop });
     }
 
+    /// A successor takes the new connections.
+    #[must_use]
+    pub fn is_handed(&self) -> bool {
+        self.stop.is_some_and(|stop| stop.handed)
+    }
+
     /// Where it stands with so many client connections.
     #[must_use]
     pub fn stage(&self, clients: usize) -> Stage {
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -42,6 +42,24 @@
     TooMuch(String, String),
 }
 
+/// How the memory is divided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budgets {
+    /// Bytes that may be read ahead from clients; as many again may be under way from db hosts, and wait for clients
+    /// to take them.
+    pub most_bytes: usize,
+    /// Bytes that requests may take, from the head of a long statement to its answer.
+    pub statement_bytes: usize,
+}
+
+impl Budgets {
+    /// Those of a process that may use so much memory.
+    pub fn of(kib: usize) -> Self {
+        let part = kib.saturating_mul(1024) / PARTS;
+        Self { most_bytes: part, statement_bytes: part * STATEMENT_PARTS }
+    }
+}
+
 /// The whole configuration.
 #[derive(Debug)]
 pub struct Config {
@@ -57,11 +75,8 @@
     pub seed: u64,
     /// File descriptors that may be held.
     pub sockets: usize,
-    /// Bytes that may be read ahead from clients; as many again may be under way from db hosts, and wait for clients
-    /// to take them.
-    pub most_bytes: usize,
-    /// Bytes that requests may take, from the head of a long statement to its answer.
-    pub statement_bytes: usize,
+    /// KiB of memory that may be used.
+    pub memory_kib: usize,
     /// The list of db hosts as last known.
     pub known: Members,
     /// The settings.
@@ -138,8 +153,9 @@
         let Some(file) = file else { return Ok(self) };
         self.edge = Edge::read(&file)?;
         let table = self.edge.postgres.statement_table_bytes;
-        if self.edge.postgres.extended && table > self.most_bytes {
-            let (table, most) = (table / 1024, self.most_bytes / 1024);
+        let most = Budgets::of(self.memory_kib).most_bytes;
+        if self.edge.postgres.extended && table > most {
+            let (table, most) = (table / 1024, most / 1024);
             let problem = format!(
                 "postgres: statement_table_kib: {table} is over {most}, an eighth of limits.memory_mb"
             );
@@ -163,7 +179,6 @@
         if file.limits.memory_mb < LEAST_MEMORY {
             return Err(Fault::at("limits.memory_mb", format!("must be at least {LEAST_MEMORY}")));
         }
-        let part = file.limits.memory_mb.saturating_mul(1024 * 1024) / PARTS;
         Ok(Self {
             name: variable("EDGE_NAME").unwrap_or(file.name),
             listen: address("EDGE_LISTEN", file.listen)?,
@@ -174,8 +189,7 @@
             },
             seed,
             sockets: file.limits.sockets,
-            most_bytes: part,
-            statement_bytes: part * STATEMENT_PARTS,
+            memory_kib: file.limits.memory_mb.saturating_mul(1024),
             known: file.known,
             deployment: Deployment::from_json(file.settings.get()).map_err(|f| f.inside("settings"))?,
             edge_file: None,
@@ -202,7 +216,10 @@
     fn variables_outweigh_the_file_and_limits_have_defaults() {
         let config = parse(&[]).unwrap();
         assert_eq!((config.name.as_str(), config.seed, config.sockets), ("n0", 0x8c1f, 1024));
-        assert_eq!((config.most_bytes, config.statement_bytes), (24 << 20, 72 << 20));
+        assert_eq!(
+            Budgets::of(config.memory_kib),
+            Budgets { most_bytes: 24 << 20, statement_bytes: 72 << 20 }
+        );
         assert_eq!(config.listen.port(), 5432);
         let config = parse(&[("EDGE_NAME", "n7"), ("EDGE_LISTEN", "127.0.0.2:6000")]).unwrap();
         assert_eq!((config.name.as_str(), config.listen.port()), ("n7", 6000));
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -316,6 +316,11 @@
         &self.tally
     }
 
+    /// Bytes of the requests held.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Requests held.
     pub fn outstanding(&self) -> usize {
         self.held.len()
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -108,10 +108,11 @@
         Ok(())
     }
 
-    /// Connections that may be open, and bytes read ahead, from now on.
-    pub fn limit(&mut self, most: usize, most_bytes: usize, statement_bytes: usize) {
+    /// Connections that may be open, bytes read ahead, and bytes of statements from now on; and the most bytes of
+    /// statements that there may be again.
+    pub fn limit(&mut self, most: usize, most_bytes: usize, statement_bytes: usize, widest: usize) {
         (self.most, self.most_bytes) = (most, most_bytes);
-        self.room.limit(long_bytes(statement_bytes));
+        self.room.limit(long_bytes(statement_bytes), long_bytes(widest));
     }
 
     /// How clients are served from now on. Those that are connected keep the terms that they were welcomed with.
@@ -120,6 +121,17 @@
         self.rules = rules;
     }
 
+    /// The listener, if it is open.
+    pub fn listener(&self) -> Option<&TcpListener> {
+        self.listener.as_ref()
+    }
+
+    /// Bytes that are held for clients: set aside for long messages, come ahead, or not taken yet.
+    pub fn held_bytes(&self) -> usize {
+        let ahead = |client: &Client| if client.long.is_none() { client.buffer.len() } else { 0 };
+        self.room.held() + self.unwritten() + self.clients.values().map(ahead).sum::<usize>()
+    }
+
     /// Where clients connect.
     pub fn addr(&self) -> io::Result<SocketAddr> {
         self.listener.as_ref().map_or(Err(ErrorKind::NotConnected.into()), TcpListener::local_addr)
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -131,6 +131,11 @@
         self.speech = speech;
     }
 
+    /// Connections.
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
     /// Attempts written whole so far.
     pub fn forwards(&self) -> u64 {
         self.forwards
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod console;
 mod discovery;
+mod handover;
 mod host_conn;
 mod hosts;
 mod listener;
@@ -13,7 +14,7 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -21,10 +22,10 @@
 use tracing::{error, info, warn};
 use yewroute::interface::SettingsError;
 use yewroute_edge::Edge;
-use yewroute_lifecycle::{Lifecycle, Stage};
+use yewroute_lifecycle::{Lifecycle, Means, Stage};
 
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Budgets, Config};
 use crate::core::{self, Core, Payload, Results};
 use crate::proto::console::{self as calls, Call, Figures};
 use crate::proto::pg::exchange::Dialect;
@@ -33,6 +34,7 @@
 use clients::{Clients, Rules, Welcome};
 use console::Console;
 use discovery::Discovery;
+use handover::{Handover, News};
 use hosts::{Around, Hosts, Speech};
 use poller::{Interest, Poller, Ready, Token};
 use signals::Signals;
@@ -59,6 +61,11 @@
 const RESERVED: usize = 16;
 /// How long a gateway that is run by a console waits for a list before it serves without one.
 const LIST_WAIT: Duration = Duration::from_secs(3);
+/// How long it waits for the listener of the process that it replaces; and if that one is itself still replacing another.
+const LISTENER_WAIT: Duration = Duration::from_millis(500);
+const PREDECESSOR_WAIT: Duration = Duration::from_millis(4_500);
+/// How often two processes look at who needs what.
+const SHARE_EVERY: Duration = Duration::from_millis(100);
 
 /// Why the gateway cannot run.
 #[derive(Debug, Error)]
@@ -93,13 +100,23 @@
     (rules, Speech { dialect, statements: edge.hosts.statements_per_connection })
 }
 
-/// How many connections clients and db hosts may have.
-fn shares(config: &Config) -> (usize, usize) {
-    let console = config.console.map_or(0, |_| console::share(config.sockets));
-    let usable = config.sockets - RESERVED - console;
+/// How many connections clients and db hosts may have, of so many descriptors.
+fn shares(sockets: usize, console: usize) -> (usize, usize) {
+    /// While two processes share a small limit.
+    const LEAST: usize = 8;
+    let usable = sockets.saturating_sub(RESERVED + console).max(LEAST);
     (usable - usable / 2, usable / 2)
 }
 
+/// What a process waits for before it serves.
+struct Start {
+    /// A list with a db host that takes requests.
+    list_by: Instant,
+    /// The listener of the process before it; then it binds one itself.
+    listener_by: Instant,
+    listener: Option<TcpListener>,
+}
+
 struct Gateway {
     poller: Poller,
     clients: Clients,
@@ -109,8 +126,17 @@
     console: Option<Console>,
     core: Core<Body>,
     life: Lifecycle,
-    /// When it serves even without a list, while it does not yet.
-    serves_by: Option<Instant>,
+    /// The older and the newer process of this gateway, where it can be replaced.
+    handover: Option<Handover>,
+    /// While it does not serve yet: what it waits for, and until when.
+    starts: Option<Start>,
+    /// The limits, and what this process may use of them while there is another one.
+    limits: Means,
+    means: Means,
+    /// When they are looked at again.
+    share_at: Option<Instant>,
+    /// Descriptors of the console.
+    console_share: usize,
     /// As they were at the start; they stay so.
     name: String,
     listen: SocketAddr,
@@ -133,6 +159,7 @@
         }
         gateway.tick(now);
         gateway.settle(now);
+        gateway.start(now)?;
     }
     info!("stopped: all answered");
     Ok(())
@@ -144,45 +171,46 @@
         let poller = Poller::new()?;
         let signals = Signals::new()?;
         poller.add(&signals, Token::Signals, Interest::READ)?;
-        let (most_clients, most_hosts) = shares(&config);
+        let console_share = config.console.map_or(0, |_| console::share(config.sockets));
+        let limits = Means { sockets: config.sockets, kib: config.memory_kib };
+        let (most_clients, most_hosts) = shares(limits.sockets, console_share);
+        let Budgets { most_bytes, statement_bytes } = Budgets::of(limits.kib);
         let listen = config.listen;
         let (rules, speech) = manners(&config.edge);
         let operated = config.console.is_some();
-        let mut clients = Clients::new(now, most_clients, config.most_bytes, config.statement_bytes, rules);
+        let clients = Clients::new(now, most_clients, most_bytes, statement_bytes, rules);
         let console = config.console.map(|addr| {
-            let console = Console::listen(now, addr, console::share(config.sockets), &poller);
+            let console = Console::listen(now, addr, console_share, &poller);
             console.map_err(|error| RunError::Console(addr, error))
         });
         let console = console.transpose()?;
         let deployment = config.deployment;
         let longest_deadline = deployment.module.classes.iter().map(|class| class.deadline).max();
         let longest_deadline = longest_deadline.unwrap_or_default();
-        let hosts = Hosts::new(
-            now,
-            most_hosts,
-            config.most_bytes,
-            speech,
-            deployment.connect_timeout,
-            deployment.keepalive,
-        );
+        let hosts =
+            Hosts::new(now, most_hosts, most_bytes, speech, deployment.connect_timeout, deployment.keepalive);
         let mut effects = Vec::new();
         let core = Core::new(
             now,
             Clock::start(),
             deployment,
             config.seed,
-            config.statement_bytes,
+            statement_bytes,
             config.known,
             &mut effects,
         )?;
-        let wrong = |error| RunError::Listen(listen, error);
-        clients.listen(listener::bind(listen, operated).map_err(wrong)?, &poller).map_err(wrong)?;
-        let addr = clients.addr()?;
-        info!(name = config.name, %addr, "listening");
         if let Some(console) = &console {
             info!(addr = %console.addr()?, "console listening");
         }
-        Ok(Self {
+        let folder = std::env::var_os("TMPDIR").filter(|_| operated).map(PathBuf::from);
+        let handover = folder.map(|folder| Handover::begin(folder, listen, &poller));
+        let older = handover.as_ref().is_some_and(Handover::has_predecessor);
+        let start = Start {
+            list_by: if operated { now + LIST_WAIT } else { now },
+            listener_by: if older { now + LISTENER_WAIT } else { now },
+            listener: None,
+        };
+        let mut gateway = Self {
             poller,
             clients,
             hosts,
@@ -191,13 +219,53 @@
             console,
             core,
             life: Lifecycle::new(longest_deadline),
-            serves_by: Some(if operated { now + LIST_WAIT } else { now }),
+            handover,
+            starts: Some(start),
+            limits,
+            means: limits,
+            share_at: None,
+            console_share,
             name: config.name,
             listen,
             edge_file: config.edge_file,
             inbox: VecDeque::new(),
             effects,
-        })
+        };
+        if older {
+            // Until it is told more.
+            gateway.use_means(limits.divide(limits, false).1);
+        }
+        gateway.start(now)?;
+        Ok(gateway)
+    }
+
+    /// Serves once it can: with a list, or without one after a while; on the listener of the process before it, or
+    /// on its own.
+    fn start(&mut self, now: Instant) -> Result<(), RunError> {
+        let Some(start) = &mut self.starts else { return Ok(()) };
+        if now < start.list_by && self.core.directory().first_group().is_none()
+            || now < start.listener_by && start.listener.is_none()
+        {
+            return Ok(());
+        }
+        let handed = start.listener.take();
+        let (wrong, replaced) = (|error| RunError::Listen(self.listen, error), handed.is_some());
+        let listener = match handed {
+            Some(listener) => listener,
+            None => {
+                // Guards against: a predecessor that does not answer being told to leave its queue to this one.
+                self.handover.iter_mut().for_each(Handover::forget_predecessor);
+                listener::bind(self.listen, self.console.is_some()).map_err(wrong)?
+            }
+        };
+        self.clients.listen(listener, &self.poller).map_err(wrong)?;
+        info!(name = self.name, handed = replaced, addr = %self.clients.addr()?, "listening");
+        self.starts = None;
+        self.life.serves();
+        if let Some(handover) = &mut self.handover {
+            handover.serve(&self.poller);
+        }
+        Ok(())
     }
 
     fn next(&self, now: Instant) -> Option<Instant> {
@@ -208,7 +276,9 @@
             self.discovery.next(),
             self.console.as_ref().and_then(Console::next),
             self.life.next(now),
-            self.serves_by,
+            self.share_at,
+            self.starts.as_ref().map(|start| start.list_by).filter(|by| *by > now),
+            self.starts.as_ref().map(|start| start.listener_by).filter(|by| *by > now),
         ];
         next.into_iter().flatten().min()
     }
@@ -235,6 +305,7 @@
             Token::Console(number) => {
                 self.callers(now, number);
             }
+            Token::Handover(number) => self.replaced(now, number),
             Token::Host(number) => {
                 let (hosts, mut around) = self.hosts(now);
                 hosts.ready(number, event, &mut around);
@@ -253,10 +324,11 @@
             }
         };
         info!(discovery = %config.discovery, "SIGHUP: configuration read again");
-        let (most_clients, most_hosts) = shares(&config);
-        self.clients.limit(most_clients, config.most_bytes, config.statement_bytes);
-        self.hosts.limit(most_hosts, config.most_bytes);
-        self.core.limit(config.statement_bytes);
+        self.limits = Means { sockets: config.sockets, kib: config.memory_kib };
+        if !self.handover.as_ref().is_some_and(Handover::has_predecessor) {
+            self.use_means(self.limits);
+        }
+        self.share(now);
         let (rules, speech) = manners(&config.edge);
         self.clients.rule(rules);
         self.hosts.speak(speech);
@@ -280,15 +352,14 @@
         if let Some(console) = &mut self.console {
             console.tick(now, &self.poller);
         }
+        if self.share_at.is_some_and(|at| at <= now) {
+            self.share(now);
+        }
         self.attend(now);
     }
 
     /// Lets the stage that it is at have its way with the clients.
     fn attend(&mut self, now: Instant) {
-        if self.serves_by.is_some_and(|by| by <= now || self.core.directory().first_group().is_some()) {
-            self.serves_by = None;
-            self.life.serves();
-        }
         let welcome = Welcome {
             leaving: self.life.leaving(now),
             yes: self.life.says_yes(),
@@ -316,6 +387,90 @@
         }
     }
 
+    /// Takes over the limits that this process has.
+    fn use_means(&mut self, means: Means) {
+        self.means = means;
+        let (most_clients, most_hosts) = shares(means.sockets, self.console_share);
+        let Budgets { most_bytes, statement_bytes } = Budgets::of(means.kib);
+        let widest = Budgets::of(self.limits.kib).statement_bytes;
+        self.clients.limit(most_clients, most_bytes, statement_bytes, widest);
+        self.hosts.limit(most_hosts, most_bytes);
+        self.core.limit(statement_bytes);
+    }
+
+    /// Shares the limits with a successor: it gets what this process does not need.
+    fn share(&mut self, now: Instant) {
+        let Some(handover) = self.handover.as_mut().filter(|handover| handover.has_successor()) else {
+            return;
+        };
+        let held = Means {
+            sockets: self.clients.len() + self.hosts.len() + RESERVED + self.console_share,
+            kib: (self.clients.held_bytes() + self.core.held_bytes()) / 1024,
+        };
+        let (own, left) = self.limits.divide(held, self.life.is_handed());
+        handover.leave(left);
+        if own != self.means {
+            self.use_means(own);
+        }
+        self.share_at = Some(now + SHARE_EVERY);
+    }
+
+    /// Something of another process of this gateway has come.
+    fn replaced(&mut self, now: Instant, number: u64) {
+        let Some(handover) = &mut self.handover else { return };
+        for news in handover.ready(number, &self.poller) {
+            match news {
+                News::Listener(listener) => {
+                    if let Some(start) = &mut self.starts {
+                        start.listener = Some(listener);
+                    }
+                }
+                News::Left(means) => self.use_means(means),
+                News::Later => {
+                    if let Some(start) = &mut self.starts {
+                        start.listener_by = now + PREDECESSOR_WAIT;
+                    }
+                }
+                News::PredecessorGone => {
+                    if let Some(start) = &mut self.starts {
+                        start.listener_by = now;
+                    }
+                    self.use_means(self.limits);
+                    self.hand(now);
+                }
+                News::Asked => self.hand(now),
+                News::Serves => {
+                    info!("a newer process serves: clients are sent there");
+                    self.life.handed(now);
+                    self.share(now);
+                }
+                News::SuccessorGone => self.successor_gone(),
+            }
+        }
+    }
+
+    /// Hands the listener over to the process that has asked for it, once there are no more than two.
+    fn hand(&mut self, now: Instant) {
+        let Some(handover) = self.handover.as_mut().filter(|handover| handover.has_successor()) else {
+            return;
+        };
+        let listener = self.clients.listener().filter(|_| !handover.has_predecessor());
+        handover.hand(listener, self.limits.divide(self.limits, false).1);
+        self.share(now);
+    }
+
+    /// The newer process has gone before this one.
+    fn successor_gone(&mut self) {
+        let served = self.life.is_handed();
+        self.life.successor_lost();
+        self.share_at = None;
+        self.use_means(self.limits);
+        if let Some(handover) = self.handover.as_mut().filter(|_| served) {
+            warn!("the newer process has gone: this one goes on");
+            handover.serve(&self.poller);
+        }
+    }
+
     /// Answers an operator's call.
     fn call(&mut self, now: Instant, call: Call, out: &mut Vec<u8>) {
         let stage = |gateway: &Self| match gateway.life.stage(gateway.clients.len()) {
--- a/gateway/src/net/poller.rs
+++ b/gateway/src/net/poller.rs
@@ -26,6 +26,8 @@
     Host(u64),
     /// A caller of the console; 0 is its listener.
     Console(u64),
+    /// Another process of this gateway.
+    Handover(u64),
 }
 
 impl Token {
@@ -37,6 +39,7 @@
             Self::Client(number) => number << 3 | 3,
             Self::Host(number) => number << 3 | 4,
             Self::Console(number) => number << 3 | 5,
+            Self::Handover(number) => number << 3 | 6,
         }
     }
 
@@ -47,7 +50,8 @@
             (2, number) => Self::Watch(number),
             (3, number) => Self::Client(number),
             (4, number) => Self::Host(number),
-            (_, number) => Self::Console(number),
+            (5, number) => Self::Console(number),
+            (_, number) => Self::Handover(number),
         }
     }
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex};
@@ -26,6 +27,52 @@
     }
 }
 
+/// One process of a gateway.
+struct Process {
+    child: Child,
+    addr: SocketAddr,
+    console: Option<SocketAddr>,
+    log: Arc<Mutex<String>>,
+}
+
+impl Process {
+    fn spawn(folder: &tempfile::TempDir, discovery: SocketAddr, edge: bool, operated: bool) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_yewroute"));
+        if edge {
+            command.arg("run").arg("--edge").arg(folder.path().join("edge.star"));
+        }
+        let mut child = command
+            .env_clear()
+            .env("EDGE_CONFIG", folder.path().join("config.json"))
+            .env("TMPDIR", folder.path())
+            .envs(operated.then_some(("EDGE_CONSOLE", "127.0.0.1:0")))
+            .env("EDGE_DISCOVERY", discovery.to_string())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        // The console's line comes first, then, once it serves, the clients'.
+        let (mut addr, mut console) = (None, None);
+        while addr.is_none() {
+            let line = lines.next().expect("it says where it listens").unwrap();
+            let place = line.rsplit("addr=").next().and_then(|addr| addr.parse::<SocketAddr>().ok());
+            if line.contains("console listening") {
+                console = place;
+            } else {
+                addr = place.filter(|_| line.contains("msg=listening"));
+            }
+        }
+        let log = Arc::new(Mutex::new(String::new()));
+        let kept = Arc::clone(&log);
+        thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                kept.lock().unwrap().push_str(&(line + "\n"));
+            }
+        });
+        Self { child, addr: addr.unwrap(), console, log }
+    }
+}
+
 /// The gateway and its discovery.
 pub struct Gateway {
     child: Child,
@@ -37,7 +84,7 @@
     /// Where discovery is at the start.
     pub discovery: SocketAddr,
     config: String,
-    folder: tempfile::TempDir,
+    folder: Rc<tempfile::TempDir>,
     /// Where its console is, if it has one.
     pub console: Option<SocketAddr>,
 }
@@ -81,35 +128,23 @@
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{known},"settings":{settings}}}"#
         );
         std::fs::write(&path, &config).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_yewroute"));
         if let Some(edge) = edge {
             std::fs::write(folder.path().join("edge.star"), edge).unwrap();
-            command.arg("run").arg("--edge").arg(folder.path().join("edge.star"));
         }
-        let mut child = command
-            .env_clear()
-            .env("EDGE_CONFIG", path)
-            .env("TMPDIR", folder.path())
-            .envs(operated.then_some(("EDGE_CONSOLE", "127.0.0.1:0")))
-            .env("EDGE_DISCOVERY", discovery_addr.to_string())
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines();
-        let first = lines.next().unwrap().unwrap();
-        let addr = first.rsplit("addr=").next().unwrap().parse().expect("it says where it listens");
-        let mut place = |line: String| line.rsplit("addr=").next().and_then(|addr| addr.parse().ok());
-        let console = if operated { lines.next().and_then(Result::ok).and_then(&mut place) } else { None };
-        let log = Arc::new(Mutex::new(String::new()));
-        let kept = Arc::clone(&log);
-        thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                kept.lock().unwrap().push_str(&(line + "\n"));
-            }
-        });
+        let folder = Rc::new(folder);
+        let process = Process::spawn(&folder, discovery_addr, edge.is_some(), operated);
+        let Process { child, addr, console, log } = process;
         Self { child, addr, news, calls, log, discovery: discovery_addr, config, folder, console }
     }
 
+    /// Starts the program once more beside this process, as an operator does to replace it.
+    pub fn replacement(&self) -> Self {
+        let Process { child, addr, console, log } = Process::spawn(&self.folder, self.discovery, false, true);
+        let (news, calls) = (self.news.clone(), Arc::clone(&self.calls));
+        let (config, folder) = (self.config.clone(), Rc::clone(&self.folder));
+        Self { child, addr, news, calls, log, discovery: self.discovery, config, folder, console }
+    }
+
     /// One primary and one replica, both well.
     pub fn pair(primary: &Host, replica: &Host) -> Self {
         Self::start(&pair(primary, replica))
@@ -162,6 +197,12 @@
         self.signal("-HUP");
     }
 
+    /// Kills it outright.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
--- a/gateway/tests/service.rs
+++ b/gateway/tests/service.rs
@@ -404,3 +404,86 @@
     // All that was set aside is free again.
     assert_eq!(gateway.client().ask(&long_write(LONG, ",k=5c10")), b"TDCZ");
 }
+
+#[test]
+fn processes_replaced_ten_times_under_load_lose_nothing() {
+    let slow = |query: &str| match well(true, query) {
+        Do::Say(bytes) if query != "SHOW load" => Do::SayLater(Duration::from_millis(5), bytes),
+        other => other,
+    };
+    let (primary, replica) = (Host::start(slow), Host::well(false));
+    let mut gateway = Gateway::operated(&pair(&primary, &replica));
+    let addr = gateway.addr;
+    let askers: Vec<_> = (0..8).map(|n| Asker::start(addr, Duration::from_millis(n), n % 4 == 3)).collect();
+    // Clients that connect anew for each request meet the door.
+    let door = Arc::new([const { AtomicU32::new(0) }; 2]);
+    let (counts, stop) = (Arc::clone(&door), Arc::new(AtomicBool::new(false)));
+    let end = Arc::clone(&stop);
+    let knocker = thread::spawn(move || {
+        while !end.load(Ordering::SeqCst) {
+            let served = Client::connect(addr).is_ok_and(|mut client| {
+                let query = frame(b'Q', &[statement("order", 2_000, "").as_bytes(), b"\0"].concat());
+                client.stream.write_all(&[startup(), query].concat()).is_ok()
+                    && client.answer() == b"Z"
+                    && client.answer() == b"TDCZ"
+            });
+            counts[usize::from(!served)].fetch_add(1, Ordering::SeqCst);
+        }
+    });
+    for round in 0..10 {
+        thread::sleep(Duration::from_millis(100));
+        let mut newer = gateway.replacement();
+        assert_eq!((newer.addr, newer.call("GET /ready").0), (addr, 200), "round {round}");
+        assert_eq!(gateway.call("GET /ready").0, 503, "{}", gateway.log());
+        // The operators' signal; the older one may be gone by itself already.
+        if round % 2 == 0 {
+            gateway.terminate();
+        }
+        let start = Instant::now();
+        assert!(gateway.wait().success());
+        assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+        std::mem::swap(&mut gateway, &mut newer);
+    }
+    stop.store(true, Ordering::SeqCst);
+    knocker.join().unwrap();
+    let [served, lost] = [0, 1].map(|n| door[n].load(Ordering::SeqCst));
+    assert!(served > 50 && lost == 0, "at the door: {served} served, {lost} lost");
+    let (mut met, mut served) = (0, 0);
+    for [good, closed, other] in askers.into_iter().map(Asker::end) {
+        assert_eq!(other, 0, "an error");
+        (served, met) = (served + good, met + closed);
+    }
+    // A request may cross the end of a connection between requests; far fewer than two in each round do.
+    assert!(served > 500 && met <= 5, "{served} served, {met} met a closed connection");
+}
+
+#[test]
+fn a_replacement_that_dies_or_comes_too_early_leaves_the_gateway_serving() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let mut gateway = Gateway::operated(&pair(&primary, &replica));
+    let addr = gateway.addr;
+    // The newer one is killed while the older one still has a client with a request out.
+    let held = gateway.client();
+    let mut newer = gateway.replacement();
+    gateway.logs("a newer process serves");
+    newer.kill();
+    gateway.logs("the newer process has gone: this one goes on");
+    assert_eq!(gateway.call("GET /ready"), (200, "ready\n".to_owned()));
+    assert_eq!(gateway.client().ask(&statement("order", 2_000, "")), b"TDCZ");
+    drop(held);
+    // The older one is killed at once, without a word.
+    let newer = gateway.replacement();
+    gateway.kill();
+    newer.logs("the older process has gone");
+    assert_eq!(newer.addr, addr);
+    assert_eq!(newer.client().ask(&statement("order", 2_000, "")), b"TDCZ");
+    // Two more at once: the second waits until there are no more than two processes.
+    let held = newer.client();
+    let second = newer.replacement();
+    let start = Instant::now();
+    let third = second.replacement();
+    assert!(start.elapsed() > Duration::from_millis(200), "it waited for {:?}", start.elapsed());
+    assert_eq!((third.addr, third.call("GET /ready").0), (addr, 200));
+    assert_eq!(third.client().ask(&statement("order", 2_000, "")), b"TDCZ");
+    drop(held);
+}
