--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 bench:
 	cargo bench --locked -p yewroute-pgwire
 	cargo bench --locked -p yewroute-gateway --bench cpu
+	cargo bench --locked -p yewroute-gateway --bench service
 	cargo bench --locked -p yewroute-gateway --bench hosts
 	cargo bench --locked -p yewroute-reassembly
 	cargo bench --locked -p yewroute-replay
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -27,6 +28,9 @@
     }
 }
 
+/// The build under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_yewroute");
+
 /// One process of a gateway.
 struct Process {
     child: Child,
@@ -36,8 +40,14 @@
 }
 
 impl Process {
-    fn spawn(folder: &tempfile::TempDir, discovery: SocketAddr, edge: bool, operated: bool) -> Self {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_yewroute"));
+    fn spawn(
+        program: &Path,
+        folder: &tempfile::TempDir,
+        discovery: SocketAddr,
+        edge: bool,
+        operated: bool,
+    ) -> Self {
+        let mut command = Command::new(program);
         if edge {
             command.arg("run").arg("--edge").arg(folder.path().join("edge.star"));
         }
@@ -113,12 +123,28 @@
         Self::launch(&[], known, include_str!("settings.json"), None, true)
     }
 
+    /// Another build of the program.
+    pub fn of(program: &Path, known: &str) -> Self {
+        Self::launch_program(program, &[], known, include_str!("settings.json"), None, false)
+    }
+
     fn launch(
         first: &'static [&'static str],
         known: &str,
         settings: &str,
         edge: Option<&str>,
         operated: bool,
+    ) -> Self {
+        Self::launch_program(Path::new(PROGRAM), first, known, settings, edge, operated)
+    }
+
+    fn launch_program(
+        program: &Path,
+        first: &'static [&'static str],
+        known: &str,
+        settings: &str,
+        edge: Option<&str>,
+        operated: bool,
     ) -> Self {
         let Discovery { addr: discovery_addr, news, calls } = Discovery::start(first);
         let folder = tempfile::tempdir().unwrap();
@@ -132,14 +158,15 @@
             std::fs::write(folder.path().join("edge.star"), edge).unwrap();
         }
         let folder = Rc::new(folder);
-        let process = Process::spawn(&folder, discovery_addr, edge.is_some(), operated);
+        let process = Process::spawn(program, &folder, discovery_addr, edge.is_some(), operated);
         let Process { child, addr, console, log } = process;
         Self { child, addr, news, calls, log, discovery: discovery_addr, config, folder, console }
     }
 
     /// Starts the program once more beside this process, as an operator does to replace it.
     pub fn replacement(&self) -> Self {
-        let Process { child, addr, console, log } = Process::spawn(&self.folder, self.discovery, false, true);
+        let Process { child, addr, console, log } =
+            Process::spawn(Path::new(PROGRAM), &self.folder, self.discovery, false, true);
         let (news, calls) = (self.news.clone(), Arc::clone(&self.calls));
         let (config, folder) = (self.config.clone(), Rc::clone(&self.folder));
         Self { child, addr, news, calls, log, discovery: self.discovery, config, folder, console }
