--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -47,6 +47,12 @@
         self.held
     }
 
+    /// Nothing is set aside and nobody waits.
+    #[must_use]
+    pub fn is_unused(&self) -> bool {
+        self.given.is_empty() && self.waiting.is_empty()
+    }
+
     /// Asks for bytes for `who`, who neither has any nor waits.
     pub fn reserve(&mut self, who: u64, bytes: usize) -> Grant {
         if bytes > self.widest {
@@ -69,7 +75,7 @@
 
     /// `who` needs its bytes no more, or waits no more.
     pub fn release(&mut self, who: u64) {
-        if self.given.is_empty() && self.waiting.is_empty() {
+        if self.is_unused() {
             return;
         }
         if let Some(bytes) = self.given.remove(&who) {
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -22,8 +22,8 @@
     /// The final answer; a request that is not held any more has had its own.
     pub(super) fn relay(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect<B>>) {
         // Guards against: an answer in the middle of a value.
-        let passing = self.held.get(&id).is_some_and(|held| held.passing);
-        if passing && !matches!(answer, Answer::Served(_)) {
+        let whole = matches!(answer, Answer::Served(_));
+        if !whole && self.held.get(&id).is_some_and(|held| held.passing) {
             return;
         }
         if let Some(held) = self.release(id, answer.end()) {
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -400,7 +400,10 @@
 
     /// Does what there is to do for a client, and for those whose turn comes by that.
     fn work(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        self.work_on(now, number, poller, inbox);
+        let long = self.work_on(now, number, poller, inbox);
+        if !long && self.room.is_unused() {
+            return;
+        }
         if self.settle_room(now, number) {
             // Its message was let in at once.
             self.work_on(now, number, poller, inbox);
@@ -439,31 +442,34 @@
         }
     }
 
-    /// Takes the messages that have come, writes what there is and sees what is next.
-    fn work_on(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
+    /// Takes the messages that have come, writes what there is and sees what is next; true if a long message comes.
+    fn work_on(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) -> bool {
         loop {
-            let Some(client) = self.clients.get_mut(&number) else { return };
+            let Some(client) = self.clients.get_mut(&number) else { return false };
             let stalled = client.take_messages(now, number, self.welcome.yes, &mut self.table, inbox);
             let idle = client.takes() && !stalled;
             let leaves = self.welcome.leaving >= Leaving::Answered && client.answered_last();
             if (client.ended || leaves) && idle {
                 client.phase = Phase::Closing;
             }
+            let (full, long) = (client.full, client.long.is_some());
             if !self.settle(now, number, poller) {
                 self.gone(number, inbox);
-                return;
+                return false;
             }
-            if let Some(client) = self.clients.get_mut(&number) {
-                if client.full && client.wire.unwritten() <= LEAST_WINDOW / 2 {
-                    client.full = false;
-                    inbox.push_back(Input::Room(ClientId(number)));
-                }
+            if !stalled && !full {
+                return long;
+            }
+            let Some(client) = self.clients.get_mut(&number) else { return long };
+            let waits = client.wire.unwritten();
+            if full && waits <= LEAST_WINDOW / 2 {
+                client.full = false;
+                inbox.push_back(Input::Room(ClientId(number)));
             }
             // Guards against: messages left lying when the answers before them could be written at once, as
             // nothing would wake for them.
-            let written = self.clients.get(&number).is_some_and(|client| client.wire.unwritten() == 0);
-            if !(stalled && written) {
-                return;
+            if !(stalled && waits == 0) {
+                return long;
             }
         }
     }
