--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -309,6 +309,25 @@
     assert!(matches!(answers(&effects)[..], [(3, Answer::Refused { .. })]), "{effects:?}");
 }
 
+#[test]
+fn ejected_are_listed_hosts_that_drain_or_do_not_answer_and_none_that_has_left() {
+    let (mut b, _) = Bench::new();
+    assert_eq!(b.core.ejected(b.now), 0);
+    b.give(Input::Probed(REPLICA, Ended::silent(Status::ConnectFailed)));
+    assert_eq!(b.core.ejected(b.now), 1, "the module avoids it");
+    let position = Some(b.unix() as f64 / 1000.0);
+    let note =
+        HostNote { report_position: position, report_role: Some(Role::Replica), ..HostNote::default() };
+    b.give(Input::Probed(REPLICA, Ended { status: Status::Good, served: Vec::new(), note }));
+    assert_eq!(b.core.ejected(b.now), 0, "back");
+    let drains = vec![member("b", false, State::Terminating)];
+    b.give(Input::Members(Members { version: 42, full: false, servers: drains }));
+    assert_eq!((b.core.ejected(b.now), b.core.directory().held()), (1, 2));
+    let gone = vec![member("b", false, State::Gone)];
+    b.give(Input::Members(Members { version: 43, full: false, servers: gone }));
+    assert_eq!((b.core.ejected(b.now), b.core.directory().held()), (0, 1));
+}
+
 /// A gateway that has sent a read, and the attempt.
 fn reading() -> (Bench, AttemptId) {
     let (mut b, _) = Bench::new();
