--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -296,11 +296,6 @@
         Ok(Some((Step::Begins(begun), HEAD)))
     }
 
-    /// A value has begun to be passed on and its answer is not whole.
-    pub fn within_value(&self) -> bool {
-        matches!(self.stage, Stage::Value(_))
-    }
-
     /// Takes a message that is in place; none if its inside does not fit.
     fn take(&mut self, frame: &Frame<'_>, raw: &[u8]) -> Option<Step> {
         match frame.kind {
--- a/gateway/tests/service.rs
+++ b/gateway/tests/service.rs
@@ -373,7 +373,9 @@
             let write = write.replace("/* id=", &format!("/* id=w{n}"));
             thread::spawn(move || {
                 let message = frame(b'Q', &[write.as_bytes(), b"\0"].concat());
-                for piece in message.chunks(90_001 + n * 7) {
+                // Head and type byte by byte, then odd sizes.
+                let (head, rest) = message.split_at(24);
+                for piece in head.chunks(1).chain(rest.chunks(90_001 + n * 7)) {
                     client.write(piece);
                     thread::sleep(Duration::from_micros(200));
                 }
