Build the outcome of a value in one place, drop one in one place, start tests' gateways in one

Read again: an outcome was put together a second time in core/stream.rs, the end of an unwanted value stood twice, and the tests' starter had a pass-through with the same six arguments. No change of behaviour.

--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -204,6 +204,7 @@
     passing: bool,
 }
 
+#[derive(Clone, Copy)]
 struct Attempt {
     server: ServerId,
     sent: Instant,
--- a/gateway/src/core/stream.rs
+++ b/gateway/src/core/stream.rs
@@ -6,9 +6,9 @@
 
 use std::time::Instant;
 
-use yewroute::interface::{Effect as Repeats, Event, Freshness, Note, Outcome, Report, Status, Tokens};
+use yewroute::interface::{Effect as Repeats, Event, Freshness, Status, Tokens};
 
-use super::{Answer, Attempt, AttemptId, ClientId, Core, Effect, End, Ended, Payload};
+use super::{Answer, Attempt, AttemptId, ClientId, Core, Effect, End, Ended, HostNote, Payload};
 
 impl<B: Payload> Core<B> {
     /// The first bytes have come.
@@ -30,11 +30,7 @@
                     self.book_served(now, id, effects);
                 }
             }
-            None => {
-                effects.push(Effect::Abandon(id));
-                self.book_served(now, id, effects);
-                self.attempts.remove(&id);
-            }
+            None => self.abandon_value(now, id, effects),
         }
     }
 
@@ -93,17 +89,8 @@
     fn book_served(&mut self, now: Instant, id: AttemptId, effects: &mut Vec<Effect<B>>) {
         let Some(attempt) = self.attempts.get_mut(&id).filter(|attempt| !attempt.booked) else { return };
         attempt.booked = true;
-        let (server, elapsed) = (attempt.server, attempt.elapsed(now));
-        let outcome = Outcome {
-            request: id.0,
-            attempt: id.1,
-            server,
-            status: Status::Good,
-            elapsed,
-            finished: true,
-            note: Note::default(),
-            report: Report::default(),
-        };
+        let attempt = *attempt;
+        let outcome = self.outcome(now, id, &attempt, Status::Good, HostNote::default());
         self.route(now, Event::Outcome(outcome), effects);
     }
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -110,35 +110,25 @@
 
     /// Discovery answers the first calls as given, and closes; only then does it open a watch.
     pub fn start_after(first: &'static [&'static str], known: &str, settings: &str) -> Self {
-        Self::launch(first, known, settings, None, false)
+        Self::launch(Path::new(PROGRAM), first, known, settings, None, false)
     }
 
     /// The gateway with an operator's file.
     pub fn with_edge(known: &str, edge: &str) -> Self {
-        Self::launch(&[], known, include_str!("settings.json"), Some(edge), false)
+        Self::launch(Path::new(PROGRAM), &[], known, include_str!("settings.json"), Some(edge), false)
     }
 
     /// The gateway with a console.
     pub fn operated(known: &str) -> Self {
-        Self::launch(&[], known, include_str!("settings.json"), None, true)
+        Self::launch(Path::new(PROGRAM), &[], known, include_str!("settings.json"), None, true)
     }
 
     /// Another build of the program.
     pub fn of(program: &Path, known: &str) -> Self {
-        Self::launch_program(program, &[], known, include_str!("settings.json"), None, false)
+        Self::launch(program, &[], known, include_str!("settings.json"), None, false)
     }
 
     fn launch(
-        first: &'static [&'static str],
-        known: &str,
-        settings: &str,
-        edge: Option<&str>,
-        operated: bool,
-    ) -> Self {
-        Self::launch_program(Path::new(PROGRAM), first, known, settings, edge, operated)
-    }
-
-    fn launch_program(
         program: &Path,
         first: &'static [&'static str],
         known: &str,
