--- a/gateway/tests/service.rs
+++ b/gateway/tests/service.rs
@@ -489,3 +489,41 @@
     assert_eq!(third.client().ask(&statement("order", 2_000, "")), b"TDCZ");
     drop(held);
 }
+
+/// Descriptors that a process holds; none once it has ended.
+fn descriptors(pid: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
+}
+
+#[test]
+fn two_processes_of_a_gateway_hold_no_more_descriptors_together_than_one_may() {
+    const LIMIT: usize = 64;
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let older = Gateway::operated(&pair(&primary, &replica));
+    older.reload(r#""sockets":256"#, &format!(r#""sockets":{LIMIT}"#));
+    older.logs("SIGHUP: configuration read again");
+    // As many clients as one process takes; they stay, so the older one keeps what it has for a while.
+    let held: Vec<_> = (0..22)
+        .map(|_| {
+            let mut client = older.client();
+            assert_eq!(client.ask(&statement("order", 2_000, "")), b"TDCZ");
+            client
+        })
+        .collect();
+    let newer = older.replacement();
+    // And as many again at once for the newer one, which it may not take before the older one's have gone.
+    let flood: Vec<_> = (0..30).map(|_| TcpStream::connect(newer.addr).unwrap()).collect();
+    flood.iter().for_each(|mut stream| stream.write_all(&startup()).unwrap());
+    let (start, mut most, mut least) = (Instant::now(), 0, usize::MAX);
+    while start.elapsed() < Duration::from_millis(1_200) {
+        let both = [older.pid(), newer.pid()].map(descriptors);
+        most = most.max(both.iter().sum());
+        least = least.min(both[1]);
+        thread::sleep(Duration::from_millis(2));
+    }
+    assert!(most <= LIMIT && most > LIMIT / 2 && least > 8, "{most} together, {least} at least in the newer");
+    drop(held);
+    newer.logs("the older process has gone");
+    drop(flood);
+    assert_eq!(newer.client().ask(&statement("order", 2_000, "")), b"TDCZ");
+}
