Send the end of a connection with the answer before it, in one segment

Seen: the test of ten replacements failed in a run by itself, 6 to 8 of some 1,290 requests met a closed connection; it had passed only where other tests slowed its clients. Cause: the answer and the end of the sending were two writes, so a client without a pause between requests had its answer some microseconds before the end, and sent into it. Ruled out: the door (none lost there), idle connections (every client is answered within the 0.4 s), pipelines (the second query lies in the buffer). Lines: work_on in net/clients.rs, settle's flush and then end_sending.

Only in drains and handovers; a plain SIGTERM and all without a console are as before.

--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -451,6 +451,9 @@
             let leaves = self.welcome.leaving >= Leaving::Answered && client.answered_last();
             if (client.ended || leaves) && idle {
                 client.phase = Phase::Closing;
+                if leaves && self.welcome.leaving == Leaving::Answered {
+                    client.wire.end_with_last();
+                }
             }
             let (full, long) = (client.full, client.long.is_some());
             if !self.settle(now, number, poller) {
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use rustix::io::Errno;
-use rustix::net::{connect, ipproto, socket_with, AddressFamily, SocketFlags, SocketType};
+use rustix::net::{connect, ipproto, socket_with, sockopt, AddressFamily, SocketFlags, SocketType};
 
 /// Bytes read at a time.
 pub const CHUNK: usize = 32 * 1024;
@@ -188,6 +188,13 @@
         matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
+    /// The last bytes are kept back until the sending ends, and go out together with the end. Guards against: a client
+    /// that has its answer a moment before the end, and sends its next request into it. A system that cannot do it sends
+    /// the end right behind.
+    pub fn end_with_last(&self) {
+        let _ = sockopt::set_tcp_cork(&self.stream, true);
+    }
+
     /// Ends the sending; what was written still arrives.
     pub fn end_sending(&self) {
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
--- a/gateway/tests/service.rs
+++ b/gateway/tests/service.rs
@@ -455,8 +455,8 @@
         assert_eq!(other, 0, "an error");
         (served, met) = (served + good, met + closed);
     }
-    // A request may cross the end of a connection between requests; far fewer than two in each round do.
-    assert!(served > 500 && met <= 5, "{served} served, {met} met a closed connection");
+    // The end of a connection comes with the answer before it; only one that was idle for long can be crossed.
+    assert!(served > 500 && met <= 2, "{served} served, {met} met a closed connection");
 }
 
 #[test]
