--- a/crates/lifecycle/src/overlap.rs
+++ b/crates/lifecycle/src/overlap.rs
@@ -10,7 +10,7 @@
 }
 
 /// The older process keeps so many descriptors beyond those it holds, to send on what it has taken.
-const SPARE_SOCKETS: usize = 24;
+const SPARE_SOCKETS: usize = 8;
 
 impl Means {
     /// What the older of two processes keeps of a gateway's limits, and what it leaves to the newer one, when it holds
--- a/gateway/src/net/console.rs
+++ b/gateway/src/net/console.rs
@@ -63,6 +63,11 @@
         self.listener.local_addr()
     }
 
+    /// Callers.
+    pub fn len(&self) -> usize {
+        self.callers.len()
+    }
+
     /// When [`Console::tick`] is due.
     pub fn next(&self) -> Option<Instant> {
         (!self.callers.is_empty()).then_some(self.sweep_at)
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -390,7 +390,12 @@
     /// Takes over the limits that this process has.
     fn use_means(&mut self, means: Means) {
         self.means = means;
-        let (most_clients, most_hosts) = shares(means.sockets, self.console_share);
+        let (mut most_clients, mut most_hosts) = shares(means.sockets, self.console_share);
+        if means != self.limits {
+            // Beside another process clients come all at once, and few connections to db hosts are needed yet.
+            let lent = most_hosts / 2;
+            (most_clients, most_hosts) = (most_clients + lent, most_hosts - lent);
+        }
         let Budgets { most_bytes, statement_bytes } = Budgets::of(means.kib);
         let widest = Budgets::of(self.limits.kib).statement_bytes;
         self.clients.limit(most_clients, most_bytes, statement_bytes, widest);
@@ -403,8 +408,9 @@
         let Some(handover) = self.handover.as_mut().filter(|handover| handover.has_successor()) else {
             return;
         };
+        let callers = self.console.as_ref().map_or(0, Console::len);
         let held = Means {
-            sockets: self.clients.len() + self.hosts.len() + RESERVED + self.console_share,
+            sockets: self.clients.len() + self.hosts.len() + RESERVED + callers,
             kib: (self.clients.held_bytes() + self.core.held_bytes()) / 1024,
         };
         let (own, left) = self.limits.divide(held, self.life.is_handed());
