--- /dev/null
+++ b/crates/agree/src/lib.rs
@@ -0,0 +1,848 @@
+//! What gateways decide once for all: small values under keys, some held by a lease, in one order.
+//!
+//! A few members vote, by Raft with its log in memory ([`voters`] says which); a seed's support keeps two groups of voters
+//! from deciding at once ([`support`]); each decision stands at a place of its own ([`state`]). Nothing here does I/O, reads
+//! a clock or draws from a source of its own. `docs/design/agree.md` argues why it is safe without a disk, and what is lost
+//! when most voters go at once.
+#![forbid(unsafe_code)]
+
+mod node;
+pub mod state;
+pub mod support;
+pub mod voters;
+mod wire;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use raft::eraftpb::{ConfChangeType, MessageType};
+
+use node::{Applied, Node};
+pub use state::{Command, Decision, Outcome, Place, Ticket};
+use state::{State, LONGEST_LEASE, MOST_KEYS};
+use support::{Grantor, Support};
+pub use voters::Peer;
+use voters::Step;
+use wire::{Body, Joiner, Part};
+
+/// How often seeds are asked for their support.
+const SUPPORT_EVERY: Duration = Duration::from_secs(1);
+/// How often one that founds a group asks them, and how long it tries.
+const FOUND_EVERY: Duration = Duration::from_millis(300);
+const FOUND_FOR: Duration = Duration::from_secs(2);
+/// No group was heard of for so long: one may be founded, by the first of those that would, then by the next.
+const QUIET: Duration = Duration::from_secs(10);
+const NEXT_FOUNDER: Duration = Duration::from_millis(2_500);
+/// How often the leader says that its group is there, and a lease's new end.
+const HEAD_EVERY: Duration = Duration::from_secs(5);
+/// So long a word of the leader counts.
+const HEAD_GOOD: Duration = Duration::from_secs(12);
+/// How often a request is sent again, and for how long.
+const AGAIN: Duration = Duration::from_millis(300);
+const ASKED_FOR: Duration = Duration::from_secs(5);
+/// Requests of this gateway's own, and of others at the leader.
+const MOST_ASKED: usize = 64;
+const MOST_SERVED: usize = 256;
+/// Where a holder's own count of its lease ends, against what all others count: clocks do not run alike.
+const HOLDER: f64 = 0.9;
+
+/// What a gateway brings.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// Who it is.
+    pub me: Peer,
+    /// The seeds, as all gateways have them.
+    pub seeds: Vec<SocketAddr>,
+    /// Unix milliseconds at the start; a generation's number comes from them, and nothing rests on their being right.
+    pub unix_ms: u64,
+}
+
+/// What its leader says of a group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// The group's generation, then the leader's term.
+    pub epoch: (u64, u64),
+    /// The leader's name.
+    pub leader: Box<str>,
+    /// The names of those that vote.
+    pub voters: Vec<Box<str>>,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// This gateway's request has its answer, and its lease ends then.
+    Answered(u64, Outcome, Option<Instant>),
+    /// Nothing was heard of this gateway's request; it may have been decided all the same.
+    Unanswered(u64),
+    /// This gateway leads: the epoch.
+    Leads(u64, u64),
+    /// It does not any more.
+    LeadsNot(u64, u64),
+    /// It votes, or does not.
+    Votes(bool),
+    /// To be told to all: the group is there.
+    Head(Head),
+    /// To be told to all: a decision, and for how many milliseconds it is held.
+    Tell(String, Decision, u32),
+    /// A seed has another list of seeds.
+    SeedsDiffer(SocketAddr),
+}
+
+/// A request of this gateway's own.
+struct Asked {
+    command: Command,
+    first: Instant,
+    again_at: Instant,
+}
+
+/// A lease this gateway wants.
+struct Want {
+    value: Vec<u8>,
+    ms: u32,
+    over: Place,
+    until: Option<Instant>,
+    next_at: Instant,
+    asked: Option<u64>,
+}
+
+/// What was told of a decision last.
+struct Told {
+    decision: Decision,
+    at: Instant,
+}
+
+/// Counts since the start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests of this gateway's that were decided, and milliseconds they took in all.
+    pub decided: (u64, u64),
+    /// Requests that had no answer.
+    pub unanswered: u64,
+    /// Groups founded by this gateway.
+    pub founded: u64,
+    /// Times that it came to lead.
+    pub led: u64,
+    /// Messages that did not fit what was known, and were dropped.
+    pub dropped: u64,
+}
+
+/// One gateway's part in what is decided.
+pub struct Agree {
+    terms: Terms,
+    number: u64,
+    origin: Instant,
+    seeds: u64,
+    grantor: Grantor,
+    support: Support,
+    support_at: Instant,
+    founding: Option<(u64, Instant)>,
+    node: Option<Node>,
+    /// Seats up to here, by generation and place, are never taken again by this process.
+    floor: (u64, u64),
+    /// The newest generation heard of.
+    highest: u64,
+    head: Option<(Head, Option<SocketAddr>, Instant)>,
+    quiet_since: Instant,
+    /// Members that live and stay, and whether this one does.
+    others: Vec<Peer>,
+    stays: bool,
+    sure: bool,
+    joiner: Joiner,
+    sent: u64,
+    led: Option<(u64, u64)>,
+    led_at: Instant,
+    voted: bool,
+    opens_at: Instant,
+    ends: BTreeMap<String, Instant>,
+    known: BTreeMap<String, (Decision, Option<Instant>)>,
+    told: BTreeMap<String, Told>,
+    head_told: Option<(Head, Instant)>,
+    asked: BTreeMap<u64, Asked>,
+    count: u64,
+    wants: BTreeMap<String, Want>,
+    served: BTreeMap<Ticket, (SocketAddr, Instant)>,
+    out: VecDeque<(SocketAddr, Vec<u8>)>,
+    events: VecDeque<Event>,
+    counts: Counts,
+}
+
+fn number(of: &[u8]) -> u64 {
+    let hash = blake3::hash(of);
+    // Raft's numbers begin at 1.
+    u64::from_le_bytes(hash.as_bytes()[..8].try_into().unwrap_or_default()).max(1)
+}
+
+fn seat_number(peer: &Peer, generation: u64, term: u64, index: u64) -> u64 {
+    number(format!("{} {} {} {generation} {term} {index}", peer.name, peer.addr, peer.incarnation).as_bytes())
+}
+
+impl Agree {
+    /// A gateway that knows of no group yet.
+    #[must_use]
+    pub fn new(now: Instant, terms: Terms) -> Self {
+        let mut seeds = terms.seeds.clone();
+        seeds.sort_unstable();
+        let number_of = format!("{} {}", terms.me.name, terms.me.incarnation);
+        Self {
+            number: number(number_of.as_bytes()),
+            origin: now,
+            seeds: number(format!("{seeds:?}").as_bytes()),
+            grantor: Grantor::new(now),
+            support: Support::default(),
+            support_at: now,
+            founding: None,
+            node: None,
+            floor: (0, 0),
+            highest: 0,
+            head: None,
+            // Seeds support nobody before.
+            quiet_since: now + support::HELD.saturating_sub(QUIET),
+            others: Vec::new(),
+            stays: false,
+            sure: false,
+            joiner: Joiner::default(),
+            sent: 0,
+            led: None,
+            led_at: now,
+            voted: false,
+            opens_at: now,
+            ends: BTreeMap::new(),
+            known: BTreeMap::new(),
+            told: BTreeMap::new(),
+            head_told: None,
+            asked: BTreeMap::new(),
+            count: 0,
+            wants: BTreeMap::new(),
+            served: BTreeMap::new(),
+            out: VecDeque::new(),
+            events: VecDeque::new(),
+            counts: Counts::default(),
+            terms,
+        }
+    }
+
+    /// What is known of the fleet: the others that live and stay, whether this one stays, and whether it is sure of itself.
+    pub fn members(&mut self, incarnation: u64, others: Vec<Peer>, stays: bool, sure: bool) {
+        self.terms.me.incarnation = incarnation;
+        (self.others, self.stays, self.sure) = (others, stays, sure);
+    }
+
+    /// Takes what a leader has said of its group, told so long ago; `leader` is where it is, if it is a member.
+    pub fn heard(&mut self, now: Instant, head: Head, leader: Option<SocketAddr>, age: Duration) {
+        let at = now.checked_sub(age).unwrap_or(now);
+        self.highest = self.highest.max(head.epoch.0);
+        if self.head.as_ref().is_some_and(|(known, _, when)| (known.epoch, *when) > (head.epoch, at)) {
+            return;
+        }
+        self.quiet_since = self.quiet_since.max(at);
+        if self.node.as_ref().is_some_and(|node| node.generation < head.epoch.0) {
+            self.drop_node();
+        }
+        self.head = Some((head, leader, at));
+    }
+
+    /// Takes a decision as it was told.
+    pub fn learn(&mut self, now: Instant, key: &str, decision: Decision, left_ms: u32) {
+        let until = decision.lease.map(|_| now + Duration::from_millis(left_ms.into()));
+        let newer = self.known.get(key).is_none_or(|(known, _)| known.place < decision.place);
+        if newer && (self.known.len() < 2 * MOST_KEYS || self.known.contains_key(key)) {
+            self.known.insert(key.to_owned(), (decision, until));
+        }
+    }
+
+    /// What was decided under a key, as far as this gateway knows, and when its lease ends.
+    #[must_use]
+    pub fn read(&self, key: &str) -> Option<(&Decision, Option<Instant>)> {
+        self.known.get(key).map(|(decision, until)| (decision, *until))
+    }
+
+    /// All that was decided, as far as this gateway knows.
+    pub fn decisions(&self) -> impl Iterator<Item = (&str, &Decision, Option<Instant>)> {
+        self.known.iter().map(|(key, (decision, until))| (key.as_str(), decision, *until))
+    }
+
+    /// The group as this gateway knows it; nothing if it has not been heard of lately.
+    #[must_use]
+    pub fn head(&self, now: Instant) -> Option<&Head> {
+        let (head, _, at) = self.head.as_ref()?;
+        (now.saturating_duration_since(*at) < HEAD_GOOD).then_some(head)
+    }
+
+    /// Who it is for the holders of leases.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// It leads, and may decide.
+    #[must_use]
+    pub fn leads(&self, now: Instant) -> bool {
+        let supported = || self.support.until(&self.terms.seeds).is_some_and(|until| now < until);
+        self.sure && self.node.as_ref().is_some_and(Node::is_settled) && supported()
+    }
+
+    /// Counts since the start.
+    #[must_use]
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// Asks for a decision; its number comes back with the answer. Nothing if there are too many already, or it is too long.
+    pub fn ask(&mut self, now: Instant, command: Command) -> Option<u64> {
+        if self.asked.len() >= MOST_ASKED || command.key.is_empty() || !command.is_bounded() {
+            return None;
+        }
+        self.count += 1;
+        let count = self.count;
+        self.asked.insert(count, Asked { command, first: now, again_at: now });
+        self.send_asked(now);
+        Some(count)
+    }
+
+    /// Wants a lease from now on: it is asked for, and kept.
+    pub fn want(&mut self, now: Instant, key: &str, value: &[u8], ms: u32) {
+        let over = self.read(key).map_or(Place::default(), |(decision, _)| decision.place);
+        let fresh = Want { value: value.to_vec(), ms, over, until: None, next_at: now, asked: None };
+        let want = self.wants.entry(key.to_owned()).or_insert(fresh);
+        (want.value, want.ms) = (value.to_vec(), ms.min(LONGEST_LEASE));
+    }
+
+    /// Wants a lease no more: it ends by itself.
+    pub fn want_not(&mut self, key: &str) {
+        self.wants.remove(key);
+    }
+
+    /// This gateway holds a lease, and nobody else does.
+    #[must_use]
+    pub fn holds(&self, now: Instant, key: &str) -> bool {
+        let until = self.wants.get(key).and_then(|want| want.until);
+        self.sure && until.is_some_and(|until| now < until)
+    }
+
+    /// This gateway goes: another leads.
+    pub fn leave(&mut self, now: Instant) {
+        self.stays = false;
+        if let Some(node) = self.node.as_mut().filter(|node| node.leads()) {
+            node.hand_over(now);
+        }
+        self.pump(now);
+    }
+
+    /// The next message, for a member at an address.
+    pub fn transmit(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.out.pop_front()
+    }
+
+    /// The next thing that came of it.
+    pub fn event(&mut self) -> Option<Event> {
+        self.events.pop_front()
+    }
+
+    /// When it is to be called again.
+    #[must_use]
+    pub fn next(&self) -> Option<Instant> {
+        if self.terms.seeds.is_empty() {
+            return None;
+        }
+        let node = self.node.as_ref().map(|node| node.tick_at);
+        let founding = self.founding.map(|_| self.support_at);
+        let may = self.sure && self.stays && self.founding.is_none();
+        let found = self.found_at().filter(|_| may);
+        let asked = self.asked.values().map(|asked| asked.again_at).min();
+        let wants = self.wants.values().filter(|want| want.asked.is_none()).map(|want| want.next_at).min();
+        [node, founding, found, asked, wants].into_iter().flatten().min()
+    }
+
+    /// When this gateway may found a group, as nobody else has.
+    fn found_at(&self) -> Option<Instant> {
+        let quiet = match &self.node {
+            Some(node) if node.leads() => return None,
+            Some(node) => node.heard.max(self.quiet_since),
+            None => self.quiet_since,
+        };
+        // Seeds first: they are known to all.
+        let order = |peer: &Peer| (!self.terms.seeds.contains(&peer.addr), peer.addr);
+        let me = order(&self.terms.me);
+        let before = self.others.iter().filter(|peer| order(peer) < me).count();
+        Some(quiet + QUIET + NEXT_FOUNDER * u32::try_from(before.min(64)).unwrap_or(0))
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Instant) {
+        if self.terms.seeds.is_empty() {
+            return;
+        }
+        if self.node.as_ref().is_some_and(|node| node.tick_at <= now) {
+            if let Some(node) = &mut self.node {
+                node.tick(now);
+            }
+            self.pump(now);
+            self.lead(now);
+        }
+        let silent = |node: &Node| !node.leads() && now.saturating_duration_since(node.heard) >= QUIET;
+        if self.node.as_ref().is_some_and(silent) && self.head(now).is_some() {
+            // Its group goes on without it.
+            self.drop_node();
+        }
+        self.found(now);
+        self.send_asked(now);
+        self.keep(now);
+        self.served.retain(|_, (_, at)| now.saturating_duration_since(*at) < ASKED_FOR);
+    }
+
+    /// Founds a group if there is none.
+    fn found(&mut self, now: Instant) {
+        if self.founding.is_none() {
+            let due = self.found_at().is_some_and(|at| at <= now);
+            if !(due && self.sure && self.stays) {
+                return;
+            }
+            let elapsed = u64::try_from(now.saturating_duration_since(self.origin).as_millis()).unwrap_or(0);
+            let generation = (self.terms.unix_ms + elapsed).max(self.highest + 1);
+            self.founding = Some((generation, now + FOUND_FOR));
+            (self.support, self.support_at) = (Support::default(), now);
+        }
+        let Some((generation, until)) = self.founding else { return };
+        if now >= until {
+            self.founding = None;
+            // Those that stand before it in line have their turn.
+            self.quiet_since = now + Duration::from_millis(self.number % 1_500);
+            return;
+        }
+        if now >= self.support_at {
+            self.support_at = now + FOUND_EVERY;
+            self.ask_support(now, generation);
+        }
+    }
+
+    fn try_found(&mut self, now: Instant) {
+        let Some((generation, _)) = self.founding else { return };
+        if self.support.until(&self.terms.seeds).is_none_or(|until| until <= now + SUPPORT_EVERY) {
+            return;
+        }
+        self.founding = None;
+        if self.node.is_some() {
+            self.drop_node();
+        }
+        let me = self.terms.me.clone();
+        let number = seat_number(&me, generation, 1, 1);
+        let known = self.known.iter().map(|(key, (decision, _))| (key.clone(), decision.clone()));
+        let state = State::of(known);
+        self.highest = generation;
+        self.floor = (generation, 1);
+        self.node = Node::found(now, generation, number, me, state).ok();
+        // Leases of the group before this one may still be held.
+        self.opens_at = now + Duration::from_millis(LONGEST_LEASE.into());
+        self.counts.founded += 1;
+        self.pump(now);
+        self.lead(now);
+    }
+
+    fn ask_support(&mut self, now: Instant, generation: u64) {
+        let at = u64::try_from(now.saturating_duration_since(self.origin).as_micros()).unwrap_or(0);
+        let me = self.terms.me.addr;
+        for seed in self.terms.seeds.clone() {
+            if seed == me {
+                if self.grantor.ask(now, generation) {
+                    self.support.granted(me, now);
+                }
+            } else {
+                self.put(seed, &Body::Ask { generation, seeds: self.seeds, at, from: me });
+            }
+        }
+        self.try_found(now);
+    }
+
+    /// What the leader does between requests: support, voters, what is told to all.
+    fn lead(&mut self, now: Instant) {
+        let Some(node) = self.node.as_mut().filter(|node| node.leads()) else { return };
+        let generation = node.generation;
+        if !self.stays && node.voters().len() > 1 {
+            node.hand_over(now);
+        } else {
+            let me = self.terms.me.clone();
+            let fit: Vec<Peer> = self.others.iter().cloned().chain([me]).collect();
+            let next = voters::step(node.number, &node.seats(now), &fit);
+            let (term, index) = (node.term(), node.last_index());
+            match next.filter(|_| self.sure) {
+                Some(Step::Learn(peer)) => {
+                    let number = seat_number(&peer, generation, term, index);
+                    node.change(now, ConfChangeType::AddLearnerNode, number, Some(&peer));
+                }
+                Some(Step::Vote(number)) => node.change(now, ConfChangeType::AddNode, number, None),
+                Some(Step::Remove(number)) => node.change(now, ConfChangeType::RemoveNode, number, None),
+                None => {}
+            }
+        }
+        if now >= self.support_at {
+            self.support_at = now + SUPPORT_EVERY;
+            self.ask_support(now, generation);
+        }
+        let supported =
+            self.support.until(&self.terms.seeds).map_or(self.led_at, |until| until.max(self.led_at));
+        if now >= supported + 2 * support::HELD {
+            // Most seeds support another group by now, or one that was not founded: this one is over.
+            self.drop_node();
+        }
+        if self.leads(now) {
+            let open = self.node.as_ref().is_some_and(|node| node.kept.state.is_open());
+            if !open && now >= self.opens_at {
+                let command =
+                    Command { key: String::new(), value: Vec::new(), over: Place::default(), lease: None };
+                if let Some(node) = &mut self.node {
+                    node.propose(now, (0, 0), &command);
+                }
+            }
+            self.tell(now);
+        }
+        self.pump(now);
+    }
+
+    /// What is to be told to all, where it changed or is due again.
+    fn tell(&mut self, now: Instant) {
+        let Some(node) = &self.node else { return };
+        let name = |number| node.kept.seats.get(&number).map(|(peer, _)| peer.name.clone());
+        let voters = node.voters().into_iter().filter_map(name).collect();
+        let epoch = (node.generation, node.term());
+        let head = Head { epoch, leader: self.terms.me.name.clone(), voters };
+        let due = |at: Instant| now.saturating_duration_since(at) >= HEAD_EVERY;
+        if self.head_told.as_ref().is_none_or(|(told, at)| *told != head || due(*at)) {
+            self.head_told = Some((head.clone(), now));
+            self.head = Some((head.clone(), Some(self.terms.me.addr), now));
+            self.events.push_back(Event::Head(head));
+        }
+        for (key, decision) in node.kept.state.iter() {
+            let changed = |told: &Told| {
+                let holder = |of: &Decision| of.lease.map(|(holder, _)| holder);
+                let other =
+                    told.decision.value != decision.value || holder(&told.decision) != holder(decision);
+                told.decision.place != decision.place && (other || due(told.at))
+            };
+            if self.told.get(key).is_none_or(changed) {
+                let left = self.ends.get(key).map_or(0, |end| end.saturating_duration_since(now).as_millis());
+                let left = u32::try_from(left).unwrap_or(0);
+                self.events.push_back(Event::Tell(key.to_owned(), decision.clone(), left));
+                self.told.insert(key.to_owned(), Told { decision: decision.clone(), at: now });
+            }
+        }
+        let state = &node.kept.state;
+        self.told.retain(|key, _| state.get(key).is_some());
+    }
+
+    /// Sends requests of this gateway's own to the leader, and gives up those too old.
+    fn send_asked(&mut self, now: Instant) {
+        let late = |asked: &Asked| now.saturating_duration_since(asked.first) >= ASKED_FOR;
+        let given_up: Vec<u64> =
+            self.asked.iter().filter(|(_, asked)| late(asked)).map(|(n, _)| *n).collect();
+        for count in given_up {
+            self.asked.remove(&count);
+            self.counts.unanswered += 1;
+            self.events.push_back(Event::Unanswered(count));
+            for want in self.wants.values_mut().filter(|want| want.asked == Some(count)) {
+                (want.asked, want.next_at) = (None, now + AGAIN);
+            }
+        }
+        let due: Vec<u64> =
+            self.asked.iter().filter(|(_, asked)| asked.again_at <= now).map(|(n, _)| *n).collect();
+        let leader = self.leader();
+        for count in due {
+            let Some(asked) = self.asked.get_mut(&count) else { continue };
+            asked.again_at = now + AGAIN;
+            let (ticket, command) = ((self.number, count), asked.command.clone());
+            let from = self.terms.me.addr;
+            match leader {
+                Some(addr) if addr == from => self.serve(now, ticket, from, command),
+                Some(addr) => self.put(addr, &Body::Please { ticket, from, command }),
+                None => {}
+            }
+        }
+    }
+
+    /// Where the leader is.
+    fn leader(&self) -> Option<SocketAddr> {
+        let voted = self.node.as_ref().and_then(|node| Some(node.place_of(node.leader()?)?.0));
+        voted.or_else(|| self.head.as_ref().and_then(|(_, leader, _)| *leader))
+    }
+
+    /// Takes care of the leases this gateway wants.
+    fn keep(&mut self, now: Instant) {
+        let due = |want: &Want| want.asked.is_none() && want.next_at <= now;
+        let due: Vec<String> =
+            self.wants.iter().filter(|(_, w)| due(w)).map(|(key, _)| key.clone()).collect();
+        for key in due {
+            let Some(want) = self.wants.get(&key) else { continue };
+            let lease = Some((self.number, want.ms));
+            let command = Command { key: key.clone(), value: want.value.clone(), over: want.over, lease };
+            let asked = self.ask(now, command);
+            if let Some(want) = self.wants.get_mut(&key) {
+                // What could not be asked now is asked later; what was answered at once is taken care of.
+                let open = asked.filter(|count| self.asked.contains_key(count));
+                want.asked = open;
+                if asked.is_none() {
+                    want.next_at = now + AGAIN;
+                }
+            }
+        }
+    }
+
+    /// The leader's part in a request.
+    fn serve(&mut self, now: Instant, ticket: Ticket, from: SocketAddr, command: Command) {
+        if self.served.contains_key(&ticket) {
+            return;
+        }
+        let refusal = self.refuses(now, ticket, &command);
+        if let Some(outcome) = refusal {
+            self.answer(now, ticket, from, outcome);
+            return;
+        }
+        let taken = self.node.as_mut().is_some_and(|node| node.propose(now, ticket, &command));
+        if taken {
+            self.served.insert(ticket, (from, now));
+            self.pump(now);
+        } else {
+            self.answer(now, ticket, from, Outcome::Elsewhere);
+        }
+    }
+
+    /// Why it does not even ask the others.
+    fn refuses(&self, now: Instant, ticket: Ticket, command: &Command) -> Option<Outcome> {
+        let Some(node) = self.node.as_ref().filter(|_| self.leads(now) && self.served.len() < MOST_SERVED)
+        else {
+            return Some(Outcome::Elsewhere);
+        };
+        if command.key.is_empty() || !command.is_bounded() {
+            return Some(Outcome::Full);
+        }
+        let state = &node.kept.state;
+        let known = state.get(&command.key);
+        let place = known.map_or(Place::default(), |decision| decision.place);
+        let left = |until: Instant| {
+            u32::try_from(until.saturating_duration_since(now).as_millis()).unwrap_or(u32::MAX)
+        };
+        let leased = command.lease.is_some() || known.is_some_and(|decision| decision.lease.is_some());
+        if leased && !state.is_open() {
+            return Some(Outcome::Held(place, left(self.opens_at)));
+        }
+        let (holder, _) = known?.lease?;
+        let own = holder == ticket.0 && command.lease.is_none_or(|(to, _)| to == holder);
+        let until = *self.ends.get(&command.key)?;
+        (!own && now < until).then(|| Outcome::Held(place, left(until)))
+    }
+
+    fn answer(&mut self, now: Instant, ticket: Ticket, to: SocketAddr, outcome: Outcome) {
+        if to == self.terms.me.addr {
+            self.on_answer(now, ticket, outcome);
+        } else {
+            self.put(to, &Body::Answer { ticket, outcome });
+        }
+    }
+
+    fn on_answer(&mut self, now: Instant, ticket: Ticket, outcome: Outcome) {
+        if ticket.0 != self.number || outcome == Outcome::Elsewhere {
+            return;
+        }
+        let Some(asked) = self.asked.remove(&ticket.1) else { return };
+        let took = now.saturating_duration_since(asked.first);
+        let lease = asked.command.lease.map(|(_, ms)| Duration::from_millis(ms.into()));
+        let until = lease.map(|lease| asked.first + lease.mul_f64(HOLDER));
+        if matches!(outcome, Outcome::Decided(_)) {
+            self.counts.decided.0 += 1;
+            self.counts.decided.1 += u64::try_from(took.as_millis()).unwrap_or(0);
+        }
+        if let Some(want) = self.wants.get_mut(&asked.command.key) {
+            want.asked = None;
+            match outcome {
+                Outcome::Decided(place) => {
+                    (want.over, want.until) = (place, until);
+                    want.next_at = asked.first + Duration::from_millis(want.ms.into()) / 3;
+                }
+                Outcome::Stale(place) => (want.over, want.next_at) = (place, now + AGAIN / 3),
+                Outcome::Held(place, ms) => {
+                    let wait = Duration::from_millis(ms.into()).min(2 * SUPPORT_EVERY);
+                    (want.over, want.next_at) = (place, now + wait.max(AGAIN));
+                }
+                Outcome::Full | Outcome::Elsewhere => want.next_at = now + SUPPORT_EVERY,
+            }
+        }
+        let until = until.filter(|_| matches!(outcome, Outcome::Decided(_)));
+        self.events.push_back(Event::Answered(ticket.1, outcome, until));
+    }
+
+    /// Takes a message; false if it is none.
+    pub fn receive(&mut self, now: Instant, message: &[u8]) -> bool {
+        let Ok(body) = postcard::from_bytes::<Body>(message) else {
+            self.counts.dropped += 1;
+            return false;
+        };
+        match body {
+            Body::Ask { generation, seeds, at, from } => {
+                let differs = seeds != self.seeds;
+                let granted = !differs && generation >= self.highest && self.grantor.ask(now, generation);
+                let highest = self.highest.max(self.grantor.highest());
+                let by = self.terms.me.addr;
+                self.put(from, &Body::Support { generation, at, granted, highest, differs, by });
+            }
+            Body::Support { generation, at, granted, highest, differs, by } => {
+                self.highest = self.highest.max(highest);
+                if differs {
+                    self.events.push_back(Event::SeedsDiffer(by));
+                }
+                let of_node = self.node.as_ref().map(|node| node.generation);
+                let own = self.founding.map(|(generation, _)| generation).or(of_node) == Some(generation);
+                let asked = self.origin + Duration::from_micros(at);
+                if granted && own && self.terms.seeds.contains(&by) && asked <= now {
+                    self.support.granted(by, asked);
+                    self.try_found(now);
+                }
+            }
+            Body::Raft(part) => self.on_part(now, &part),
+            Body::Please { ticket, from, command } => self.serve(now, ticket, from, command),
+            Body::Answer { ticket, outcome } => self.on_answer(now, ticket, outcome),
+        }
+        true
+    }
+
+    fn on_part(&mut self, now: Instant, part: &Part) {
+        let known = self.node.as_ref().map(|node| (node.generation, node.number));
+        if known != Some((part.generation, part.to)) && !self.may_sit(part) {
+            return;
+        }
+        let Some(bytes) = self.joiner.take(part) else { return };
+        let Some(message) = wire::read(part.from.0, part.to, &bytes) else {
+            self.counts.dropped += 1;
+            return;
+        };
+        if known != Some((part.generation, part.to)) {
+            let kind = message.get_msg_type();
+            if !matches!(kind, MessageType::MsgAppend | MessageType::MsgHeartbeat | MessageType::MsgSnapshot)
+            {
+                return;
+            }
+            self.drop_node();
+            self.highest = self.highest.max(part.generation);
+            self.floor = (part.generation, part.seat.0);
+            self.founding = None;
+            self.node = Node::learner(now, part.generation, part.to).ok();
+            // It may have to lead before it has heard whether leases are given yet.
+            self.opens_at = now + Duration::from_millis(LONGEST_LEASE.into());
+        }
+        if let Some(node) = &mut self.node {
+            if !node.step(now, part.from, message) {
+                self.counts.dropped += 1;
+            }
+        }
+        self.pump(now);
+    }
+
+    /// Whether this process may take the seat that a leader gives it: one made for it, and none it has had before. A process
+    /// that was started anew has a later incarnation than the seats of the one before it.
+    fn may_sit(&self, part: &Part) -> bool {
+        let mine = part.seat.1 == self.terms.me.incarnation;
+        mine && part.seat.0 > 0
+            && (part.generation, part.seat.0) > self.floor
+            && part.generation >= self.highest
+    }
+
+    fn drop_node(&mut self) {
+        if let Some(node) = self.node.take() {
+            let seat = node.kept.seats.get(&node.number).map_or(0, |(_, at)| *at);
+            self.floor = self.floor.max((node.generation, seat));
+            self.served.clear();
+        }
+    }
+
+    /// Takes over what the voter has done.
+    fn pump(&mut self, now: Instant) {
+        let Some(node) = &mut self.node else {
+            self.say_changes();
+            return;
+        };
+        let (messages, applied) = (node.take_messages(), node.take_applied());
+        let (generation, number, leads) = (node.generation, node.number, node.leads());
+        let places: Vec<_> = messages.iter().map(|message| node.place_of(message.to)).collect();
+        let removed = !node.kept.seats.is_empty() && !node.kept.seats.contains_key(&number);
+        for (message, place) in messages.iter().zip(places) {
+            let (Some((addr, seat)), Some(bytes)) = (place, wire::write(message)) else { continue };
+            self.sent += 1;
+            let from = (number, self.terms.me.addr);
+            let head =
+                Part { generation, seat, from, to: message.to, part: (self.sent, 0, 0), bytes: Vec::new() };
+            for part in wire::parts(&head, &bytes) {
+                self.put(addr, &Body::Raft(part));
+            }
+        }
+        for applied in applied {
+            if let Applied::Answer(ticket, outcome) = applied {
+                if let Some((to, _)) = self.served.remove(&ticket) {
+                    self.answer(now, ticket, to, outcome);
+                }
+            }
+        }
+        self.take_state(now);
+        let epoch = self.node.as_ref().map(|node| (node.generation, node.term()));
+        if leads && self.led != epoch {
+            // When leases began is not in the log: they begin anew.
+            self.ends.clear();
+            self.served.clear();
+            self.told.clear();
+            (self.head_told, self.support_at, self.led_at) = (None, now, now);
+            self.take_state(now);
+        }
+        if removed {
+            self.drop_node();
+        }
+        self.say_changes();
+    }
+
+    /// Brings what is known, and when leases end, up to what the voter has applied.
+    fn take_state(&mut self, now: Instant) {
+        let Some(node) = &self.node else { return };
+        for (key, decision) in node.kept.state.iter() {
+            let known = self.known.get(key);
+            let changed = known.is_none_or(|(known, _)| known.place < decision.place);
+            let end = decision.lease.map(|(_, ms)| now + Duration::from_millis(ms.into()));
+            if changed {
+                self.known.insert(key.to_owned(), (decision.clone(), end));
+            }
+            match end {
+                Some(end) if changed || !self.ends.contains_key(key) => {
+                    self.ends.insert(key.to_owned(), end);
+                }
+                None => {
+                    self.ends.remove(key);
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn say_changes(&mut self) {
+        let leads = self.node.as_ref().filter(|node| node.leads()).map(|node| (node.generation, node.term()));
+        if leads != self.led {
+            if let Some((generation, term)) = self.led {
+                self.events.push_back(Event::LeadsNot(generation, term));
+            }
+            if let Some((generation, term)) = leads {
+                self.counts.led += 1;
+                self.events.push_back(Event::Leads(generation, term));
+            }
+            self.led = leads;
+        }
+        let votes = self.node.as_ref().is_some_and(Node::votes);
+        if votes != std::mem::replace(&mut self.voted, votes) {
+            self.events.push_back(Event::Votes(votes));
+        }
+    }
+
+    fn put(&mut self, to: SocketAddr, body: &Body) {
+        // It fails only for want of memory.
+        if let Ok(bytes) = postcard::to_allocvec(body) {
+            self.out.push_back((to, bytes));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
