Let gateways tell and carry what their group decides; GET /fleet says epoch, leader, voters

Need: what few voters decide must be readable at every gateway. Rows of the group (its leader's word and each decision) travel among the fleet's rows by generation and place; whoever missed some sees it by a hash and asks. Voters' messages are carried sealed in the fleet's datagrams. Voters count a lease from when they applied it themselves; beginning it anew at a change of leader added nothing and is gone.

Tested: a decision of more than one datagram reaches all and a latecomer; a process takes no seat twice; no lease while an earlier group's may run; support counts from the question.

--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -34,6 +34,8 @@
 /// No group was heard of for so long: one may be founded, by the first of those that would, then by the next.
 const QUIET: Duration = Duration::from_secs(10);
 const NEXT_FOUNDER: Duration = Duration::from_millis(2_500);
+/// No gateway waits for more than so many others that would found one.
+const MOST_WAIT: usize = 64;
 /// How often the leader says that its group is there, and a lease's new end.
 const HEAD_EVERY: Duration = Duration::from_secs(5);
 /// So long a word of the leader counts.
@@ -147,6 +149,8 @@
     quiet_since: Instant,
     /// Members that live and stay, and whether this one does.
     others: Vec<Peer>,
+    /// Of those, how many would found a group before this one.
+    before: u32,
     stays: bool,
     sure: bool,
     joiner: Joiner,
@@ -200,6 +204,7 @@
             // Seeds support nobody before.
             quiet_since: now + support::HELD.saturating_sub(QUIET),
             others: Vec::new(),
+            before: 0,
             stays: false,
             sure: false,
             joiner: Joiner::default(),
@@ -227,6 +232,11 @@
     pub fn members(&mut self, incarnation: u64, others: Vec<Peer>, stays: bool, sure: bool) {
         self.terms.me.incarnation = incarnation;
         (self.others, self.stays, self.sure) = (others, stays, sure);
+        // Seeds first: they are known to all.
+        let order = |peer: &Peer| (!self.terms.seeds.contains(&peer.addr), peer.addr);
+        let me = order(&self.terms.me);
+        let before = self.others.iter().filter(|peer| order(peer) < me).count();
+        self.before = u32::try_from(before.min(MOST_WAIT)).unwrap_or(0);
     }
 
     /// Takes what a leader has said of its group, told so long ago; `leader` is where it is, if it is a member.
@@ -362,11 +372,7 @@
             Some(node) => node.heard.max(self.quiet_since),
             None => self.quiet_since,
         };
-        // Seeds first: they are known to all.
-        let order = |peer: &Peer| (!self.terms.seeds.contains(&peer.addr), peer.addr);
-        let me = order(&self.terms.me);
-        let before = self.others.iter().filter(|peer| order(peer) < me).count();
-        Some(quiet + QUIET + NEXT_FOUNDER * u32::try_from(before.min(64)).unwrap_or(0))
+        Some(quiet + QUIET + NEXT_FOUNDER * self.before)
     }
 
     /// Does what is due.
@@ -783,12 +789,9 @@
         self.take_state(now);
         let epoch = self.node.as_ref().map(|node| (node.generation, node.term()));
         if leads && self.led != epoch {
-            // When leases began is not in the log: they begin anew.
-            self.ends.clear();
             self.served.clear();
             self.told.clear();
             (self.head_told, self.support_at, self.led_at) = (None, now, now);
-            self.take_state(now);
         }
         if removed {
             self.drop_node();
@@ -796,7 +799,8 @@
         self.say_changes();
     }
 
-    /// Brings what is known, and when leases end, up to what the voter has applied.
+    /// Brings what is known, and when leases end, up to what the voter has applied. Each voter counts a lease from when it
+    /// applied it itself, which is after its holder asked for it: whoever leads next need not know when it began.
     fn take_state(&mut self, now: Instant) {
         let Some(node) = &self.node else { return };
         for (key, decision) in node.kept.state.iter() {
--- a/crates/agree/src/support.rs
+++ b/crates/agree/src/support.rs
@@ -64,3 +64,47 @@
         asked.get(seeds.len() / 2).map(|asked| *asked + HELD - MARGIN)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_seed_keeps_to_one_generation_and_a_fresh_one_supports_none() {
+        let start = Instant::now();
+        let mut seed = Grantor::new(start);
+        // Milliseconds after the start, who asks, whether it is supported.
+        let asked = [
+            (0, 7, false),
+            (4_999, 7, false),
+            (5_000, 7, true),
+            (6_000, 8, false),
+            (9_000, 7, true),
+            (13_999, 8, false),
+            (14_000, 8, true),
+            (30_000, 7, false),
+            (30_000, 8, true),
+        ];
+        for (at, generation, wanted) in asked {
+            let granted = seed.ask(start + Duration::from_millis(at), generation);
+            assert_eq!(granted, wanted, "generation {generation} after {at} ms");
+        }
+        assert_eq!(seed.highest(), 8);
+    }
+
+    #[test]
+    fn a_group_counts_on_most_seeds_from_when_they_were_asked() {
+        let start = Instant::now() + HELD;
+        let seeds: Vec<SocketAddr> = (1..=5).map(|n| SocketAddr::from(([127, 0, 0, 1], n))).collect();
+        let mut support = Support::default();
+        for (n, wanted) in [(0, None), (1, None), (2, Some(0)), (3, Some(1)), (4, Some(2))] {
+            support.granted(seeds[n], start + Duration::from_secs(n as u64));
+            let until = wanted.map(|n| start + Duration::from_secs(n) + HELD - MARGIN);
+            assert_eq!(support.until(&seeds), until, "with {} of five", n + 1);
+        }
+        // An answer to an older question moves nothing back, and one that is no seed counts for nothing.
+        support.granted(seeds[4], start);
+        support.granted(SocketAddr::from(([127, 0, 0, 1], 9)), start + HELD);
+        assert_eq!(support.until(&seeds), Some(start + Duration::from_secs(2) + HELD - MARGIN));
+    }
+}
--- a/crates/agree/src/tests.rs
+++ b/crates/agree/src/tests.rs
@@ -1,5 +1,6 @@
 //! Gateways in one process that agree over a network that loses, repeats, delays and cuts, on a clock of its own. Whatever is
-//! done to them, two rules are looked at after each step: one decision for one place, and one holder of a lease.
+//! done to them, these rules are looked at after each step: one group decides, one decision for one place, one
+//! holder of a lease, one process for a voter's number.
 
 use std::collections::{BTreeSet, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -54,6 +55,8 @@
     holders: BTreeSet<usize>,
     events: Vec<(Duration, usize, Event)>,
     states: HashSet<u64>,
+    /// Numbers of voters, with whose they were: a gateway and its incarnation.
+    numbers: BTreeMap<u64, (usize, u64)>,
 }
 
 impl Net {
@@ -77,6 +80,7 @@
             holders: BTreeSet::new(),
             events: Vec::new(),
             states: HashSet::new(),
+            numbers: BTreeMap::new(),
         };
         net.gateways = (0..size).map(|n| net.gateway(n, 1_000 + n as u64)).collect();
         net.show();
@@ -134,7 +138,11 @@
                 let to = usize::from(to.port()) - 10_000;
                 assert!(bytes.len() <= 1_100, "{} bytes in one datagram", bytes.len());
                 self.bytes += bytes.len() as u64;
-                if self.sides[n] != self.sides[to] || self.rng.random_bool(self.loss) {
+                // Some tests change what is written in a message, addresses too.
+                if to >= self.gateways.len()
+                    || self.sides[n] != self.sides[to]
+                    || self.rng.random_bool(self.loss)
+                {
                     continue;
                 }
                 for _ in 0..1 + usize::from(self.rng.random_bool(self.repeat)) {
@@ -168,8 +176,12 @@
         }
     }
 
-    /// The two rules.
+    /// The rules.
     fn look(&mut self) {
+        let deciding = self.gateways.iter().filter(|gateway| gateway.runs && gateway.agree.leads(self.now));
+        let groups: BTreeSet<_> =
+            deciding.filter_map(|gateway| Some(gateway.agree.node.as_ref()?.generation)).collect();
+        assert!(groups.len() <= 1, "{groups:?} decide at once, after {:?}", self.now - self.start);
         let mut holders = BTreeSet::new();
         let mut hasher = DefaultHasher::new();
         for (n, gateway) in self.gateways.iter().enumerate() {
@@ -445,6 +457,89 @@
     assert!(net.now - at >= support::HELD - secs(1), "after {:?}", net.now - at);
 }
 
+#[test]
+fn seeds_that_forget_whom_they_supported_do_not_let_two_groups_decide_at_once() {
+    let mut net = Net::new(7, 3, 9);
+    net.until(secs(30), "voters", |net| net.voters().len() == 5);
+    let leader = net.leader().expect("one leads");
+    let voters = net.voters();
+    let strangers: Vec<usize> = (3..7).filter(|n| !voters.contains(n)).collect();
+    assert_eq!(strangers.len(), 2, "{voters:?} vote");
+    let mut sides: Vec<usize> = (0..7).map(|n| usize::from(strangers.contains(&n))).collect();
+    net.cut(&sides);
+    // Long enough to want a group of their own.
+    net.run(secs(25));
+    assert_eq!(net.leader(), Some(leader));
+    let seeds: Vec<usize> = (0..3).filter(|n| *n != leader).take(2).collect();
+    for n in seeds {
+        sides[n] = 1;
+        net.restart(n);
+    }
+    net.cut(&sides);
+    net.run(secs(30));
+    assert!(
+        net.gateways.iter().map(|gateway| gateway.agree.counts().founded).sum::<u64>() > 1,
+        "a second group"
+    );
+}
+
+#[test]
+fn a_process_takes_no_seat_that_it_or_the_one_before_it_had() {
+    let mut net = Net::new(5, 3, 10);
+    net.until(secs(30), "voters", |net| net.voters().len() == 5);
+    let voter = net.voters().into_iter().find(|n| Some(*n) != net.leader()).expect("there are five");
+    net.gateways[voter].runs = false;
+    net.run(secs(1));
+    let kept: Vec<Vec<u8>> =
+        net.wire.values().filter(|(to, _)| *to == voter).map(|(_, bytes)| bytes.clone()).collect();
+    assert!(!kept.is_empty(), "the leader writes to it");
+    // The same process, when it has given its seat up; then another process of that name.
+    net.gateways[voter].runs = true;
+    net.gateways[voter].agree.drop_node();
+    for round in 0..2 {
+        for bytes in &kept {
+            net.gateways[voter].agree.receive(net.now, bytes);
+            assert!(net.gateways[voter].agree.node.is_none(), "an old seat is taken, round {round}");
+        }
+        net.restart(voter);
+    }
+    // It is seated anew, under another number.
+    net.until(secs(40), "a seat again", |net| net.voters().len() == 5 && net.voters().contains(&voter));
+}
+
+#[test]
+fn no_lease_is_given_while_one_of_an_earlier_group_may_run_whoever_leads() {
+    let mut net = Net::new(5, 5, 11);
+    net.want_all(3_000);
+    net.until(secs(30), "three voters", |net| net.voters().len() >= 3);
+    let founded = net.now - secs(2);
+    let founder = net.leader().expect("one leads");
+    net.kill(founder);
+    net.until(secs(10), "another leads", |net| net.leader().is_some());
+    net.until(secs(60), "a holder", |net| !net.holders.is_empty());
+    let after = net.now - founded;
+    assert!(after >= Duration::from_millis(LONGEST_LEASE.into()), "given {after:?} after the group began");
+}
+
+#[test]
+fn support_counts_from_when_it_was_asked_for_however_late_the_answer_comes() {
+    let mut net = Net::new(3, 3, 12);
+    net.until(secs(30), "voters", |net| net.voters().len() == 3);
+    net.delay = Duration::from_millis(500);
+    net.run(secs(4));
+    for gateway in &net.gateways {
+        let agree = &gateway.agree;
+        let until = agree.support.until(&agree.terms.seeds);
+        // Asked, a second there, a second back.
+        assert!(
+            until.is_none_or(|until| until <= net.now + support::HELD - 2 * secs(1)),
+            "{until:?} at {:?}",
+            net.now
+        );
+    }
+    assert!(net.leader().is_some(), "and it is enough to go on");
+}
+
 #[test]
 fn gateways_with_other_lists_of_seeds_do_not_support_each_other() {
     let mut net = Net::new(3, 3, 6);
@@ -517,7 +612,7 @@
     net.until(secs(60), "one leads", |net| net.leader().is_some());
 }
 
-/// Faults drawn from a seed, of any kind, one after another: the two rules hold throughout, and when they end one group decides.
+/// Faults drawn from a seed, of any kind, one after another: the rules hold throughout, and when they end one group decides.
 fn walk(seed: u64, size: usize, steps: usize) -> usize {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut net = Net::new(size, size, seed);
--- a/crates/fleet/src/facts.rs
+++ b/crates/fleet/src/facts.rs
@@ -19,10 +19,19 @@
     Owner,
     /// A db host, by [`name_number`].
     Host(u64),
+    /// The group that decides for all; its owner is [`GROUP`].
+    Group,
+    /// A decision of the group, by its key's [`name_number`].
+    Decision(u64),
 }
 
+/// Voters there are at the most.
+pub const MOST_VOTERS: usize = 5;
+/// The owner of what the group says; its version is the group's generation, and a place or count in it.
+pub const GROUP: u64 = 0;
+
 /// What a row says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Value {
     /// Where its owner stands.
     Stage(Stage),
@@ -35,6 +44,26 @@
         /// Attempts answered since then.
         answered: u64,
     },
+    /// What the leader says of the group.
+    Group {
+        /// The leader's term.
+        term: u64,
+        /// The leader's name, by [`name_number`].
+        leader: u64,
+        /// The names of those that vote, zero where there are less.
+        voters: [u64; MOST_VOTERS],
+        /// [`Facts::digest`] of the leader.
+        digest: u64,
+    },
+    /// What was decided under a key.
+    Decision {
+        /// The key.
+        key: Box<str>,
+        /// What holds.
+        value: Box<[u8]>,
+        /// Who holds it, and for how many milliseconds after this was written; both zero without a lease.
+        lease: (u64, u32),
+    },
 }
 
 /// Where a gateway stands, as it says itself.
@@ -61,7 +90,7 @@
 }
 
 /// One row, as it is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Row {
     /// Its owner's name, by [`name_number`].
     pub owner: u64,
@@ -75,7 +104,7 @@
     pub age_ms: u32,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Held {
     version: (u64, u64),
     value: Value,
@@ -90,7 +119,7 @@
     fn row(&self, now: Instant, (owner, subject): (u64, Subject)) -> Row {
         let age = now.saturating_duration_since(self.at).as_millis();
         let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
-        Row { owner, subject, version: self.version, value: self.value, age_ms }
+        Row { owner, subject, version: self.version, value: self.value.clone(), age_ms }
     }
 }
 
@@ -127,7 +156,7 @@
     pub fn merge(&mut self, now: Instant, row: Row, tells: u32) -> bool {
         let key = (row.owner, row.subject);
         let known = self.rows.get(&key);
-        if known.is_some_and(|held| (held.version, held.value) >= (row.version, row.value)) {
+        if known.is_some_and(|held| (held.version, &held.value) >= (row.version, &row.value)) {
             return false;
         }
         // Guards against: an owner, or owners, without number.
@@ -182,9 +211,9 @@
 
     /// What an owner says of a subject, and how old that is.
     #[must_use]
-    pub fn get(&self, now: Instant, owner: u64, subject: Subject) -> Option<(Value, Duration)> {
+    pub fn get(&self, now: Instant, owner: u64, subject: Subject) -> Option<(&Value, Duration)> {
         let held = self.rows.get(&(owner, subject))?;
-        Some((held.value, now.saturating_duration_since(held.at)))
+        Some((&held.value, now.saturating_duration_since(held.at)))
     }
 
     /// The incarnation that an owner's row about itself was written by.
@@ -193,6 +222,35 @@
         self.rows.get(&(owner, Subject::Owner)).map(|held| held.version.0)
     }
 
+    /// A hash of all decisions and their places: whoever has the same has missed none.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let mut hasher = blake3::Hasher::new();
+        for ((_, subject), held) in self.decisions(0) {
+            let (Subject::Decision(key), (generation, place)) = (subject, held.version) else { continue };
+            [*key, generation, place].iter().for_each(|n| {
+                hasher.update(&n.to_le_bytes());
+            });
+        }
+        u64::from_le_bytes(hasher.finalize().as_bytes()[..8].try_into().unwrap_or_default())
+    }
+
+    fn decisions(&self, from: u64) -> impl Iterator<Item = (&(u64, Subject), &Held)> {
+        self.rows.range((GROUP, Subject::Decision(from))..=(GROUP, Subject::Decision(u64::MAX)))
+    }
+
+    /// Decisions from a number on, as many as fit into so many bytes.
+    #[must_use]
+    pub fn decided(&self, now: Instant, from: u64, bytes: usize) -> Vec<Row> {
+        let mut used = 0;
+        let rows = self.decisions(from).map(|(key, held)| held.row(now, *key));
+        rows.take_while(|row| {
+            used += postcard::experimental::serialized_size(row).unwrap_or(bytes);
+            used <= bytes
+        })
+        .collect()
+    }
+
     /// Has all of an owner's rows told again, as to one that has just come.
     pub fn tell_again(&mut self, owner: u64, tells: u32) {
         for (_, held) in self.rows.range_mut((owner, Subject::Owner)..=(owner, Subject::Host(u64::MAX))) {
@@ -226,7 +284,7 @@
     use super::*;
 
     fn said(facts: &Facts) -> Vec<impl PartialEq + std::fmt::Debug> {
-        facts.rows.iter().map(|(key, held)| (*key, held.version, held.value)).collect::<Vec<_>>()
+        facts.rows.iter().map(|(key, held)| (*key, held.version, held.value.clone())).collect::<Vec<_>>()
     }
 
     fn row() -> impl Strategy<Value = Row> {
@@ -250,10 +308,10 @@
         ) {
             let now = Instant::now();
             let (mut one, mut other) = (Facts::default(), Facts::default());
-            rows.iter().for_each(|row| { one.merge(now, *row, 3); });
+            rows.iter().for_each(|row| { one.merge(now, row.clone(), 3); });
             let mut mixed: Vec<_> = rows.iter().chain(&rows).collect();
             mixed.sort_by_key(|row| blake3::hash(format!("{seed}{row:?}").as_bytes()).as_bytes().to_vec());
-            mixed.into_iter().for_each(|row| { other.merge(now, *row, 3); });
+            mixed.into_iter().for_each(|row| { other.merge(now, row.clone(), 3); });
             prop_assert_eq!(said(&one), said(&other));
             let told = other.to_tell(now, 300);
             let size: usize = told.iter().map(|row| postcard::to_allocvec(row).unwrap().len()).sum();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,7 +24,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
-pub use facts::{name_number, Facts, Row, Stage, Subject, Value};
+pub use facts::{name_number, Facts, Row, Stage, Subject, Value, GROUP, MOST_VOTERS};
 use member::Codec;
 pub use member::Id;
 use outlet::Outlet;
@@ -64,8 +64,12 @@
 const WHO: usize = 24;
 /// Members there may be, those listed as down included.
 const MOST_MEMBERS: usize = 16_384;
+/// How often a gateway that has missed decisions asks another for them.
+const DECIDED_ASKED: Duration = Duration::from_secs(1);
 /// Room for what stands before rows.
 const ROWS_HEAD: usize = 32;
+/// Bytes of a message that is carried.
+pub const CARRIED: usize = seal::ROOM - 8;
 /// Bytes that may wait to be spent on rows.
 const BURST: f64 = 4.0 * seal::LONGEST as f64;
 
@@ -84,6 +88,10 @@
     Who { from: SocketAddr, owners: Vec<u64> },
     /// These.
     Here(Vec<Id>),
+    /// What was decided, from this number on?
+    Decided { from: SocketAddr, after: u64 },
+    /// A message that is only carried.
+    Carried(&'a [u8]),
 }
 
 /// The doubt of a gateway that was stopped.
@@ -121,6 +129,8 @@
     spent: f64,
     spent_at: Instant,
     size: usize,
+    /// Where the next question for decisions that were missed begins, and when it is asked.
+    missed: Option<(u64, Instant)>,
     out: VecDeque<(SocketAddr, Vec<u8>)>,
     events: VecDeque<Event>,
     counts: Counts,
@@ -178,6 +188,7 @@
             spent: 0.0,
             spent_at: now,
             size: 1,
+            missed: None,
             out: VecDeque::new(),
             events: VecDeque::new(),
             counts: Counts::default(),
@@ -222,7 +233,7 @@
             let (id, owner) = (known.id(), name_number(&known.id().name));
             let stage = match self.facts.get(now, owner, Subject::Owner) {
                 Some((Value::Stage(stage), _)) if self.facts.incarnation(owner) >= Some(id.incarnation) => {
-                    stage
+                    *stage
                 }
                 _ => Stage::Starting,
             };
@@ -239,7 +250,7 @@
             }
         }
         let stage = match self.facts.get(now, self.owner, Subject::Owner) {
-            Some((Value::Stage(stage), _)) => stage,
+            Some((Value::Stage(stage), _)) => *stage,
             _ => Stage::Starting,
         };
         let me = Member { id: self.me().clone(), health: Health::Alive, stage };
@@ -258,6 +269,20 @@
         self.facts.write(now, owner, incarnation, subject, value, tells);
     }
 
+    /// Writes a row of the group, as its leader; the version says which is the later.
+    pub fn write_group(&mut self, now: Instant, subject: Subject, version: (u64, u64), value: Value) {
+        let row = Row { owner: GROUP, subject, version, value, age_ms: 0 };
+        let tells = self.tells();
+        self.facts.merge(now, row, tells);
+    }
+
+    /// Carries a message to a member's address, sealed; none longer than [`CARRIED`].
+    pub fn carry(&mut self, to: SocketAddr, message: &[u8]) {
+        if message.len() <= CARRIED && !self.left && !self.superseded {
+            self.put(to, &Body::Carried(message));
+        }
+    }
+
     /// Says that it goes, and takes no part any more.
     pub fn leave(&mut self, now: Instant) {
         if std::mem::replace(&mut self.left, true) {
@@ -268,7 +293,7 @@
         let row = self.facts.row(now, self.owner, Subject::Owner);
         let others: Vec<SocketAddr> = self.swim.iter_members().map(|member| member.id().addr).collect();
         for addr in others.into_iter().choose_multiple(&mut self.rng, FAREWELLS) {
-            let (from, rows) = (self.me().addr, row.into_iter().collect());
+            let (from, rows) = (self.me().addr, row.iter().cloned().collect());
             self.put(addr, &Body::Rows { from, rows });
         }
         let mut outlet = Outlet::default();
@@ -307,11 +332,21 @@
             Body::Rows { from, rows } => {
                 let (own, tells) = (self.owner, self.tells());
                 let mut strange = Vec::new();
+                let decided = rows.iter().filter_map(|row| match row.subject {
+                    Subject::Decision(key) => Some(key),
+                    _ => None,
+                });
+                if let (Some((after, at)), Some(last)) = (&mut self.missed, decided.max()) {
+                    (*after, *at) = (last.saturating_add(1), now);
+                }
                 for row in rows.into_iter().filter(|row| row.owner != own) {
-                    self.facts.merge(now, row, tells);
                     if row.subject == Subject::Owner && !self.known.contains_key(&row.owner) {
                         strange.push(row.owner);
                     }
+                    let group = (row.owner == GROUP).then(|| row.clone());
+                    if self.facts.merge(now, row, tells) {
+                        self.events.extend(group.map(Event::Group));
+                    }
                 }
                 // What was told of a member passed this gateway by; its row did not.
                 strange.truncate(WHO);
@@ -340,6 +375,16 @@
                 self.take(now, outlet);
                 taken.map_err(|_| Dropped::Malformed)
             }
+            Body::Decided { from, after } => {
+                let rows = self.facts.decided(now, after, seal::ROOM - ROWS_HEAD);
+                // None is the answer that there are no more.
+                self.put(from, &Body::Rows { from: self.me().addr, rows });
+                Ok(())
+            }
+            Body::Carried(message) => {
+                self.events.push_back(Event::Carried(message.to_vec()));
+                Ok(())
+            }
             Body::Ask { me, nonce } => {
                 let known = self.swim.iter_members().any(|member| *member.id() == me);
                 self.put(me.addr, &Body::Seen { nonce, alive: known });
@@ -390,6 +435,7 @@
                 self.take(now, outlet);
             }
             self.tell(now);
+            self.catch_up(now);
             self.judge(now);
             let faded = |owner: &u64| self.fading.get(owner).is_some_and(|at| *at <= now);
             let gone: Vec<u64> = self.fading.keys().copied().filter(|owner| faded(owner)).collect();
@@ -525,6 +571,34 @@
         }
     }
 
+    /// Asks one member after another for decisions that were missed: the group's hash of all of them is another.
+    fn catch_up(&mut self, now: Instant) {
+        let said = match self.facts.get(now, GROUP, Subject::Group) {
+            Some((Value::Group { digest, .. }, _)) => *digest,
+            _ => return,
+        };
+        let Some((after, at)) = self.missed else {
+            if said != self.facts.digest() {
+                self.missed = Some((0, now + DECIDED_ASKED));
+            }
+            return;
+        };
+        if now < at {
+            return;
+        }
+        if said == self.facts.digest() {
+            self.missed = None;
+            return;
+        }
+        let from = self.me().addr;
+        let others = self.swim.iter_members().map(|member| member.id().addr);
+        if let Some(addr) = others.choose(&mut self.rng) {
+            self.put(addr, &Body::Decided { from, after });
+        }
+        // The answer moves it on; without one all is asked for again.
+        self.missed = Some((0, now + DECIDED_ASKED));
+    }
+
     /// The first beat from then on.
     fn beat(&self, at: Instant) -> Instant {
         let beats = at.saturating_duration_since(self.origin).div_duration_f64(GOSSIP_EVERY).ceil();
@@ -576,7 +650,7 @@
             self.doubt = None;
             self.events.push_back(Event::Returned(self.me().incarnation));
             let stage = self.facts.get(now, self.owner, Subject::Owner);
-            if let Some((value, _)) = stage {
+            if let Some(value) = stage.map(|(value, _)| value.clone()) {
                 self.write(now, Subject::Owner, value);
             }
         }
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -137,18 +137,55 @@
     net.until(secs(5), |net| net.all_see(Health::Alive, &all));
 }
 
+#[test]
+fn what_the_group_says_reaches_all_and_one_that_comes_later_asks_for_it() {
+    let mut net = Net::new(8);
+    let late = net.fleets.pop().flatten();
+    net.until(secs(5), |net| net.all_see(Health::Alive, &(0..7).collect::<Vec<_>>()));
+    let now = net.now;
+    let leader = net.fleets[2].as_mut().unwrap();
+    let decision = |n: u64, place: u64| {
+        let value = vec![n as u8; 400].into();
+        let value = Value::Decision { key: format!("k{n}").into(), value, lease: (0, 0) };
+        (Subject::Decision(name_number(&format!("k{n}"))), (9, place), value)
+    };
+    // More than one datagram holds.
+    for (n, place) in (0..20).map(|n| (n, n)).chain([(3, 30)]) {
+        let (subject, version, value) = decision(n, place);
+        leader.write_group(now, subject, version, value);
+    }
+    let digest = leader.facts().digest();
+    let value = Value::Group { term: 1, leader: name_number("g2"), voters: [0; MOST_VOTERS], digest };
+    leader.write_group(now, Subject::Group, (9, 1), value);
+    let same = |net: &Net| net.fleets.iter().flatten().all(|fleet| fleet.facts().digest() == digest);
+    net.until(secs(20), same);
+    // An older word changes nothing.
+    let (subject, version, value) = decision(3, 3);
+    net.fleets[5].as_mut().unwrap().write_group(net.now, subject, version, value);
+    assert!(same(&net));
+    drop(late);
+    net.run(secs(30));
+    net.fleets.push(Some(Fleet::new(net.now, terms(7, 2_000))));
+    // The group's word comes again with the next beat of its leader.
+    net.run(secs(2));
+    let value = Value::Group { term: 1, leader: name_number("g2"), voters: [0; MOST_VOTERS], digest };
+    net.fleets[2].as_mut().unwrap().write_group(net.now, Subject::Group, (9, 2), value);
+    net.until(secs(20), same);
+}
+
 #[test]
 fn one_that_leaves_is_told_from_one_that_dies_and_its_rows_fade() {
     let mut net = Net::new(9);
     net.until(secs(5), |net| net.all_see(Health::Alive, &(0..9).collect::<Vec<_>>()));
     let now = net.now;
     let value = Value::Host { outstanding: 2, sent: 5, answered: 3 };
-    net.fleets[4].as_mut().unwrap().write(now, Subject::Host(11), value);
+    net.fleets[4].as_mut().unwrap().write(now, Subject::Host(11), value.clone());
     net.fleets[4].as_mut().unwrap().say(now, Stage::Draining);
-    let knows = |fleet: &Fleet, now| fleet.facts().get(now, name_number("g4"), Subject::Host(11));
+    let knows = |fleet: &Fleet, now| {
+        fleet.facts().get(now, name_number("g4"), Subject::Host(11)).map(|(value, _)| value.clone())
+    };
     net.until(secs(3), |net| {
-        let told = |n: &Option<Fleet>| knows(n.as_ref().unwrap(), net.now).map(|(value, _)| value);
-        net.fleets.iter().all(|fleet| told(fleet) == Some(value))
+        net.fleets.iter().all(|fleet| knows(fleet.as_ref().unwrap(), net.now).as_ref() == Some(&value))
     });
     net.until(secs(3), |net| {
         let drains = |m: &Member| &*m.id.name != "g4" || m.stage == Stage::Draining;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::facts::Stage;
+use crate::facts::{Row, Stage};
 use crate::member::Id;
 use crate::seal::Dropped;
 
@@ -60,6 +60,10 @@
     Superseded(Id),
     /// This gateway was stopped for so long.
     Stopped(Duration),
+    /// The group has said something new.
+    Group(Row),
+    /// A message that the fleet only carries.
+    Carried(Vec<u8>),
 }
 
 /// Counts since the start.
--- a/gateway/src/net/fleet.rs
+++ b/gateway/src/net/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! The datagram socket between gateways: carries what `yewroute-fleet` says, and bounds what one wake-up takes.
 
+mod group;
+
 use std::io::{self, ErrorKind};
 use std::net::UdpSocket;
 use std::time::{Duration, Instant, SystemTime};
@@ -11,6 +13,7 @@
 
 use super::poller::{Interest, Poller, Token};
 use crate::proto::console::{Peer, View};
+use group::Group;
 
 /// Datagrams taken at one wake-up, so that a flood delays no request; the rest wakes again.
 const AT_ONCE: usize = 64;
@@ -24,7 +27,7 @@
     settled: Settled,
     name: String,
     seed: u64,
-    open: Option<(UdpSocket, Fleet)>,
+    open: Option<(UdpSocket, Fleet, Group)>,
     /// When the address is asked for; the process before this one may hold it.
     open_at: Option<Instant>,
     told: bool,
@@ -70,7 +73,8 @@
             seed: self.seed ^ incarnation,
         };
         info!(%addr, zone = self.settled.zone, incarnation, "fleet: listening");
-        self.open = Some((socket, Fleet::new(now, terms)));
+        let group = Group::new(now, &self.settled, &terms.me);
+        self.open = Some((socket, Fleet::new(now, terms), group));
         self.open_at = None;
         Ok(())
     }
@@ -89,7 +93,8 @@
 
     /// Says that this gateway goes.
     pub fn leave(&mut self, now: Instant) {
-        if let Some((_, fleet)) = &mut self.open {
+        if let Some((_, fleet, group)) = &mut self.open {
+            group.leave(now, fleet);
             fleet.leave(now);
         }
         self.flush();
@@ -97,7 +102,7 @@
 
     /// Takes the datagrams that have come, some at a time.
     pub fn ready(&mut self, now: Instant) {
-        let Some((socket, fleet)) = &mut self.open else { return };
+        let Some((socket, fleet, _)) = &mut self.open else { return };
         let mut scratch = [0; SCRATCH];
         for _ in 0..AT_ONCE {
             match socket.recv(&mut scratch) {
@@ -111,8 +116,9 @@
 
     /// When it is to be called again.
     pub fn next(&self) -> Option<Instant> {
-        let due = self.open.as_ref().and_then(|(_, fleet)| fleet.next());
-        due.into_iter().chain(self.open_at).min()
+        let due = self.open.as_ref().and_then(|(_, fleet, _)| fleet.next());
+        let group = self.open.as_ref().and_then(|(_, _, group)| group.next());
+        due.into_iter().chain(group).chain(self.open_at).min()
     }
 
     /// Does what is due, says where this gateway stands, and sends what there is.
@@ -125,7 +131,7 @@
                 }
             }
         }
-        let Some((_, fleet)) = &mut self.open else { return };
+        let Some((_, fleet, group)) = &mut self.open else { return };
         let stage = match life {
             Life::Starting => Stage::Starting,
             Life::Ready => Stage::Ready,
@@ -137,7 +143,12 @@
             fleet.tick(now);
         }
         while let Some(event) = fleet.event() {
+            if matches!(event, Event::Up(_) | Event::Gone(..) | Event::Returned(_) | Event::Stopped(_)) {
+                group.look_again(now);
+            }
             match event {
+                Event::Group(row) => group.heard(now, fleet, row),
+                Event::Carried(message) => group.receive(now, &message),
                 Event::Up(id) => {
                     info!(name = %id.name, zone = %id.zone, addr = %id.addr, "fleet: a member is there")
                 }
@@ -156,11 +167,12 @@
                 }
             }
         }
+        group.tick(now, &self.settled, fleet);
         self.flush();
     }
 
     fn flush(&mut self) {
-        let Some((socket, fleet)) = &mut self.open else { return };
+        let Some((socket, fleet, _)) = &mut self.open else { return };
         while let Some((to, datagram)) = fleet.transmit() {
             // One that is lost here is as one lost on the way.
             self.unsent += u64::from(socket.send_to(&datagram, to).is_err());
@@ -169,7 +181,7 @@
 
     /// What `GET /fleet` tells; nothing while its place is not free.
     pub fn view(&self, now: Instant) -> Option<View> {
-        let (_, fleet) = self.open.as_ref()?;
+        let (_, fleet, group) = self.open.as_ref()?;
         let peer = |member: yewroute_fleet::Member| Peer {
             region: self.settled.region_of(&member.id.zone).map(str::to_owned),
             name: member.id.name.into(),
@@ -186,12 +198,21 @@
             },
         };
         let members = fleet.members(now).into_iter().map(peer).collect();
-        Some(View { me: self.name.clone(), sure: fleet.is_sure(), members })
+        let head = group.head(now);
+        Some(View {
+            me: self.name.clone(),
+            sure: fleet.is_sure(),
+            epoch: head.map(|head| format!("{}.{}", head.epoch.0, head.epoch.1)),
+            leader: head.map(|head| head.leader.to_string()),
+            voters: head.map_or_else(Vec::new, |head| head.voters.iter().map(|v| v.to_string()).collect()),
+            decided: group.decided(now),
+            members,
+        })
     }
 
     /// Names and values for `GET /metrics`.
     pub fn figures(&self, now: Instant) -> Vec<(String, u64)> {
-        let Some((_, fleet)) = &self.open else { return Vec::new() };
+        let Some((_, fleet, group)) = &self.open else { return Vec::new() };
         let (counts, members) = (fleet.counts(), fleet.members(now));
         let states = [Health::Alive, Health::Suspect, Health::Left, Health::Down];
         let mut figures: Vec<(String, u64)> = states
@@ -214,6 +235,7 @@
         figures.push(("svc_fleet_unsent".to_owned(), self.unsent));
         figures.push(("svc_fleet_deaths".to_owned(), counts.deaths));
         figures.push(("svc_fleet_returned".to_owned(), counts.returned));
+        figures.extend(group.figures(now));
         figures
     }
 
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -122,10 +122,31 @@
     pub me: String,
     /// It may act on what is decided in common.
     pub sure: bool,
+    /// The group that decides for all: its generation and its leader's term; none while it is not heard of.
+    pub epoch: Option<String>,
+    /// The leader's name.
+    pub leader: Option<String>,
+    /// The names of those that vote.
+    pub voters: Vec<String>,
+    /// What was decided, as far as this gateway knows.
+    pub decided: Vec<Decided>,
     /// All that are known, this gateway first.
     pub members: Vec<Peer>,
 }
 
+/// A decision for all.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Decided {
+    /// What it is about.
+    pub key: String,
+    /// What holds.
+    pub value: String,
+    /// Where it stands: the group's generation, and the place in its log.
+    pub place: (u64, u64),
+    /// For how many milliseconds it is held, as far as this gateway knows; none without a lease.
+    pub held_ms: Option<u64>,
+}
+
 /// A gateway of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Peer {
