Have newcomers ask what was decided, and found the first group five seconds after the start

A founder that had started again began with nothing: the next group lost what its members still knew. Newcomers ask four others for the group's rows. The first founder waited 10 s in place of 5: the subtraction of two spans was the wrong way round (Agree::new).

--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -201,8 +201,8 @@
             floor: (0, 0),
             highest: 0,
             head: None,
-            // Seeds support nobody before.
-            quiet_since: now + support::HELD.saturating_sub(QUIET),
+            // Seeds support nobody before; one that knows of no group need not wait longer.
+            quiet_since: now.checked_sub(QUIET.saturating_sub(support::HELD)).unwrap_or(now),
             others: Vec::new(),
             before: 0,
             stays: false,
--- a/crates/agree/src/tests.rs
+++ b/crates/agree/src/tests.rs
@@ -117,6 +117,16 @@
         if let Some(ms) = self.wanted {
             self.gateways[n].agree.want(self.now, LEASE, b"", ms);
         }
+        // A newcomer asks others for what was decided before it came.
+        let near = |m: &usize| *m != n && self.gateways[*m].runs && self.sides[*m] == self.sides[n];
+        let known: Vec<(String, Decision)> = (0..self.gateways.len())
+            .filter(near)
+            .flat_map(|m| self.gateways[m].agree.decisions())
+            .map(|(key, decision, _)| (key.to_owned(), decision.clone()))
+            .collect();
+        for (key, decision) in known {
+            self.gateways[n].agree.learn(self.now, &key, decision, 0);
+        }
         self.show();
     }
 
@@ -190,6 +200,8 @@
                 holders.insert(n);
             }
             let Some(node) = &gateway.agree.node else { continue };
+            let whose = *self.numbers.entry(node.number).or_insert((n, gateway.peer.incarnation));
+            assert_eq!(whose, (n, gateway.peer.incarnation), "one voter's number for two");
             let of =
                 (n, node.generation, node.number, node.term(), node.index(), node.last_index(), node.leads());
             (of, node.voters()).hash(&mut hasher);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -64,10 +64,14 @@
 const WHO: usize = 24;
 /// Members there may be, those listed as down included.
 const MOST_MEMBERS: usize = 16_384;
+/// A newcomer asks so many others for what was decided before it came.
+const NEWCOMER_ASKS: u32 = 4;
 /// How often a gateway that has missed decisions asks another for them.
 const DECIDED_ASKED: Duration = Duration::from_secs(1);
 /// Room for what stands before rows.
 const ROWS_HEAD: usize = 32;
+/// Room for the group's word of itself.
+const GROUP_ROW: usize = 112;
 /// Bytes of a message that is carried.
 pub const CARRIED: usize = seal::ROOM - 8;
 /// Bytes that may wait to be spent on rows.
@@ -131,6 +135,8 @@
     size: usize,
     /// Where the next question for decisions that were missed begins, and when it is asked.
     missed: Option<(u64, Instant)>,
+    /// Questions for them that are asked in any case.
+    newcomer: u32,
     out: VecDeque<(SocketAddr, Vec<u8>)>,
     events: VecDeque<Event>,
     counts: Counts,
@@ -188,7 +194,8 @@
             spent: 0.0,
             spent_at: now,
             size: 1,
-            missed: None,
+            missed: Some((0, now)),
+            newcomer: NEWCOMER_ASKS,
             out: VecDeque::new(),
             events: VecDeque::new(),
             counts: Counts::default(),
@@ -376,7 +383,9 @@
                 taken.map_err(|_| Dropped::Malformed)
             }
             Body::Decided { from, after } => {
-                let rows = self.facts.decided(now, after, seal::ROOM - ROWS_HEAD);
+                let word = self.facts.row(now, GROUP, Subject::Group).filter(|_| after == 0);
+                let mut rows = self.facts.decided(now, after, seal::ROOM - ROWS_HEAD - GROUP_ROW);
+                rows.extend(word);
                 // None is the answer that there are no more.
                 self.put(from, &Body::Rows { from: self.me().addr, rows });
                 Ok(())
@@ -574,29 +583,23 @@
     /// Asks one member after another for decisions that were missed: the group's hash of all of them is another.
     fn catch_up(&mut self, now: Instant) {
         let said = match self.facts.get(now, GROUP, Subject::Group) {
-            Some((Value::Group { digest, .. }, _)) => *digest,
-            _ => return,
+            Some((Value::Group { digest, .. }, _)) => Some(*digest),
+            _ => None,
         };
-        let Some((after, at)) = self.missed else {
-            if said != self.facts.digest() {
-                self.missed = Some((0, now + DECIDED_ASKED));
-            }
+        let lacks = self.newcomer > 0 || said.is_some_and(|said| said != self.facts.digest());
+        let Some((after, at)) = self.missed.filter(|_| lacks) else {
+            self.missed = lacks.then_some((0, now + DECIDED_ASKED));
             return;
         };
-        if now < at {
-            return;
-        }
-        if said == self.facts.digest() {
-            self.missed = None;
-            return;
-        }
-        let from = self.me().addr;
         let others = self.swim.iter_members().map(|member| member.id().addr);
-        if let Some(addr) = others.choose(&mut self.rng) {
+        let other = others.choose(&mut self.rng).filter(|_| now >= at);
+        if let Some(addr) = other {
+            self.newcomer = self.newcomer.saturating_sub(u32::from(after == 0));
+            let from = self.me().addr;
             self.put(addr, &Body::Decided { from, after });
+            // The answer moves it on; without one all is asked for again.
+            self.missed = Some((0, now + DECIDED_ASKED));
         }
-        // The answer moves it on; without one all is asked for again.
-        self.missed = Some((0, now + DECIDED_ASKED));
     }
 
     /// The first beat from then on.
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -166,10 +166,8 @@
     drop(late);
     net.run(secs(30));
     net.fleets.push(Some(Fleet::new(net.now, terms(7, 2_000))));
-    // The group's word comes again with the next beat of its leader.
-    net.run(secs(2));
-    let value = Value::Group { term: 1, leader: name_number("g2"), voters: [0; MOST_VOTERS], digest };
-    net.fleets[2].as_mut().unwrap().write_group(net.now, Subject::Group, (9, 2), value);
+    // The group's word comes with the first answer, whether its leader still lives or not.
+    net.fleets[2] = None;
     net.until(secs(20), same);
 }
 
