--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 mod relay;
+mod rules;
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
@@ -15,6 +16,7 @@
 use serde_json::Value;
 
 pub use relay::{Relays, Weather};
+pub use rules::Rules;
 
 /// Long enough for anything that comes at all.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -35,6 +37,8 @@
     pub discovery: SocketAddr,
     /// Zones, dealt out in turn; the first half is one region.
     pub zones: Vec<&'static str>,
+    /// How many gateways are named as seeds, the first ones.
+    pub seeds: usize,
     /// For the faults on the way.
     pub seed: u64,
     /// Datagrams go through relays; without them nothing can be put between gateways, and they cost no time.
@@ -106,7 +110,8 @@
         )?;
         let half = self.setup.zones.len().div_ceil(2);
         let (north, south) = self.setup.zones.split_at(half);
-        let seeds: Vec<String> = (0..self.listens.len().min(3)).map(|n| self.place(n).to_string()).collect();
+        let seeds: Vec<String> =
+            (0..self.listens.len().min(self.setup.seeds)).map(|n| self.place(n).to_string()).collect();
         let edge = self.folder.path().join(format!("g{n}.star"));
         fs::write(
             &edge,
@@ -315,6 +320,19 @@
         body.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
     }
 
+    /// All of these say the same of the group: its epoch, leader and voters. Nothing while they differ or there is none.
+    #[must_use]
+    pub fn group(&self, viewers: &[usize]) -> Option<(String, usize, Vec<usize>)> {
+        let number = |name: &Value| name.as_str()?.strip_prefix('g')?.parse::<usize>().ok();
+        let said = |n: &usize| {
+            let view = self.view(*n);
+            let voters = view["voters"].as_array()?.iter().map(number).collect::<Option<Vec<_>>>()?;
+            Some((view["epoch"].as_str()?.to_owned(), number(&view["leader"])?, voters))
+        };
+        let first = said(viewers.first()?)?;
+        viewers.iter().all(|n| said(n).as_ref() == Some(&first)).then_some(first)
+    }
+
     /// Every one of `viewers` sees every one of `members` in this state.
     #[must_use]
     pub fn all_see(&self, viewers: &[usize], members: &[usize], state: &str) -> bool {
@@ -333,7 +351,7 @@
     ///
     /// # Panics
     /// If it is not so within `most`: with the seed and all logs.
-    pub fn until(&self, what: &str, most: Duration, so: impl Fn(&Self) -> bool) -> Duration {
+    pub fn until(&self, what: &str, most: Duration, mut so: impl FnMut(&Self) -> bool) -> Duration {
         let start = Instant::now();
         while !so(self) {
             if start.elapsed() > most {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -135,6 +135,7 @@
         settings: SETTINGS.to_owned(),
         discovery: SocketAddr::from(([127, 0, 0, 1], 9)),
         zones: vec!["a", "b", "c"],
+        seeds: 5,
         seed,
         relayed: plan == Plan::Zone,
     };
--- a/gateway/benches/fleet.rs
+++ b/gateway/benches/fleet.rs
@@ -53,6 +53,7 @@
         discovery: "127.0.0.1:9".parse().unwrap(),
         zones: vec!["a", "b", "c"],
         seed: 1,
+        seeds: 3,
         relayed: false,
     };
     let mut rig = Rig::new(setup, 6).unwrap();
--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -2,12 +2,13 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use common::{statement, well, Client, Host};
-use yewroute_rig::{Rig, Setup};
+use yewroute_rig::{Rig, Rules, Setup};
 use yewroute_standin::{entry, list, startup};
 
 const ALIVE: &str = "alive";
@@ -19,6 +20,11 @@
 
 /// Gateways in zones a, b and c, before a primary and a replica; discovery is down all the time.
 fn fleet(count: usize, seed: u64) -> (Rig, Vec<usize>) {
+    seeded(count, 3, seed)
+}
+
+/// The same, so many of them seeds.
+fn seeded(count: usize, seeds: usize, seed: u64) -> (Rig, Vec<usize>) {
     let (primary, replica) = (Host::well(true), Host::start(|query| well(false, query)));
     let entries =
         [entry("s-a", &primary, "primary", "Ready", 0), entry("s-b", &replica, "replica", "Ready", 0)];
@@ -28,6 +34,7 @@
         settings: include_str!("common/settings.json").to_owned(),
         discovery: "127.0.0.1:9".parse().unwrap(),
         zones: vec!["a", "b", "c"],
+        seeds,
         seed,
         relayed: true,
     };
@@ -193,3 +200,93 @@
         assert!(!open, "a datagram socket");
     }
 }
+
+/// Runs on for so long at the most, the rules looked at all the time; the group as all of these see it once `so` holds.
+fn agreed(
+    rig: &Rig,
+    rules: &mut Rules,
+    awake: &[usize],
+    what: &str,
+    so: impl Fn(usize, &[usize]) -> bool,
+) -> (String, usize, Vec<usize>) {
+    let mut found = None;
+    rig.until(what, secs(25), |rig| {
+        rules.look(rig, awake);
+        found = rig.group(awake).filter(|(_, leader, voters)| so(*leader, voters));
+        found.is_some()
+    });
+    found.expect("it was seen")
+}
+
+#[test]
+fn a_leader_killed_stopped_or_cut_off_with_one_other_is_replaced_and_only_one_decides() {
+    let (mut rig, all) = seeded(7, 5, 8);
+    all.iter().for_each(|n| rig.start(*n).unwrap());
+    let mut rules = Rules::default();
+    let without = |n: usize| all.iter().copied().filter(|other| *other != n).collect::<Vec<_>>();
+    let five = |voters: &[usize]| voters.len() == 5;
+
+    let (first, killed, _) = agreed(&rig, &mut rules, &all, "five voters", |_, voters| five(voters));
+    rig.kill(killed);
+    let left = without(killed);
+    let (second, ..) = agreed(&rig, &mut rules, &left, "another leads", |leader, _| leader != killed);
+    assert!(left.iter().all(|n| serves(&rig, *n)), "nobody waits for a leader");
+    rig.start(killed).unwrap();
+    let (_, stopped, _) = agreed(&rig, &mut rules, &all, "five voters again", |_, voters| five(voters));
+
+    rig.signal(stopped, "STOP").unwrap();
+    let left = without(stopped);
+    agreed(&rig, &mut rules, &left, "another leads", |leader, _| leader != stopped);
+    rig.signal(stopped, "CONT").unwrap();
+    let (third, cut, voters) =
+        agreed(&rig, &mut rules, &all, "it follows", |leader, v| leader != stopped && five(v));
+
+    let other = voters.into_iter().find(|n| *n != cut).unwrap();
+    let near: Vec<usize> = all.iter().copied().filter(|n| *n != cut && *n != other).collect();
+    rig.relays.weather(|weather| {
+        for (n, m) in [cut, other].iter().flat_map(|n| near.iter().map(move |m| (*n, *m))) {
+            weather.cuts.extend([(n, m), (m, n)]);
+        }
+    });
+    let (fourth, ..) =
+        agreed(&rig, &mut rules, &near, "most decide", |leader, v| near.contains(&leader) && five(v));
+    rig.until("the two do not", secs(10), |rig| {
+        [cut, other].iter().all(|n| rig.figure(*n, "svc_group_leads") == Some(0))
+    });
+    rig.relays.weather(|weather| weather.cuts.clear());
+    let (last, ..) = agreed(&rig, &mut rules, &all, "all follow one", |_, voters| five(voters));
+    let epochs = [&first, &second, &third, &fourth, &last];
+    assert!(epochs.is_sorted(), "{epochs:?}");
+    // One group all the time: voters were replaced, and none was founded anew.
+    let generations: BTreeSet<&str> = epochs.iter().filter_map(|epoch| epoch.split('.').next()).collect();
+    assert_eq!(generations.len(), 1, "{epochs:?}");
+
+    rig.until("a steward for all", secs(40), |rig| {
+        rules.look(rig, &all);
+        let said = |n: &usize| rig.view(*n)["decided"][0]["value"].as_str().map(str::to_owned);
+        let first = said(&0);
+        first.is_some() && all.iter().all(|n| said(n) == first)
+    });
+    assert!(rules.broken().is_empty(), "{:#?}", rules.broken());
+    assert!(!rules.stewards().is_empty());
+    assert!(all.iter().all(|n| rig.end(*n).unwrap()), "they end cleanly");
+}
+
+#[test]
+fn without_most_seeds_nothing_is_decided_and_every_gateway_serves_alone() {
+    let (mut rig, _) = seeded(5, 3, 9);
+    let some = [2, 3, 4];
+    some.iter().for_each(|n| rig.start(*n).unwrap());
+    rig.until("they see each other", secs(10), |rig| rig.all_see(&some, &some, ALIVE));
+    // Longer than a group needs.
+    std::thread::sleep(secs(9));
+    for n in some {
+        assert_eq!(rig.view(n)["epoch"], serde_json::Value::Null, "{}", rig.log(n));
+        assert!(serves(&rig, n));
+    }
+    rig.start(1).unwrap();
+    let all = [1, 2, 3, 4];
+    let (_, _, voters) =
+        agreed(&rig, &mut Rules::default(), &all, "they agree", |_, voters| voters.len() == 3);
+    assert!(voters.iter().all(|n| all.contains(n)), "{voters:?}");
+}
