Tell other gateways what is sent to db hosts and proven of groups; pass over what is newer

Rows to tell are kept in order: to_tell sorted all rows at every call. A row of an unknown kind, later fields and unknown messages are passed over.

Tested: three processes know each other's answers and the proven primary; a member of a later release stands beside them; sums, order, bounds and the reader in-process.

--- a/crates/edge/src/vocabulary.rs
+++ b/crates/edge/src/vocabulary.rs
@@ -166,7 +166,7 @@
             String,
             UnpackList<String>,
         >,
-        #[starlark(require = named, default = 2_000)] bytes_per_second: i32,
+        #[starlark(require = named, default = 1_000)] bytes_per_second: i32,
         eval: &mut Evaluator<'v, '_, '_>,
     ) -> anyhow::Result<NoneType> {
         count("fleet: seeds", seeds.items.len())?;
--- a/crates/fleet/src/facts.rs
+++ b/crates/fleet/src/facts.rs
@@ -1,6 +1,6 @@
 //! What each gateway says of itself: rows that only their owner writes, spread as deltas and merged in any order.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -9,6 +9,8 @@
 const MOST_ROWS: usize = 65_536;
 /// Rows of an owner.
 const MOST_OF_ONE: usize = 1_024;
+/// Bytes that a row's length takes where rows are told.
+pub(crate) const LENGTH: usize = 2;
 /// So long after its owner has gone, a row is forgotten.
 pub const FADE: Duration = Duration::from_secs(10);
 
@@ -19,6 +21,8 @@
     Owner,
     /// A db host, by [`name_number`].
     Host(u64),
+    /// A group of db hosts, by its number.
+    Set(u64),
     /// The group that decides for all; its owner is [`GROUP`].
     Group,
     /// A decision of the group, by its key's [`name_number`].
@@ -43,27 +47,46 @@
         sent: u64,
         /// Attempts answered since then.
         answered: u64,
+        /// Microseconds that an answer takes there, in the mean.
+        took_us: u32,
     },
-    /// What the leader says of the group.
-    Group {
-        /// The leader's term.
-        term: u64,
-        /// The leader's name, by [`name_number`].
-        leader: u64,
-        /// The names of those that vote, zero where there are less.
-        voters: [u64; MOST_VOTERS],
-        /// [`Facts::digest`] of the leader.
-        digest: u64,
-    },
-    /// What was decided under a key.
-    Decision {
-        /// The key.
-        key: Box<str>,
-        /// What holds.
-        value: Box<[u8]>,
-        /// Who holds it, and for how many milliseconds after this was written; both zero without a lease.
-        lease: (u64, u32),
+    /// What its owner knows of a group of db hosts.
+    Set {
+        /// The db host that proved itself the primary last.
+        primary: u64,
+        /// The newest position proven, as Unix time in milliseconds.
+        position_ms: u64,
+        /// Seconds since the primary proved itself, when this was written.
+        proven_s: u32,
     },
+    /// What the leader says of the group.
+    Group(Box<Word>),
+    /// What was decided.
+    Decision(Box<Decided>),
+}
+
+/// What the leader says of the group that decides for all.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Word {
+    /// The leader's term.
+    pub term: u64,
+    /// The leader's name, by [`name_number`].
+    pub leader: u64,
+    /// The names of those that vote, zero where there are less.
+    pub voters: [u64; MOST_VOTERS],
+    /// [`Facts::digest`] of the leader.
+    pub digest: u64,
+}
+
+/// What was decided under a key.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Decided {
+    /// The key.
+    pub key: Box<str>,
+    /// What holds.
+    pub value: Box<[u8]>,
+    /// Who holds it, and for how many milliseconds after this was written; both zero without a lease.
+    pub lease: (u64, u32),
 }
 
 /// Where a gateway stands, as it says itself.
@@ -128,6 +151,8 @@
 pub struct Facts {
     rows: BTreeMap<(u64, Subject), Held>,
     of: BTreeMap<u64, usize>,
+    /// Rows still to be told, those untold for longest first.
+    due: BTreeSet<(Instant, u64, Subject)>,
     counter: u64,
 }
 
@@ -169,38 +194,42 @@
         }
         let at = now.checked_sub(Duration::from_millis(row.age_ms.into())).unwrap_or(now);
         let held = Held { version: row.version, value: row.value, at, tells, told: at };
-        self.rows.insert(key, held);
+        if let Some(before) = self.rows.insert(key, held) {
+            self.due.remove(&(before.told, key.0, key.1));
+        }
+        if tells > 0 {
+            self.due.insert((at, key.0, key.1));
+        }
         true
     }
 
     /// The rows to tell next within so many bytes: those untold for longest first.
     pub fn to_tell(&mut self, now: Instant, bytes: usize) -> Vec<Row> {
-        let mut due: Vec<_> = self
-            .rows
-            .iter()
-            .filter(|(_, held)| held.tells > 0)
-            .map(|(key, held)| (held.told, *key))
-            .collect();
-        due.sort_unstable();
-        let (mut rows, mut used) = (Vec::new(), 0);
-        for (_, key) in due {
-            let Some(held) = self.rows.get_mut(&key) else { continue };
-            let row = held.row(now, key);
-            let size = postcard::experimental::serialized_size(&row).unwrap_or(bytes);
+        let (mut rows, mut used, mut told) = (Vec::new(), 0, Vec::new());
+        while let Some(next) = self.due.pop_first() {
+            let (_, owner, subject) = next;
+            let Some(held) = self.rows.get_mut(&(owner, subject)) else { continue };
+            let row = held.row(now, (owner, subject));
+            let size = LENGTH + postcard::experimental::serialized_size(&row).unwrap_or(bytes);
             if used + size > bytes {
+                self.due.insert(next);
                 break;
             }
             used += size;
             (held.tells, held.told) = (held.tells - 1, now);
+            if held.tells > 0 {
+                told.push((now, owner, subject));
+            }
             rows.push(row);
         }
+        self.due.extend(told);
         rows
     }
 
     /// There is something to tell.
     #[must_use]
     pub fn has_news(&self) -> bool {
-        self.rows.values().any(|held| held.tells > 0)
+        !self.due.is_empty()
     }
 
     /// A row as it is told now.
@@ -245,7 +274,7 @@
         let mut used = 0;
         let rows = self.decisions(from).map(|(key, held)| held.row(now, *key));
         rows.take_while(|row| {
-            used += postcard::experimental::serialized_size(row).unwrap_or(bytes);
+            used += LENGTH + postcard::experimental::serialized_size(row).unwrap_or(bytes);
             used <= bytes
         })
         .collect()
@@ -253,8 +282,13 @@
 
     /// Has all of an owner's rows told again, as to one that has just come.
     pub fn tell_again(&mut self, owner: u64, tells: u32) {
-        for (_, held) in self.rows.range_mut((owner, Subject::Owner)..=(owner, Subject::Host(u64::MAX))) {
+        for ((_, subject), held) in
+            self.rows.range_mut((owner, Subject::Owner)..=(owner, Subject::Decision(u64::MAX)))
+        {
             held.tells = held.tells.max(tells);
+            if held.tells > 0 {
+                self.due.insert((held.told, owner, *subject));
+            }
         }
     }
 
@@ -262,6 +296,13 @@
     pub fn forget(&mut self, keep: impl Fn(u64) -> bool) {
         self.rows.retain(|(owner, _), _| keep(*owner));
         self.of.retain(|owner, _| keep(*owner));
+        self.due.retain(|(_, owner, _)| keep(*owner));
+    }
+
+    /// All rows, with their age.
+    pub fn iter(&self, now: Instant) -> impl Iterator<Item = (Subject, &Value, Duration)> {
+        let age = move |held: &Held| now.saturating_duration_since(held.at);
+        self.rows.iter().map(move |((_, subject), held)| (*subject, &held.value, age(held)))
     }
 
     /// How many rows are known.
@@ -293,6 +334,7 @@
             outstanding,
             sent,
             answered,
+            took_us: 0,
         });
         (0_u64..3, subject, (0_u64..3, 0_u64..4), value, 0_u32..5_000).prop_map(
             |(owner, subject, version, value, age_ms)| Row { owner, subject, version, value, age_ms },
@@ -323,7 +365,7 @@
     fn what_was_told_longest_ago_comes_first_and_each_row_so_often() {
         let (mut facts, start) = (Facts::default(), Instant::now());
         for host in 0..20 {
-            let value = Value::Host { outstanding: 1, sent: host, answered: 0 };
+            let value = Value::Host { outstanding: 1, sent: host, answered: 0, took_us: 0 };
             facts.write(start, 7, 1, Subject::Host(host), value, 2);
         }
         let mut told = BTreeMap::new();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 pub mod facts;
+pub mod load;
 mod member;
 mod outlet;
 pub mod seal;
@@ -24,7 +25,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
-pub use facts::{name_number, Facts, Row, Stage, Subject, Value, GROUP, MOST_VOTERS};
+pub use facts::{name_number, Decided, Facts, Row, Stage, Subject, Value, Word, GROUP, MOST_VOTERS};
+pub use load::Loads;
 use member::Codec;
 pub use member::Id;
 use outlet::Outlet;
@@ -83,7 +85,8 @@
     /// Membership, as the library writes it.
     Swim(&'a [u8]),
     /// Rows.
-    Rows { from: SocketAddr, rows: Vec<Row> },
+    /// Each in bytes of its own, so that one which a later release has brought is passed over, and the others are read.
+    Rows { from: SocketAddr, rows: Vec<&'a [u8]> },
     /// How does the receiver see this process?
     Ask { me: Id, nonce: u64 },
     /// As one that lives, or not.
@@ -98,6 +101,15 @@
     Carried(&'a [u8]),
 }
 
+/// Kinds of bodies that this release reads. Later ones come after them, and new fields at the end of what there is.
+const BODIES: u8 = 8;
+
+fn read(body: &[u8]) -> Result<Body<'_>, Dropped> {
+    let later = body.first().is_some_and(|kind| *kind >= BODIES);
+    let why = if later { Dropped::Newer } else { Dropped::Malformed };
+    postcard::from_bytes(body).map_err(|_| why)
+}
+
 /// The doubt of a gateway that was stopped.
 struct Doubt {
     nonce: u64,
@@ -219,6 +231,12 @@
         &self.counts
     }
 
+    /// How many members live, this one included.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.size
+    }
+
     /// The rows that are known.
     #[must_use]
     pub fn facts(&self) -> &Facts {
@@ -300,8 +318,7 @@
         let row = self.facts.row(now, self.owner, Subject::Owner);
         let others: Vec<SocketAddr> = self.swim.iter_members().map(|member| member.id().addr).collect();
         for addr in others.into_iter().choose_multiple(&mut self.rng, FAREWELLS) {
-            let (from, rows) = (self.me().addr, row.iter().cloned().collect());
-            self.put(addr, &Body::Rows { from, rows });
+            self.put_rows(addr, row.as_slice());
         }
         let mut outlet = Outlet::default();
         // It fails only on an identity too long to be sent, which is refused at the start.
@@ -318,7 +335,7 @@
         self.counts.received.0 += 1;
         self.counts.received.1 += datagram.len() as u64;
         let body = self.seal.open(datagram);
-        let taken = body.and_then(|body| postcard::from_bytes(body).map_err(|_| Dropped::Malformed));
+        let taken = body.and_then(read);
         if let Err(why) = taken.and_then(|body| self.on_body(now, body)) {
             *self.counts.dropped.entry(why).or_default() += 1;
         }
@@ -338,6 +355,12 @@
             }
             Body::Rows { from, rows } => {
                 let (own, tells) = (self.owner, self.tells());
+                let told = rows.len();
+                let rows: Vec<Row> =
+                    rows.into_iter().filter_map(|row| postcard::from_bytes(row).ok()).collect();
+                if rows.len() < told {
+                    *self.counts.dropped.entry(Dropped::Newer).or_default() += 1;
+                }
                 let mut strange = Vec::new();
                 let decided = rows.iter().filter_map(|row| match row.subject {
                     Subject::Decision(key) => Some(key),
@@ -387,7 +410,7 @@
                 let mut rows = self.facts.decided(now, after, seal::ROOM - ROWS_HEAD - GROUP_ROW);
                 rows.extend(word);
                 // None is the answer that there are no more.
-                self.put(from, &Body::Rows { from: self.me().addr, rows });
+                self.put_rows(from, &rows);
                 Ok(())
             }
             Body::Carried(message) => {
@@ -574,8 +597,7 @@
             }
             let rows = self.facts.to_tell(now, seal::ROOM - ROWS_HEAD);
             let before = self.counts.sent.1;
-            let from = self.me().addr;
-            self.put(addr, &Body::Rows { from, rows });
+            self.put_rows(addr, &rows);
             self.spent += (self.counts.sent.1 - before) as f64;
         }
     }
@@ -583,7 +605,7 @@
     /// Asks one member after another for decisions that were missed: the group's hash of all of them is another.
     fn catch_up(&mut self, now: Instant) {
         let said = match self.facts.get(now, GROUP, Subject::Group) {
-            Some((Value::Group { digest, .. }, _)) => Some(*digest),
+            Some((Value::Group(word), _)) => Some(word.digest),
             _ => None,
         };
         let lacks = self.newcomer > 0 || said.is_some_and(|said| said != self.facts.digest());
@@ -622,6 +644,13 @@
         self.out.push_back((to, datagram));
     }
 
+    fn put_rows(&mut self, to: SocketAddr, rows: &[Row]) {
+        // It fails only for want of memory.
+        let rows: Vec<Vec<u8>> = rows.iter().filter_map(|row| postcard::to_allocvec(row).ok()).collect();
+        let rows = rows.iter().map(Vec::as_slice).collect();
+        self.put(to, &Body::Rows { from: self.me().addr, rows });
+    }
+
     fn remember(&mut self, id: &Id) {
         let ids = self.known.entry(name_number(&id.name)).or_default();
         if !ids.contains(id) {
--- a/crates/fleet/src/seal.rs
+++ b/crates/fleet/src/seal.rs
@@ -37,6 +37,9 @@
     /// It has come before, or too late to tell.
     #[error("replayed")]
     Replayed,
+    /// It, or a row in it, is of a kind that a later release has brought; the rest was taken.
+    #[error("newer")]
+    Newer,
     /// The body cannot be read.
     #[error("malformed")]
     Malformed,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -87,6 +87,13 @@
         Ok(Self { setup, folder, relays, listens, processes })
     }
 
+    /// The fleet's key, for members that the rig does not start.
+    #[must_use]
+    pub fn key(&self) -> [u8; 32] {
+        let digit = |at: usize| u8::from_str_radix(&KEY[at..at + 2], 16).expect("hexadecimal");
+        std::array::from_fn(|at| digit(2 * at % KEY.len()))
+    }
+
     /// The zone a gateway stands in.
     #[must_use]
     pub fn zone(&self, n: usize) -> &'static str {
--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -1,8 +1,9 @@
 //! Books what came of attempts and probes, and what the list says.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use yewroute::interface::{Event, ListKind, Note, Outcome, Report, ServerId, Status};
+use yewroute::interface::{Event, ListKind, Note, Outcome, Report, Role, ServerId, Status};
+use yewroute_fleet::load::End;
 
 use super::{Answer, Attempt, AttemptId, Core, Effect, Ended, HostNote, Payload};
 use crate::clock::Clock;
@@ -12,6 +13,9 @@
     pub(super) fn book(&mut self, now: Instant, id: AttemptId, ended: Ended, effects: &mut Vec<Effect<B>>) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         let (request, _) = id;
+        let answered = matches!(ended.status, Status::Good | Status::Error | Status::Full | Status::Miss);
+        let took = answered.then(|| attempt.elapsed(now));
+        self.book_load(now, attempt.host, took, &ended.note, true);
         if attempt.first_byte.is_some() {
             self.end_value(now, id, &attempt, ended, effects);
             return;
@@ -28,6 +32,26 @@
         self.route(now, Event::Outcome(outcome), effects);
     }
 
+    /// What other gateways are told of it. `counted` where it was sent as an attempt.
+    pub(super) fn book_load(
+        &mut self,
+        now: Instant,
+        host: Option<(u64, u64)>,
+        answered: Option<Duration>,
+        note: &HostNote,
+        counted: bool,
+    ) {
+        let (Some(loads), Some((host, group))) = (&mut self.loads, host) else { return };
+        let end = End {
+            host,
+            group,
+            answered,
+            primary: note.role == Some(Role::Primary),
+            position_ms: note.applied_ms,
+        };
+        loads.ended(now, &end, counted);
+    }
+
     /// The end of an attempt whose request is over, as the module has it.
     pub(super) fn outcome(
         &self,
@@ -59,6 +83,8 @@
         ended: &Ended,
         effects: &mut Vec<Effect<B>>,
     ) {
+        let host = self.directory.member(server).map(|listed| (listed.name, listed.group));
+        self.book_load(now, host, None, &ended.note, false);
         let event =
             Event::Probed { server, status: ended.status, report: report(now, &ended.note, &self.clock) };
         self.route(now, event, effects);
--- a/gateway/src/core/directory.rs
+++ b/gateway/src/core/directory.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use yewroute::interface::{Entry, GroupId, Phase, ServerId};
+use yewroute_fleet::name_number;
 
 use crate::clock::Clock;
 use crate::proto::catalog::{Member, Members, Role, State};
@@ -16,6 +17,8 @@
     pub serving: bool,
     /// Its group.
     pub group: u64,
+    /// Its name as a number, for other gateways.
+    pub name: u64,
 }
 
 /// The list as it is held. A db host keeps its number while it is listed; numbers are never used again.
@@ -38,6 +41,11 @@
         self.members.get(&server)
     }
 
+    /// The names of all db hosts, with their numbers.
+    pub fn names(&self) -> impl Iterator<Item = (&str, u64)> {
+        self.numbers.keys().map(|name| (name.as_str(), name_number(name)))
+    }
+
     /// How many db hosts are listed.
     pub fn held(&self) -> usize {
         self.members.len()
@@ -100,7 +108,8 @@
             self.members.remove(&server);
         } else {
             let serving = member.state == State::Ready;
-            self.members.insert(server, Listed { addr: member.addr, serving, group: member.cell });
+            let name = name_number(&member.id);
+            self.members.insert(server, Listed { addr: member.addr, serving, group: member.cell, name });
         }
         Some(Entry {
             server,
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -24,6 +24,7 @@
 
 use yewroute::interface::{Action, Event, RequestId, Role, ServerId, SettingsError, Status};
 use yewroute::Router;
+use yewroute_fleet::{Loads, Subject, Value};
 use yewroute_settings::Deployment;
 
 use crate::clock::Clock;
@@ -207,6 +208,8 @@
 #[derive(Clone, Copy)]
 struct Attempt {
     server: ServerId,
+    /// The name and group of its db host, as other gateways know them.
+    host: Option<(u64, u64)>,
     sent: Instant,
     /// When its value began, if it is passed on as it comes; and the module has been told that it is served.
     first_byte: Option<Instant>,
@@ -239,6 +242,8 @@
     bytes: usize,
     most_bytes: usize,
     tally: Tally,
+    /// What other gateways are told; nothing is counted while there are none.
+    loads: Option<Loads>,
 }
 
 impl<B: Payload> Core<B> {
@@ -270,6 +275,7 @@
             bytes: 0,
             most_bytes,
             tally,
+            loads: None,
         };
         core.begin(now, known, effects);
         Ok(core)
@@ -337,6 +343,19 @@
         &self.deployment
     }
 
+    /// Counts from now on what other gateways are to be told.
+    pub fn count_loads(&mut self, now: Instant) {
+        self.loads = Some(Loads::new(now));
+    }
+
+    /// What other gateways, so many, are to be told now of db hosts and groups.
+    pub fn say_loads(&mut self, now: Instant, members: usize) -> Vec<(Subject, Value)> {
+        let Some(loads) = self.loads.as_mut().filter(|loads| loads.next() <= now) else { return Vec::new() };
+        let listed: HashSet<u64> = self.directory.names().map(|(_, number)| number).collect();
+        loads.keep(|host| listed.contains(&host));
+        loads.say(now, members)
+    }
+
     /// Bytes that held requests may take from now on.
     pub fn limit(&mut self, most_bytes: usize) {
         self.most_bytes = most_bytes;
--- a/gateway/src/core/send.rs
+++ b/gateway/src/core/send.rs
@@ -34,7 +34,11 @@
             }
         };
         let attempt = (id, number);
-        self.attempts.insert(attempt, Attempt { server, sent: now, first_byte: None, booked: false });
+        let host = self.directory.member(server).map(|listed| (listed.name, listed.group));
+        if let (Some(loads), Some((name, _))) = (&mut self.loads, host) {
+            loads.sent(name);
+        }
+        self.attempts.insert(attempt, Attempt { server, host, sent: now, first_byte: None, booked: false });
         effects.push(Effect::Start { attempt, server, body, cut_at });
     }
 }
--- a/gateway/src/core/stream.rs
+++ b/gateway/src/core/stream.rs
@@ -65,7 +65,10 @@
     pub(super) fn abandon_value(&mut self, now: Instant, id: AttemptId, effects: &mut Vec<Effect<B>>) {
         effects.push(Effect::Abandon(id));
         self.book_served(now, id, effects);
-        self.attempts.remove(&id);
+        if let Some(attempt) = self.attempts.remove(&id) {
+            let took = attempt.elapsed(now);
+            self.book_load(now, attempt.host, Some(took), &HostNote::default(), true);
+        }
     }
 
     /// A client's side is full, or has room again.
--- a/gateway/src/net/fleet/group.rs
+++ b/gateway/src/net/fleet/group.rs
@@ -6,9 +6,11 @@
 use tracing::{info, warn};
 use yewroute_agree::{Agree, Decision, Event, Head, Peer, Place, Terms};
 use yewroute_edge::Fleet as Settled;
-use yewroute_fleet::{name_number, Fleet, Health, Id, Member, Row, Stage, Subject, Value, MOST_VOTERS};
+use yewroute_fleet::{
+    name_number, Decided, Fleet, Health, Id, Member, Row, Stage, Subject, Value, Word, MOST_VOTERS,
+};
 
-use crate::proto::console::Decided;
+use crate::proto::console;
 
 /// How often members are looked at when none has come or gone.
 const LOOK: Duration = Duration::from_secs(1);
@@ -61,7 +63,8 @@
     pub fn heard(&mut self, now: Instant, fleet: &Fleet, row: Row) {
         let age = Duration::from_millis(row.age_ms.into());
         match row.value {
-            Value::Group { term, leader, voters, .. } => {
+            Value::Group(word) => {
+                let Word { term, leader, voters, .. } = *word;
                 let members = fleet.members(now);
                 let find = |number: u64| members.iter().find(|member| name_number(&member.id.name) == number);
                 let name = |number: &u64| find(*number).map(|member| member.id.name.clone());
@@ -71,14 +74,15 @@
                 let addr: Option<SocketAddr> = find(leader).map(|member| member.id.addr);
                 self.agree.heard(now, head, addr, age);
             }
-            Value::Decision { key, value, lease } => {
+            Value::Decision(decided) => {
+                let Decided { key, value, lease } = *decided;
                 let place = Place { generation: row.version.0, index: row.version.1 };
                 let lease = Some(lease).filter(|lease| *lease != (0, 0));
                 let left = lease.map_or(0, |(_, ms)| ms.saturating_sub(row.age_ms));
                 let decision = Decision { value: value.into(), place, lease };
                 self.agree.learn(now, &key, decision, left);
             }
-            Value::Stage(_) | Value::Host { .. } => {}
+            Value::Stage(_) | Value::Host { .. } | Value::Set { .. } => {}
         }
     }
 
@@ -133,15 +137,15 @@
                 // Terms come first, so that the word of a later leader counts; a leader has no more words in a term than fit.
                 let version = (head.epoch.0, (head.epoch.1 << 32) + self.written);
                 let (leader, digest) = (name_number(&head.leader), fleet.facts().digest());
-                let value = Value::Group { term: head.epoch.1, leader, voters, digest };
-                fleet.write_group(now, Subject::Group, version, value);
+                let word = Word { term: head.epoch.1, leader, voters, digest };
+                fleet.write_group(now, Subject::Group, version, Value::Group(Box::new(word)));
             }
             Event::Tell(key, decision, left) => {
                 let subject = Subject::Decision(name_number(&key));
                 let version = (decision.place.generation, decision.place.index);
                 let lease = decision.lease.map_or((0, 0), |(holder, _)| (holder, left));
-                let value = Value::Decision { key: key.into(), value: decision.value.into(), lease };
-                fleet.write_group(now, subject, version, value);
+                let decided = Decided { key: key.into(), value: decision.value.into(), lease };
+                fleet.write_group(now, subject, version, Value::Decision(Box::new(decided)));
             }
             Event::Leads(generation, term) => {
                 info!(generation, term, "group: this gateway leads");
@@ -168,8 +172,8 @@
     }
 
     /// What was decided, as far as this gateway knows.
-    pub fn decided(&self, now: Instant) -> Vec<Decided> {
-        let decided = |(key, decision, until): (&str, &Decision, Option<Instant>)| Decided {
+    pub fn decided(&self, now: Instant) -> Vec<console::Decided> {
+        let decided = |(key, decision, until): (&str, &Decision, Option<Instant>)| console::Decided {
             key: key.to_owned(),
             value: String::from_utf8_lossy(&decision.value).into_owned(),
             place: (decision.place.generation, decision.place.index),
--- a/gateway/src/net/fleet/mod.rs
+++ b/gateway/src/net/fleet/mod.rs
@@ -2,17 +2,20 @@
 
 mod group;
 
+use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::UdpSocket;
 use std::time::{Duration, Instant, SystemTime};
 
 use tracing::{info, warn};
 use yewroute_edge::Fleet as Settled;
-use yewroute_fleet::{Event, Fleet, Health, Id, Stage, Terms};
+use yewroute_fleet::load::{sum, Load};
+use yewroute_fleet::{Event, Fleet, Health, Id, Stage, Subject, Terms, Value};
 use yewroute_lifecycle::Stage as Life;
 
 use super::poller::{Interest, Poller, Token};
-use crate::proto::console::{Peer, View};
+use crate::core::Directory;
+use crate::proto::console::{HostLoad, Peer, Proven, View};
 use group::Group;
 
 /// Datagrams taken at one wake-up, so that a flood delays no request; the rest wakes again.
@@ -121,8 +124,13 @@
         due.into_iter().chain(group).chain(self.open_at).min()
     }
 
-    /// Does what is due, says where this gateway stands, and sends what there is.
-    pub fn tick(&mut self, now: Instant, life: Life, poller: &Poller) {
+    /// How many gateways there are, this one included.
+    pub fn members(&self) -> usize {
+        self.open.as_ref().map_or(1, |(_, fleet, _)| fleet.size())
+    }
+
+    /// Does what is due, says where this gateway stands and what it has to do with db hosts, and sends what there is.
+    pub fn tick(&mut self, now: Instant, life: Life, rows: Vec<(Subject, Value)>, poller: &Poller) {
         if self.open_at.is_some_and(|at| at <= now) {
             if let Err(error) = self.join(now, poller) {
                 self.open_at = Some(now + AGAIN);
@@ -139,6 +147,7 @@
             Life::Stopping => Stage::Stopping,
         };
         fleet.say(now, stage);
+        rows.into_iter().for_each(|(subject, value)| fleet.write(now, subject, value));
         if fleet.next().is_some_and(|at| at <= now) {
             fleet.tick(now);
         }
@@ -180,7 +189,7 @@
     }
 
     /// What `GET /fleet` tells; nothing while its place is not free.
-    pub fn view(&self, now: Instant) -> Option<View> {
+    pub fn view(&self, now: Instant, directory: &Directory) -> Option<View> {
         let (_, fleet, group) = self.open.as_ref()?;
         let peer = |member: yewroute_fleet::Member| Peer {
             region: self.settled.region_of(&member.id.zone).map(str::to_owned),
@@ -198,6 +207,21 @@
             },
         };
         let members = fleet.members(now).into_iter().map(peer).collect();
+        let loads = sum(fleet.facts(), now);
+        let names: HashMap<u64, &str> = directory.names().map(|(name, number)| (number, name)).collect();
+        let name = |number: &u64| names.get(number).map(|name| (*name).to_owned());
+        let hosts = loads.hosts.iter().filter_map(|(number, load)| {
+            let Load { tellers, outstanding, sent, answered, took_us } = *load;
+            Some(HostLoad { host: name(number)?, tellers, outstanding, sent, answered, took_us })
+        });
+        let hosts = hosts.collect();
+        let sets = loads.sets.iter().map(|(group, set)| Proven {
+            group: *group,
+            primary: name(&set.primary),
+            position_ms: set.position_ms,
+            age_ms: set.age_ms,
+        });
+        let sets = sets.collect();
         let head = group.head(now);
         Some(View {
             me: self.name.clone(),
@@ -206,6 +230,8 @@
             leader: head.map(|head| head.leader.to_string()),
             voters: head.map_or_else(Vec::new, |head| head.voters.iter().map(|v| v.to_string()).collect()),
             decided: group.decided(now),
+            hosts,
+            sets,
             members,
         })
     }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -200,7 +200,7 @@
         let hosts =
             Hosts::new(now, most_hosts, most_bytes, speech, deployment.connect_timeout, deployment.keepalive);
         let mut effects = Vec::new();
-        let core = Core::new(
+        let mut core = Core::new(
             now,
             Clock::start(),
             deployment,
@@ -221,6 +221,9 @@
             link.map_err(|error| RunError::Fleet(place, error))
         });
         let fleet = fleet.transpose()?;
+        if fleet.is_some() {
+            core.count_loads(now);
+        }
         let start = Start {
             list_by: if operated { now + LIST_WAIT } else { now },
             listener_by: if older { now + LISTENER_WAIT } else { now },
@@ -380,7 +383,8 @@
             self.share(now);
         }
         if let Some(fleet) = &mut self.fleet {
-            fleet.tick(now, self.life.stage(self.clients.len()), &self.poller);
+            let rows = self.core.say_loads(now, fleet.members());
+            fleet.tick(now, self.life.stage(self.clients.len()), rows, &self.poller);
         }
         self.attend(now);
     }
@@ -533,7 +537,7 @@
             }
             Call::Metrics => calls::put_figures(out, &self.figures(now)),
             Call::Fleet => {
-                let view = self.fleet.as_ref().and_then(|fleet| fleet.view(now));
+                let view = self.fleet.as_ref().and_then(|fleet| fleet.view(now, self.core.directory()));
                 calls::put_fleet(out, view.as_ref());
             }
         }
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -130,10 +130,44 @@
     pub voters: Vec<String>,
     /// What was decided, as far as this gateway knows.
     pub decided: Vec<Decided>,
+    /// What all gateways together have to do with db hosts, as far as this one has been told.
+    pub hosts: Vec<HostLoad>,
+    /// What is proven of groups of db hosts.
+    pub sets: Vec<Proven>,
     /// All that are known, this gateway first.
     pub members: Vec<Peer>,
 }
 
+/// What gateways have to do with a db host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct HostLoad {
+    /// The db host.
+    pub host: String,
+    /// Gateways that have told of it.
+    pub tellers: u64,
+    /// Attempts out there.
+    pub outstanding: u64,
+    /// Attempts sent since those gateways started.
+    pub sent: u64,
+    /// Answers since then.
+    pub answered: u64,
+    /// Microseconds to an answer, in the mean.
+    pub took_us: u64,
+}
+
+/// What is proven of a group of db hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Proven {
+    /// The group.
+    pub group: u64,
+    /// The db host that proved itself the primary last; none if it is not listed here.
+    pub primary: Option<String>,
+    /// The newest position, as Unix time in milliseconds.
+    pub position_ms: u64,
+    /// How long ago the primary proved itself.
+    pub age_ms: u64,
+}
+
 /// A decision for all.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Decided {
--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -8,6 +8,8 @@
 use std::time::{Duration, Instant};
 
 use common::{statement, well, Client, Host};
+use yewroute_fleet::seal::Seal;
+use yewroute_fleet::{Fleet, Id, Terms};
 use yewroute_rig::{Rig, Rules, Setup};
 use yewroute_standin::{entry, list, startup};
 
@@ -184,6 +186,71 @@
     assert_eq!(rig.figure(1, "svc_fleet_deaths"), Some(0));
 }
 
+#[test]
+fn what_one_sends_to_db_hosts_and_proves_of_their_group_is_told_to_all() {
+    let (rig, all) = running(3, 10);
+    (0..5).for_each(|_| assert!(serves(&rig, 1)));
+    let of = |n: usize| {
+        let view = rig.view(n);
+        let sent: u64 =
+            view["hosts"].as_array().into_iter().flatten().filter_map(|h| h["answered"].as_u64()).sum();
+        (sent, view["sets"][0]["primary"].as_str() == Some("s-a"))
+    };
+    rig.until("all know of it", secs(10), |_| all.iter().all(|n| of(*n).0 >= 5));
+    let host = rig.view(2)["hosts"][0].clone();
+    assert!(host["tellers"] == 1 && host["outstanding"] == 0 && host["took_us"].as_u64() > Some(0), "{host}");
+    // A write proves who the primary is.
+    let mut client = Client::raw(rig.clients(1));
+    client.write(&startup());
+    client.answer();
+    assert!(!client.ask(&statement("order", 1_000, ",k=7")).contains(&b'E'), "it is served");
+    rig.until("all know the primary", secs(10), |_| all.iter().all(|n| of(*n).1));
+}
+
+#[test]
+fn a_member_of_a_later_release_stands_beside_this_one() {
+    let (rig, all) = running(3, 11);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+    let addr = socket.local_addr().unwrap();
+    let me = Id { name: "g9".into(), zone: "a".into(), addr, incarnation: 5_000 };
+    let seeds = vec![rig.relays.addr(0)];
+    let terms = Terms { me, seeds, key: rig.key(), budget: 1_000, seed: 3 };
+    let mut later = Fleet::new(Instant::now(), terms);
+    // What it says besides: a kind of message, and a format, that nobody here knows.
+    let mut seal = Seal::new(rig.key(), 77);
+    let (start, mut said) = (Instant::now(), 0);
+    let all_see = |rig: &Rig| all.iter().all(|n| rig.sees(*n, 9, "state") == ALIVE);
+    let mut seen = None;
+    while seen.is_none_or(|at: Instant| at.elapsed() < secs(3)) {
+        assert!(start.elapsed() < secs(20), "it is not seen by all");
+        let mut buffer = [0; 2_048];
+        if let Ok(len) = socket.recv(&mut buffer) {
+            later.receive(Instant::now(), &buffer[..len]);
+        }
+        if later.next().is_some_and(|at| at <= Instant::now()) {
+            later.tick(Instant::now());
+            let mut strange = seal.close(&[200, 1, 2, 3]);
+            socket.send_to(&strange, rig.datagrams(0)).unwrap();
+            strange[0] += 1;
+            socket.send_to(&strange, rig.datagrams(0)).unwrap();
+            said += 1;
+            if seen.is_none() && all_see(&rig) {
+                seen = Some(Instant::now());
+            }
+        }
+        while let Some((to, datagram)) = later.transmit() {
+            socket.send_to(&datagram, to).unwrap();
+        }
+    }
+    for why in ["newer", "format"] {
+        let dropped = rig.figure(0, &format!("svc_fleet_dropped{{why=\"{why}\"}}"));
+        assert!(dropped.is_some_and(|n| n > 0 && n <= said), "{why}: {dropped:?} of {said}");
+    }
+    assert!(all_see(&rig) && all.iter().all(|n| rig.figure(*n, "svc_fleet_deaths") == Some(0)));
+    assert!(all.iter().all(|n| serves(&rig, *n)));
+}
+
 #[test]
 fn without_a_word_in_the_operator_s_file_there_is_no_fleet() {
     let (primary, replica) = (Host::well(true), Host::well(false));
