Tell suspected members directly: no false death with a third of all datagrams lost

Cause: a suspicion reached its member, and the refutation came back, by gossip alone; with 30% lost some were declared dead (4 a minute among 12, 1 to 4 in the process test). Each that lists suspects now tells up to three of them at every beat, and hears at once that they live. The process tests ask for none at 30% loss over 10 s, and for whole views within 3 s of each fault's end.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -99,10 +99,14 @@
     Decided { from: SocketAddr, after: u64 },
     /// A message that is only carried.
     Carried(&'a [u8]),
+    /// The receiver is suspected, by the protocol's count of its refutations.
+    Suspected { id: Id, count: u16, from: SocketAddr },
+    /// The sender lives, and has refuted up to this count.
+    Lives { id: Id, count: u16 },
 }
 
 /// Kinds of bodies that this release reads. Later ones come after them, and new fields at the end of what there is.
-const BODIES: u8 = 8;
+const BODIES: u8 = 10;
 
 fn read(body: &[u8]) -> Result<Body<'_>, Dropped> {
     let later = body.first().is_some_and(|kind| *kind >= BODIES);
@@ -145,6 +149,8 @@
     spent: f64,
     spent_at: Instant,
     size: usize,
+    /// Suspicions against this gateway are refuted up to here.
+    refuted_to: u16,
     /// Where the next question for decisions that were missed begins, and when it is asked.
     missed: Option<(u64, Instant)>,
     /// Questions for them that are asked in any case.
@@ -206,6 +212,7 @@
             spent: 0.0,
             spent_at: now,
             size: 1,
+            refuted_to: 0,
             missed: Some((0, now)),
             newcomer: NEWCOMER_ASKS,
             out: VecDeque::new(),
@@ -417,6 +424,23 @@
                 self.events.push_back(Event::Carried(message.to_vec()));
                 Ok(())
             }
+            Body::Suspected { id, count, from } => {
+                if id == *self.me() {
+                    let suspicion = foca::Member::new(id.clone(), count, State::Suspect);
+                    self.apply(now, suspicion)?;
+                    self.refuted_to = self.refuted_to.max(count.saturating_add(1));
+                    self.put(from, &Body::Lives { id, count: self.refuted_to });
+                }
+                Ok(())
+            }
+            Body::Lives { id, count } => {
+                member::bounded(&id).map_err(|_| Dropped::Malformed)?;
+                let known = self.swim.iter_members().any(|member| *member.id() == id);
+                if known && id != *self.me() {
+                    self.apply(now, foca::Member::new(id, count, State::Alive))?;
+                }
+                Ok(())
+            }
             Body::Ask { me, nonce } => {
                 let known = self.swim.iter_members().any(|member| *member.id() == me);
                 self.put(me.addr, &Body::Seen { nonce, alive: known });
@@ -568,6 +592,12 @@
             .map(|(member, _)| foca::Member::new(member.id().clone(), member.incarnation(), State::Down))
             .collect();
         self.suspects = suspects.iter().map(|(m, since)| (m.id().addr, (m.incarnation(), *since))).collect();
+        // Each is told so by some directly, at every beat. Guards against: a refutation that is lost on its way through others.
+        let from = self.me().addr;
+        for (member, _) in suspects.iter().choose_multiple(&mut self.rng, ASK) {
+            let (id, count) = (member.id().clone(), member.incarnation());
+            self.put(id.addr, &Body::Suspected { id: id.clone(), count, from });
+        }
         if !dead.is_empty() {
             let mut outlet = Outlet::default();
             let _ = self.swim.apply_many(dead.into_iter(), true, &mut outlet);
@@ -651,6 +681,13 @@
         self.put(to, &Body::Rows { from: self.me().addr, rows });
     }
 
+    fn apply(&mut self, now: Instant, member: foca::Member<Id>) -> Result<(), Dropped> {
+        let mut outlet = Outlet::default();
+        let taken = self.swim.apply_many(std::iter::once(member), true, &mut outlet);
+        self.take(now, outlet);
+        taken.map_err(|_| Dropped::Malformed)
+    }
+
     fn remember(&mut self, id: &Id) {
         let ids = self.known.entry(name_number(&id.name)).or_default();
         if !ids.contains(id) {
@@ -679,6 +716,7 @@
         }
         if outlet.rejoined {
             self.counts.returned += 1;
+            self.refuted_to = 0;
             self.doubt = None;
             self.events.push_back(Event::Returned(self.me().incarnation));
             let stage = self.facts.get(now, self.owner, Subject::Owner);
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -188,7 +188,8 @@
     let strange = [1, 77, 5, 5, 5, 5];
     let rows = vec![&strange[..], &longer];
     let known = postcard::to_allocvec(&Body::Rows { from: addr(1), rows }).unwrap();
-    let last = postcard::to_allocvec(&Body::Carried(b"x")).unwrap();
+    let me = net.fleets[0].as_ref().unwrap().me().clone();
+    let last = postcard::to_allocvec(&Body::Lives { id: me, count: 0 }).unwrap();
     assert_eq!(last[0], BODIES - 1, "the count of kinds is right");
     let mut seal = Seal::new(KEY, 99);
     // What is said, and how often each reason was counted after it.
@@ -254,20 +255,25 @@
 
 #[test]
 fn one_way_cuts_and_a_third_of_all_datagrams_lost_find_nobody_dead() {
-    let mut net = Net::new(12);
-    let all: Vec<usize> = (0..12).collect();
-    net.until(secs(5), |net| net.all_see(Health::Alive, &all));
-    // What 3 sends to 7 is lost: others pass the question on.
-    net.passes = |from, to| (from, to) != (3, 7);
-    net.run(secs(30));
-    net.passes = |_, _| true;
-    assert!(!net.events.iter().any(|(_, _, event)| matches!(event, Event::Gone(..))), "{:?}", net.events);
-    net.loss = 0.3;
-    net.run(secs(60));
-    net.loss = 0.0;
-    let returned = net.events.iter().filter(|(_, _, event)| matches!(event, Event::Returned(_))).count();
-    assert!(returned <= 4, "{returned} were told that they are dead; 84 when refutations did not count");
-    net.until(secs(3), |net| net.all_see(Health::Alive, &all));
+    let seeds = std::env::var("FLEET_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(3);
+    for seed in 0..seeds {
+        let mut net = Net::new(12);
+        net.rng = ChaCha8Rng::seed_from_u64(seed);
+        let all: Vec<usize> = (0..12).collect();
+        net.until(secs(5), |net| net.all_see(Health::Alive, &all));
+        // What 3 sends to 7 is lost: others pass the question on.
+        net.passes = |from, to| (from, to) != (3, 7);
+        net.run(secs(30));
+        net.passes = |_, _| true;
+        let alarms = |net: &Net| net.events.iter().filter(|(_, _, e)| matches!(e, Event::Gone(..))).count();
+        assert_eq!(alarms(&net), 0, "seed {seed}: {:?}", net.events);
+        net.loss = 0.3;
+        net.run(secs(60));
+        net.loss = 0.0;
+        // 84 were told that they are dead when refutations did not count, 4 when they went by gossip alone.
+        assert_eq!(alarms(&net), 0, "seed {seed}: {:?}", net.events);
+        net.until(secs(3), |net| net.all_see(Health::Alive, &all));
+    }
 }
 
 #[test]
@@ -337,7 +343,7 @@
     let mut outlet = Outlet::default();
     swim.announce(fleet.me().clone(), &mut outlet).unwrap();
     let announced = postcard::to_allocvec(&Body::Swim(&outlet.send[0].1)).unwrap();
-    for body in [&b""[..], &[9, 9, 9], &[0, 3, 1, 2, 3], &[1, 255, 255, 255, 255, 15], &announced] {
+    for body in [&b""[..], &[99, 9, 9], &[0, 3, 1, 2, 3], &[1, 255, 255, 255, 255, 15], &announced] {
         let datagram = other.close(body);
         fleet.receive(now, &datagram);
     }
--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -15,6 +15,8 @@
 
 const ALIVE: &str = "alive";
 const DOWN: &str = "down";
+/// After a fault's end all see the same within this.
+const WHOLE: Duration = Duration::from_secs(3);
 
 fn secs(n: u64) -> Duration {
     Duration::from_secs(n)
@@ -71,7 +73,7 @@
     assert!(left.iter().all(|n| rig.figure(*n, "svc_fleet_deaths") == Some(2)));
     assert!(left.iter().all(|n| serves(&rig, *n)), "with discovery down and a third gone");
     (4..6).for_each(|n| rig.start(n).unwrap());
-    rig.until("they are back", secs(15), |rig| rig.all_see(&all, &all, ALIVE));
+    rig.until("they are back", WHOLE, |rig| rig.all_see(&all, &all, ALIVE));
     assert!(rig.sees(0, 5, "incarnation") > lives);
     // One that ends has left; it is not found dead.
     assert!(rig.end(3).unwrap(), "{}", rig.log(3));
@@ -95,22 +97,20 @@
     assert!(rig.all_see(&c, &c, ALIVE) && rig.all_see(&others, &others, ALIVE));
     assert!(all.iter().all(|n| serves(&rig, *n)), "alone is the fallback");
     rig.relays.weather(|weather| weather.cuts.clear());
-    rig.until("whole again", secs(15), |rig| rig.all_see(&all, &all, ALIVE));
+    rig.until("whole again", WHOLE, |rig| rig.all_see(&all, &all, ALIVE));
 }
 
 #[test]
-fn a_one_way_cut_late_and_repeated_datagrams_find_nobody_dead_and_after_heavy_loss_all_is_whole() {
+fn a_one_way_cut_and_a_third_lost_late_and_twice_find_nobody_dead() {
     let (rig, all) = running(6, 3);
     rig.relays.weather(|weather| {
         weather.cuts.insert((1, 2));
-        (weather.loss, weather.repeat, weather.delay) = (0.03, 0.1, Duration::from_millis(40));
+        (weather.loss, weather.repeat, weather.delay) = (0.3, 0.1, Duration::from_millis(40));
     });
-    std::thread::sleep(secs(6));
+    std::thread::sleep(secs(10));
     assert!(all.iter().all(|n| rig.figure(*n, "svc_fleet_deaths") == Some(0)));
-    rig.relays.weather(|weather| weather.loss = 0.3);
-    std::thread::sleep(secs(4));
     rig.relays.weather(|weather| *weather = yewroute_rig::Weather::default());
-    rig.until("all see each other", secs(15), |rig| rig.all_see(&all, &all, ALIVE));
+    rig.until("all see each other", WHOLE, |rig| rig.all_see(&all, &all, ALIVE));
     let repeated = all.iter().filter_map(|n| rig.figure(*n, "svc_fleet_dropped{why=\"replayed\"}"));
     assert!(repeated.sum::<u64>() > 0, "what comes twice is taken once");
 }
@@ -127,8 +127,8 @@
         std::thread::sleep(Duration::from_millis(50));
     }
     rig.signal(5, "CONT").unwrap();
-    rig.until("it is back", secs(15), |rig| rig.all_see(&all, &all, ALIVE));
-    rig.until("it is sure again", secs(15), |rig| rig.view(5)["sure"] == true);
+    rig.until("it is back", WHOLE, |rig| rig.all_see(&all, &all, ALIVE));
+    rig.until("it is sure again", WHOLE, |rig| rig.view(5)["sure"] == true);
     assert_eq!(rig.figure(5, "svc_fleet_deaths"), Some(0), "{}", rig.log(5));
     assert_eq!(rig.figure(5, "svc_fleet_returned"), Some(1), "{}", rig.log(5));
     assert_eq!(rig.sees(0, 5, "incarnation"), (lives + 1).to_string());
