Play drawn plans of faults against gateways under load, and look at requests from outside

New in crates/rig: db hosts with slots, queues, warm-up, roles, lag, drains and keys; lists and links of its own for each gateway (delay, stall, reset); clients behind a front that notices deaths late; plans as data, drawn from a seed; checkers for one final answer in time, one attempt out, keys past their window, sends to draining and to cold hosts, views and clean ends. A rig has an address of loopback of its own: a port freed for a gateway was taken by a relay (a member under another's address, once in 3 runs of the loop).

--- /dev/null
+++ b/crates/rig/src/checks.rs
@@ -0,0 +1,185 @@
+//! What must hold of requests, from what clients, links and db hosts saw. Nothing here knows the gateway's insides.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::tcp::Attempt;
+
+/// One that was just given up may be seen on the way a little longer than its gateway counts it.
+const BLUR: Duration = Duration::from_millis(15);
+/// What a cold db host may get more than its budget, by chance.
+const CHANCE: f64 = 12.0;
+
+/// What a client saw of one request.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Its `id`.
+    pub id: String,
+    /// The gateway it was sent to.
+    pub gateway: usize,
+    /// When it had been sent whole.
+    pub sent: Instant,
+    /// How long its client waits.
+    pub wait: Duration,
+    /// How it ended, and when.
+    pub end: (Instant, End),
+}
+
+/// How a request ended, as its client saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Served,
+    /// Refused: come back.
+    Refused,
+    /// Failed.
+    Failed,
+    /// The connection ended without an answer.
+    Lost,
+    /// Nothing came for a long while.
+    Silent,
+    /// More came than one answer.
+    Twice,
+}
+
+/// A time in which a gateway was stopped or killed, and just after; what it owes is not asked of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Away {
+    /// Which gateway.
+    pub gateway: usize,
+    /// It was killed: its requests are lost.
+    pub killed: bool,
+    /// From when.
+    pub from: Instant,
+    /// Until when, if it is over.
+    pub to: Option<Instant>,
+}
+
+/// Each taken request has one final answer in time, unless its gateway was killed or stood still.
+#[must_use]
+pub fn answers(seen: &[Seen], away: &[Away], slack: Duration) -> Vec<(Instant, String)> {
+    let broken = |request: &Seen| {
+        let (at, end) = request.end;
+        let during = |away: &&Away| {
+            away.gateway == request.gateway && away.from <= at && away.to.is_none_or(|to| request.sent <= to)
+        };
+        let away = away.iter().find(during);
+        let due = request.sent + request.wait + slack;
+        let what = match end {
+            End::Twice => "was answered twice",
+            End::Lost | End::Silent if away.is_some_and(|away| away.killed) => return None,
+            End::Lost => "was lost with its connection",
+            End::Silent if away.is_none() => "was never answered",
+            End::Served | End::Refused | End::Failed if at > due && away.is_none() => "was answered late",
+            _ => return None,
+        };
+        let took = at.saturating_duration_since(request.sent);
+        Some((
+            at,
+            format!("request {} to g{} {what}, {took:?} after it was sent", request.id, request.gateway),
+        ))
+    };
+    seen.iter().filter_map(broken).collect()
+}
+
+/// Never two attempts of a request out at a time.
+#[must_use]
+pub fn attempts(seen: &[Attempt]) -> Vec<(Instant, String)> {
+    let mut by_id: BTreeMap<&str, Vec<&Attempt>> = BTreeMap::new();
+    for attempt in seen {
+        by_id.entry(&attempt.id).or_default().push(attempt);
+    }
+    let mut broken = Vec::new();
+    for (id, mut attempts) in by_id {
+        attempts.sort_by_key(|attempt| attempt.from);
+        for pair in attempts.windows(2) {
+            if pair[0].to.is_none_or(|to| to > pair[1].from + BLUR) {
+                let (first, second) = (pair[0].link, pair[1].link);
+                broken.push((pair[1].from, format!("request {id} is out twice: {first:?} and {second:?}")));
+            }
+        }
+    }
+    broken
+}
+
+/// Nothing to a cold db host beyond its budget: `tip` times what it can do over any span of `fall`.
+pub fn too_much_for_a_cold_one(
+    arrived: &[Instant],
+    capacity: impl Fn(Instant) -> f64,
+    tip: f64,
+    fall: Duration,
+) -> impl Iterator<Item = (Instant, String)> {
+    let over = |last: usize| {
+        let at = arrived[last];
+        let came =
+            arrived[..=last].iter().rev().take_while(|other| at.saturating_duration_since(**other) < fall);
+        let (came, most) = (came.count(), tip * capacity(at) * fall.as_secs_f64() + CHANCE);
+        (came as f64 > most)
+            .then(|| (at, format!("is cold and got {came} in {fall:?}, {most:.0} at the most")))
+    };
+    // The first is enough.
+    (0..arrived.len()).find_map(over).into_iter()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    #[test]
+    fn answers_are_one_in_time_unless_the_gateway_was_away() {
+        let start = Instant::now();
+        let killed =
+            |from, to| Away { gateway: 3, killed: true, from: start + ms(from), to: Some(start + ms(to)) };
+        let stopped = |from, to| Away { killed: false, ..killed(from, to) };
+        // How it ended, after how long, while the gateway was away, and the word of a broken rule.
+        let cases = [
+            (End::Served, 500, None, ""),
+            (End::Refused, 1_090, None, ""),
+            (End::Served, 1_200, None, "late"),
+            (End::Served, 5_000, Some(stopped(400, 4_900)), ""),
+            (End::Lost, 300, None, "lost"),
+            (End::Lost, 300, Some(killed(250, 300)), ""),
+            (End::Lost, 300, Some(stopped(250, 300)), "lost"),
+            (End::Lost, 300, Some(killed(400, 500)), "lost"),
+            (End::Silent, 9_000, None, "never"),
+            (End::Silent, 9_000, Some(killed(100, 8_000)), ""),
+            (End::Twice, 20, Some(killed(0, 9_000)), "twice"),
+        ];
+        for (end, after, away, word) in cases {
+            let end = (start + ms(after), end);
+            let seen = Seen { id: "a1".into(), gateway: 3, sent: start, wait: ms(1_000), end };
+            let away: Vec<Away> = away.into_iter().collect();
+            let broken = answers(&[seen], &away, ms(100));
+            assert_eq!(broken.is_empty(), word.is_empty(), "{end:?} {away:?}: {broken:?}");
+            assert!(broken.iter().all(|(_, what)| what.contains(word)), "{word}: {broken:?}");
+        }
+    }
+
+    #[test]
+    fn two_attempts_out_at_a_time_are_seen() {
+        let start = Instant::now();
+        let attempt = |id: &str, from, to: Option<u64>| Attempt {
+            id: id.into(),
+            link: (0, 1),
+            from: start + ms(from),
+            to: to.map(|to| start + ms(to)),
+        };
+        let fine = [attempt("a", 0, Some(50)), attempt("b", 10, Some(60)), attempt("a", 40, Some(90))];
+        assert!(attempts(&fine).is_empty(), "one after the other, and a little blur");
+        for to in [None, Some(80)] {
+            assert_eq!(attempts(&[attempt("a", 40, Some(90)), attempt("a", 0, to)]).len(), 1, "{to:?}");
+        }
+    }
+
+    #[test]
+    fn a_cold_one_s_budget_counts_over_any_span() {
+        let start = Instant::now();
+        let arrived: Vec<Instant> = (0..200).map(|n| start + ms(n * 10)).collect();
+        let broken = |rate: f64| too_much_for_a_cold_one(&arrived, |_| rate, 4.0, ms(1_000)).count();
+        assert_eq!((broken(30.0), broken(20.0)), (0, 1), "a hundred in a second");
+    }
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,14 +2,22 @@
 //! go on. It sees what the console, clients and db hosts see, and nothing of the gateway's insides.
 #![forbid(unsafe_code)]
 
+pub mod checks;
+pub mod clients;
+pub mod plan;
+pub mod play;
 mod relay;
 mod rules;
+pub mod tcp;
+pub mod world;
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use std::{fs, thread};
 
@@ -17,6 +25,7 @@
 
 pub use relay::{Relays, Weather};
 pub use rules::Rules;
+use world::World;
 
 /// Long enough for anything that comes at all.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -25,6 +34,10 @@
 /// The fleet's key in the rig.
 const KEY: &str = "5be4c1d09a8f37e2";
 
+pub(crate) fn held<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// How gateways are set up; all alike but for name and zone.
 pub struct Setup {
     /// The shipped program.
@@ -35,6 +48,8 @@
     pub settings: String,
     /// Discovery; nobody needs to be there.
     pub discovery: SocketAddr,
+    /// Db hosts and lists of their own for each gateway, in place of `known` and `discovery`.
+    pub world: Option<Arc<World>>,
     /// Zones, dealt out in turn; the first half is one region.
     pub zones: Vec<&'static str>,
     /// How many gateways are named as seeds, the first ones.
@@ -62,9 +77,12 @@
     processes: Vec<Option<Process>>,
 }
 
-/// An address that nobody has at the moment.
-fn free_datagrams() -> io::Result<SocketAddr> {
-    UdpSocket::bind("127.0.0.1:0")?.local_addr()
+/// An address of loopback for this rig alone. Guards against: a port that is freed for a gateway and taken by another
+/// rig, or by a relay, before the gateway has it.
+fn own_address() -> Ipv4Addr {
+    static RIGS: AtomicU8 = AtomicU8::new(0);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 127, low, 1 + RIGS.fetch_add(1, Ordering::SeqCst) % 254)
 }
 
 impl Rig {
@@ -74,9 +92,9 @@
     /// The system has no port or no room for files.
     pub fn new(setup: Setup, count: usize) -> io::Result<Self> {
         let folder = tempfile::tempdir()?;
+        let own = own_address();
         // All at once, so that no two are the same.
-        let sockets: Vec<_> =
-            (0..count).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
+        let sockets: Vec<_> = (0..count).map(|_| UdpSocket::bind((own, 0))).collect::<io::Result<_>>()?;
         let listens: Vec<_> = sockets.iter().map(UdpSocket::local_addr).collect::<io::Result<_>>()?;
         drop(sockets);
         let relays = Relays::start(if setup.relayed { &listens } else { &[] }, setup.seed)?;
@@ -87,6 +105,12 @@
         Ok(Self { setup, folder, relays, listens, processes })
     }
 
+    /// That zone's place among the zones.
+    #[must_use]
+    pub fn zone_number(&self, n: usize) -> usize {
+        n % self.setup.zones.len()
+    }
+
     /// The fleet's key, for members that the rig does not start.
     #[must_use]
     pub fn key(&self) -> [u8; 32] {
@@ -106,7 +130,11 @@
         listen: SocketAddr,
         advertise: SocketAddr,
     ) -> io::Result<(PathBuf, PathBuf)> {
-        let (known, settings, discovery) = (&self.setup.known, &self.setup.settings, self.setup.discovery);
+        let settings = &self.setup.settings;
+        let (known, discovery) = match &self.setup.world {
+            Some(world) => (world.list(n), world.discovery(n)),
+            None => (self.setup.known.clone(), self.setup.discovery),
+        };
         let config = self.folder.path().join(format!("g{n}.json"));
         fs::write(
             &config,
@@ -181,7 +209,7 @@
     /// # Errors
     /// It does not come up.
     pub fn start_twin(&mut self, n: usize) -> io::Result<usize> {
-        let listen = free_datagrams()?;
+        let listen = UdpSocket::bind((own_address(), 0))?.local_addr()?;
         let (config, edge) = self.write_files(n, listen, listen)?;
         let twin = self.processes.len();
         let process = self.spawn(&config, &edge, &self.log_path(twin))?;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -134,6 +134,7 @@
         known: KNOWN.to_owned(),
         settings: SETTINGS.to_owned(),
         discovery: SocketAddr::from(([127, 0, 0, 1], 9)),
+        world: None,
         zones: vec!["a", "b", "c"],
         seeds: 5,
         seed,
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -5,13 +5,15 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::held;
+
 /// How finely delays are kept; and how often a relay that nothing waits in looks whether it is over.
 const GRAIN: Duration = Duration::from_millis(2);
 const REST: Duration = Duration::from_millis(100);
@@ -37,10 +39,6 @@
     over: AtomicBool,
 }
 
-fn held<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The relays of all gateways.
 pub struct Relays {
     shared: Arc<Shared>,
--- a/crates/standin/src/answers.rs
+++ b/crates/standin/src/answers.rs
@@ -45,6 +45,12 @@
 /// An answer of any number of rows, each of one value or null.
 #[must_use]
 pub fn rows(role: &str, tag: &str, values: &[Option<&[u8]>]) -> Vec<u8> {
+    rows_at(role, tag, values, unix_ms())
+}
+
+/// The same of a db host that has applied so much, as Unix time in milliseconds.
+#[must_use]
+pub fn rows_at(role: &str, tag: &str, values: &[Option<&[u8]>], applied_ms: u128) -> Vec<u8> {
     let mut out = Vec::new();
     out.extend(columns());
     for value in values {
@@ -57,7 +63,7 @@
     }
     out.extend(frame(b'C', format!("{tag}\0").as_bytes()));
     out.extend(frame(b'S', format!("role\0{role}\0").as_bytes()));
-    out.extend(frame(b'S', format!("applied_ms\0{}\0", unix_ms()).as_bytes()));
+    out.extend(frame(b'S', format!("applied_ms\0{applied_ms}\0").as_bytes()));
     out.extend(frame(b'Z', b"I"));
     out
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod discovery;
 pub mod host;
 
-pub use answers::{frame, read_frame, report, rows, served, served_value, unix_ms};
+pub use answers::{error, frame, read_frame, report, rows, rows_at, served, served_value, unix_ms};
 pub use client::{startup, Client};
 pub use discovery::{entry, list, pair, Discovery};
 pub use host::{well, Do, Executed, Host};
--- a/gateway/benches/fleet.rs
+++ b/gateway/benches/fleet.rs
@@ -51,6 +51,7 @@
         known,
         settings: include_str!("../tests/common/settings.json").to_owned(),
         discovery: "127.0.0.1:9".parse().unwrap(),
+        world: None,
         zones: vec!["a", "b", "c"],
         seed: 1,
         seeds: 3,
--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -37,6 +37,7 @@
         known: list(41, true, &entries),
         settings: include_str!("common/settings.json").to_owned(),
         discovery: "127.0.0.1:9".parse().unwrap(),
+        world: None,
         zones: vec!["a", "b", "c"],
         seeds,
         seed,
