--- a/crates/agree/src/tests.rs
+++ b/crates/agree/src/tests.rs
@@ -670,3 +670,96 @@
     println!("{walks} walks, {states} states");
     assert!(states > 100 * walks as usize, "{states} states in {walks} walks are too few to say anything");
 }
+
+/// One step of a search: what happens next of all that could.
+#[derive(Clone, Copy, Debug)]
+enum Next {
+    /// A datagram that is on its way comes, is lost, or comes and will come again.
+    Comes(usize),
+    Lost(usize),
+    Repeated(usize),
+    /// Time goes on to the next timer.
+    Time,
+    /// A gateway starts again, without memory.
+    Restart(usize),
+}
+
+impl Net {
+    /// Three voters of which one asks for a lease, and nothing on its way.
+    fn searched() -> Self {
+        let mut net = Net::new(3, 3, 13);
+        net.until(secs(30), "voters", |net| net.voters().len() == 3);
+        net.run(secs(16));
+        net.wire.clear();
+        net.gateways[0].agree.want(net.now, LEASE, b"", 3_000);
+        net.gateways[2].agree.want(net.now, LEASE, b"", 3_000);
+        net.states.clear();
+        net
+    }
+
+    fn step(&mut self, next: Next) {
+        let key = |net: &Self, n: usize| net.wire.keys().nth(n).copied();
+        match next {
+            Next::Comes(n) | Next::Lost(n) | Next::Repeated(n) => {
+                let Some((to, bytes)) = key(self, n).and_then(|key| self.wire.remove(&key)) else { return };
+                if matches!(next, Next::Repeated(_)) {
+                    self.sent += 1;
+                    self.wire.insert((self.now, self.sent), (to, bytes.clone()));
+                }
+                if !matches!(next, Next::Lost(_)) {
+                    self.gateways[to].agree.receive(self.now, &bytes);
+                }
+            }
+            Next::Time => {
+                let next = self.gateways.iter().filter_map(|gateway| gateway.agree.next()).min();
+                self.now = next.unwrap_or(self.now).max(self.now);
+                for gateway in &mut self.gateways {
+                    if gateway.agree.next().is_some_and(|at| at <= self.now) {
+                        gateway.agree.tick(self.now);
+                    }
+                }
+            }
+            Next::Restart(n) => self.restart(n),
+        }
+        self.flush();
+    }
+
+    fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        (self.now - self.start).hash(&mut hasher);
+        self.wire.values().for_each(|way| way.hash(&mut hasher));
+        for gateway in &self.gateways {
+            gateway.agree.holds(self.now, LEASE).hash(&mut hasher);
+            let Some(node) = &gateway.agree.node else { continue };
+            (node.generation, node.number, node.term(), node.index(), node.last_index()).hash(&mut hasher);
+            (node.leads(), node.voters(), &node.kept.state).hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+}
+
+#[test]
+fn no_order_of_what_can_happen_to_three_voters_breaks_a_rule() {
+    let most = std::env::var("AGREE_STATES").ok().and_then(|n| n.parse().ok()).unwrap_or(120);
+    let mut seen = HashSet::new();
+    let mut open: VecDeque<Vec<Next>> = VecDeque::from([Vec::new()]);
+    let mut deepest = 0;
+    while let Some(path) = open.pop_front().filter(|_| seen.len() < most) {
+        // Each state is reached anew, as the library's cannot be copied; the rules are looked at on the way.
+        let mut net = Net::searched();
+        path.iter().for_each(|next| net.step(*next));
+        if !seen.insert(net.fingerprint()) {
+            continue;
+        }
+        deepest = deepest.max(path.len());
+        let ways =
+            (0..net.wire.len().min(3)).flat_map(|n| [Next::Comes(n), Next::Lost(n), Next::Repeated(n)]);
+        let restarted = path.iter().any(|next| matches!(next, Next::Restart(_)));
+        let restarts = (0..3).map(Next::Restart).filter(|_| !restarted);
+        for next in ways.chain([Next::Time]).chain(restarts) {
+            open.push_back(path.iter().copied().chain([next]).collect());
+        }
+    }
+    println!("{} states, up to {deepest} steps deep", seen.len());
+    assert!(seen.len() >= most, "only {} states", seen.len());
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -56,10 +56,31 @@
     pub seeds: usize,
     /// For the faults on the way.
     pub seed: u64,
+    /// Each zone is a region of its own.
+    pub apart: bool,
     /// Datagrams go through relays; without them nothing can be put between gateways, and they cost no time.
     pub relayed: bool,
 }
 
+impl Setup {
+    /// Gateways of this program with these settings, in zones a, b and c, with three seeds and relays between them.
+    #[must_use]
+    pub fn new(program: PathBuf, settings: &str) -> Self {
+        Self {
+            program,
+            known: String::new(),
+            settings: settings.to_owned(),
+            discovery: SocketAddr::from(([127, 0, 0, 1], 9)),
+            world: None,
+            zones: vec!["a", "b", "c"],
+            seeds: 3,
+            seed: 1,
+            apart: false,
+            relayed: true,
+        }
+    }
+}
+
 /// A gateway's process.
 struct Process {
     child: Child,
@@ -143,8 +164,14 @@
                 "limits":{{"memory_mb":64,"sockets":256}},"known":{known},"settings":{settings}}}"#
             ),
         )?;
-        let half = self.setup.zones.len().div_ceil(2);
-        let (north, south) = self.setup.zones.split_at(half);
+        let zones = &self.setup.zones;
+        let (north, south) = zones.split_at(zones.len().div_ceil(2));
+        let regions = if self.setup.apart {
+            let region = |zone: &&str| format!("\"region-{zone}\": [\"{zone}\"]");
+            zones.iter().map(region).collect::<Vec<_>>().join(", ")
+        } else {
+            format!("\"north\": {north:?}, \"south\": {south:?}")
+        };
         let seeds: Vec<String> =
             (0..self.listens.len().min(self.setup.seeds)).map(|n| self.place(n).to_string()).collect();
         let edge = self.folder.path().join(format!("g{n}.star"));
@@ -152,7 +179,7 @@
             &edge,
             format!(
                 "fleet(listen = \"{listen}\", advertise = \"{advertise}\", seeds = {seeds:?}, key_file = \"fleet.key\", \
-                 zone = \"{}\", regions = {{\"north\": {north:?}, \"south\": {south:?}}})\n",
+                 zone = \"{}\", regions = {{{regions}}})\n",
                 self.zone(n)
             ),
         )?;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,7 +3,6 @@
 //! `cargo run --release -p yewroute-rig -- play NAME --seed N --processes N`; exit code 1 on a broken rule. The program is
 //! the one beside this one, or `--program`.
 
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -13,7 +12,8 @@
 use rand::seq::SliceRandom;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use yewroute_rig::{Rig, Setup};
+use yewroute_rig::world::{Shape, World};
+use yewroute_rig::{plan, play, Rig, Rules, Setup};
 
 /// Settings of three classes, as the gateway's tests have them.
 const SETTINGS: &str = include_str!("../../../gateway/tests/common/settings.json");
@@ -27,6 +27,15 @@
 const WATCHED: usize = 20;
 /// How often views are asked for.
 const LOOK: Duration = Duration::from_millis(100);
+/// Db hosts in plans with load, clients of each gateway, and the settings' budget of a cold db host.
+const HOSTS: usize = 6;
+const CLIENTS: usize = 3;
+const COLD_BUDGET: (f64, Duration) = (4.0, Duration::from_secs(3));
+/// How far regions are from each other, each way.
+const FAR: Duration = Duration::from_millis(40);
+/// How often the leader is killed, and within what another leads, and the dead one has a successor among the voters.
+const LEADERS: usize = 10;
+const LED_WITHIN: Duration = Duration::from_secs(20);
 
 #[derive(Parser)]
 #[command(name = "yewroute-rig")]
@@ -74,6 +83,12 @@
     Zone,
     /// One is stopped for five seconds.
     Stop,
+    /// The leader of those that decide for all is killed and started again, ten times.
+    Leader,
+    /// Each zone is a region, 40 ms from the others: how long a decision takes.
+    Regions,
+    /// Faults of all kinds drawn from the seed, under load, for as long as the calm; all rules are looked at.
+    Faults,
 }
 
 /// Seconds of processor time that a process has used, and its resident memory in KiB.
@@ -129,17 +144,12 @@
     program: &Path,
     keep_logs: bool,
 ) -> io::Result<Vec<String>> {
-    let setup = Setup {
-        program: program.to_owned(),
-        known: KNOWN.to_owned(),
-        settings: SETTINGS.to_owned(),
-        discovery: SocketAddr::from(([127, 0, 0, 1], 9)),
-        world: None,
-        zones: vec!["a", "b", "c"],
-        seeds: 5,
-        seed,
-        relayed: plan == Plan::Zone,
-    };
+    let relayed = matches!(plan, Plan::Zone | Plan::Leader | Plan::Regions | Plan::Faults);
+    let faulty = plan == Plan::Faults;
+    let world = if faulty { Some(World::new(Shape::default(), HOSTS, processes)?) } else { None };
+    let (known, apart) = (KNOWN.to_owned(), plan == Plan::Regions);
+    let of = Setup::new(program.to_owned(), SETTINGS);
+    let setup = Setup { known, world: world.clone(), seeds: 5, seed, apart, relayed, ..of };
     let (mut rig, all) = (Rig::new(setup, processes)?, (0..processes).collect::<Vec<_>>());
     let mut broken = Vec::new();
     let start = Instant::now();
@@ -225,6 +235,20 @@
             rig.signal(order[0], "CONT")?;
             check_whole(&rig, &all, &mut broken);
         }
+        Plan::Leader => leaders(&mut rig, &all, &mut broken)?,
+        Plan::Regions => regions(&rig, &all, calm, &mut broken),
+        Plan::Faults => {
+            let Some(world) = &world else { return Ok(broken) };
+            let faults = plan::drawn(seed, (processes, HOSTS, 3), Duration::from_secs(calm));
+            let clients = CLIENTS * processes;
+            let report = play::play(&mut rig, world, &faults, clients, COLD_BUDGET, seed)?;
+            println!("{} faults; {} attempts, {} keys", faults.len(), report.attempts, report.keys);
+            for (end, count) in report.ends {
+                println!("  {end:?}: {count}");
+            }
+            println!("all see all {:?} after the last fault", report.whole);
+            broken.extend(report.broken);
+        }
     }
     if keep_logs {
         all.iter().for_each(|n| println!("g{n}:\n{}", rig.log(*n)));
@@ -239,6 +263,77 @@
     Ok(broken)
 }
 
+/// Waits until all say the same of the group and it is as wanted; how long it took.
+fn agreed(
+    rig: &Rig,
+    rules: &mut Rules,
+    all: &[usize],
+    so: impl Fn(usize, &[usize]) -> bool,
+) -> Option<(usize, Duration)> {
+    let start = Instant::now();
+    while start.elapsed() < LED_WITHIN {
+        rules.look(rig, all);
+        if let Some((_, leader, voters)) = rig.group(all) {
+            if so(leader, &voters) {
+                return Some((leader, start.elapsed()));
+            }
+        }
+    }
+    None
+}
+
+fn leaders(rig: &mut Rig, all: &[usize], broken: &mut Vec<String>) -> io::Result<()> {
+    let (mut rules, mut times) = (Rules::default(), Vec::new());
+    let wanted = if all.len() < 5 { 3 } else { 5 };
+    for round in 0..LEADERS {
+        let Some((leader, _)) = agreed(rig, &mut rules, all, |_, voters| voters.len() == wanted) else {
+            broken.push(format!("no {wanted} voters before round {round}"));
+            return Ok(());
+        };
+        rig.kill(leader);
+        let left: Vec<usize> = all.iter().copied().filter(|n| *n != leader).collect();
+        match agreed(rig, &mut rules, &left, |other, _| other != leader) {
+            Some((_, took)) => times.push(took.as_secs_f64()),
+            None => broken.push(format!("nobody leads {LED_WITHIN:?} after g{leader} died")),
+        }
+        rig.start(leader)?;
+    }
+    times.sort_by(f64::total_cmp);
+    let mid = times.get(times.len() / 2).copied().unwrap_or(f64::NAN);
+    let last = times.last().copied().unwrap_or(f64::NAN);
+    println!(
+        "leader killed {} times: all follow another after p50 {mid:.2} s, slowest {last:.2} s",
+        times.len()
+    );
+    broken.extend(rules.broken().iter().cloned());
+    Ok(())
+}
+
+fn regions(rig: &Rig, all: &[usize], calm: u64, broken: &mut Vec<String>) {
+    rig.relays.weather(|weather| {
+        for (n, m) in all.iter().flat_map(|n| all.iter().map(move |m| (*n, *m))) {
+            if rig.zone(n) != rig.zone(m) {
+                weather.far.insert((n, m), FAR);
+            }
+        }
+    });
+    let mut rules = Rules::default();
+    if agreed(rig, &mut rules, all, |_, voters| voters.len() == 5.min(all.len())).is_none() {
+        broken.push("they do not agree on voters".to_owned());
+    }
+    // The first lease is given fifteen seconds after the group began, and then kept by a decision every four.
+    thread::sleep(Duration::from_secs(15));
+    let decided = || (total(rig, all, "svc_group_decided"), total(rig, all, "svc_group_decided_ms"));
+    let before = decided();
+    thread::sleep(Duration::from_secs(calm));
+    let (count, ms) = (decided().0 - before.0, decided().1 - before.1);
+    println!("{count} decisions of the leader's own, {:.0} ms each", ms as f64 / count.max(1) as f64);
+    if count == 0 {
+        broken.push("nothing was decided".to_owned());
+    }
+    broken.extend(rules.broken().iter().cloned());
+}
+
 fn check_whole(rig: &Rig, all: &[usize], broken: &mut Vec<String>) {
     match whole(rig, all, all, "alive", Duration::from_secs(30)) {
         Some(took) => {
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -27,6 +27,8 @@
     pub repeat: f64,
     /// Each takes up to so long, at random, so that they overtake each other.
     pub delay: Duration,
+    /// Links that take so much longer, each way.
+    pub far: BTreeMap<(usize, usize), Duration>,
     /// Links that pass nothing on, from one to another.
     pub cuts: BTreeSet<(usize, usize)>,
 }
@@ -101,7 +103,8 @@
             let weather = held(&shared.weather);
             let (lost, twice) = (rng.random::<f64>() < weather.loss, rng.random::<f64>() < weather.repeat);
             for _ in 0..if twice { 2 } else { 1 } {
-                let delay = weather.delay.mul_f64(rng.random::<f64>());
+                let far = weather.far.get(&(from, to)).copied().unwrap_or_default();
+                let delay = far + weather.delay.mul_f64(rng.random::<f64>());
                 if !lost && !weather.cuts.contains(&(from, to)) {
                     taken += 1;
                     waiting.insert((Instant::now() + delay, taken), buffer[..len].to_vec());
--- a/gateway/benches/fleet.rs
+++ b/gateway/benches/fleet.rs
@@ -46,17 +46,9 @@
     let (primary, replica) = (host(true), host(false));
     let known = pair(&primary, &replica);
     let off = Gateway::with_edge(&known, "hosts()");
-    let setup = Setup {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_yewroute")),
-        known,
-        settings: include_str!("../tests/common/settings.json").to_owned(),
-        discovery: "127.0.0.1:9".parse().unwrap(),
-        world: None,
-        zones: vec!["a", "b", "c"],
-        seed: 1,
-        seeds: 3,
-        relayed: false,
-    };
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_yewroute"));
+    let settings = include_str!("../tests/common/settings.json");
+    let setup = Setup { known, relayed: false, ..Setup::new(program, settings) };
     let mut rig = Rig::new(setup, 6).unwrap();
     let all: Vec<usize> = (0..6).collect();
     all.iter().for_each(|n| rig.start(*n).unwrap());
--- a/gateway/tests/fleet.rs
+++ b/gateway/tests/fleet.rs
@@ -32,17 +32,9 @@
     let (primary, replica) = (Host::well(true), Host::start(|query| well(false, query)));
     let entries =
         [entry("s-a", &primary, "primary", "Ready", 0), entry("s-b", &replica, "replica", "Ready", 0)];
-    let setup = Setup {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_yewroute")),
-        known: list(41, true, &entries),
-        settings: include_str!("common/settings.json").to_owned(),
-        discovery: "127.0.0.1:9".parse().unwrap(),
-        world: None,
-        zones: vec!["a", "b", "c"],
-        seeds,
-        seed,
-        relayed: true,
-    };
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_yewroute"));
+    let known = list(41, true, &entries);
+    let setup = Setup { known, seeds, seed, ..Setup::new(program, include_str!("common/settings.json")) };
     (Rig::new(setup, count).unwrap(), (0..count).collect())
 }
 
