--- a/crates/agree/src/voters.rs
+++ b/crates/agree/src/voters.rs
@@ -98,3 +98,78 @@
     let after = crowding(without(worst.number).chain([best]));
     (after < crowding(peers())).then(|| Step::Learn(best.clone()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A peer by number: its region and zone are the letters.
+    fn peer(n: u16, place: &str) -> Peer {
+        let (region, zone) = place.split_at(1);
+        let addr = SocketAddr::from(([127, 0, 0, 1], n));
+        Peer {
+            name: format!("g{n}").into(),
+            region: region.into(),
+            zone: zone.into(),
+            addr,
+            incarnation: n.into(),
+        }
+    }
+
+    fn seat(n: u16, place: &str, learns: Option<bool>, idle: bool) -> Seat {
+        Seat { number: n.into(), peer: peer(n, place), learns, idle }
+    }
+
+    #[test]
+    fn each_step_is_the_one_that_is_due() {
+        let of = |places: &[(u16, &str)]| places.iter().map(|(n, place)| peer(*n, place)).collect::<Vec<_>>();
+        let sits =
+            |places: &[(u16, &str)]| places.iter().map(|(n, p)| seat(*n, p, None, false)).collect::<Vec<_>>();
+        let three = [(1, "na"), (2, "sc"), (3, "we")];
+        let six = [(1, "na"), (2, "nb"), (3, "na"), (4, "sc"), (5, "sd"), (6, "we")];
+        let with = |mut seats: Vec<Seat>, more: Seat| {
+            seats.push(more);
+            seats
+        };
+        // What stands, who is fit, and what is next.
+        let cases = [
+            ("alone", sits(&[(1, "na")]), of(&[(1, "na")]), None),
+            ("two are no better than one", sits(&[(1, "na")]), of(&[(1, "na"), (2, "nb")]), None),
+            ("another region first", sits(&[(1, "na")]), of(&six), Some(Step::Learn(peer(4, "sc")))),
+            ("all is well", sits(&three), of(&three), None),
+            ("one learns", with(sits(&three), seat(9, "nb", Some(false), false)), of(&[(9, "nb")]), None),
+            (
+                "it has learned",
+                with(sits(&three), seat(9, "nb", Some(true), false)),
+                of(&three),
+                Some(Step::Vote(9)),
+            ),
+            (
+                "too late",
+                with(sits(&three), seat(9, "nb", Some(false), true)),
+                of(&[(9, "nb")]),
+                Some(Step::Remove(9)),
+            ),
+            (
+                "a learner is dead",
+                with(sits(&three), seat(9, "nb", Some(false), false)),
+                of(&three),
+                Some(Step::Remove(9)),
+            ),
+            ("a voter is dead", sits(&three), of(&[(1, "na"), (2, "sc")]), Some(Step::Remove(3))),
+            (
+                "a voter is silent",
+                with(sits(&three[..2]), seat(3, "we", None, true)),
+                of(&three),
+                Some(Step::Remove(3)),
+            ),
+            ("too many", sits(&[(1, "na"), (2, "nb")]), of(&[(1, "na"), (2, "nb")]), Some(Step::Remove(2))),
+            ("crowded", sits(&six[..5]), of(&six), Some(Step::Learn(peer(6, "we")))),
+            ("then the crowd thins", sits(&six), of(&six), Some(Step::Remove(3))),
+        ];
+        for (what, seats, fit, wanted) in cases {
+            assert_eq!(step(1, &seats, &fit), wanted, "{what}");
+        }
+        assert_eq!([0, 1, 2, 3, 4, 5, 6, 300].map(wanted), [0, 1, 1, 3, 3, 5, 5, 5]);
+    }
+}
