--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -10,6 +10,42 @@
 /// What a cold db host may get more than its budget, by chance.
 const CHANCE: f64 = 12.0;
 
+/// After a gateway was told that a db host drains, it may send there for so long; and a little for the way.
+const STOPS_WITHIN: Duration = Duration::from_millis(250);
+const WAY: Duration = Duration::from_millis(60);
+
+/// A drain of a db host.
+#[derive(Clone, Copy, Debug)]
+pub struct Drain {
+    /// Which db host.
+    pub host: usize,
+    /// The version of the list that said so.
+    pub version: u64,
+    /// Until when, if it is over.
+    pub to: Option<Instant>,
+}
+
+/// Nothing new to a draining db host once its gateway has been told. `told` says which gateway was told which version when; a
+/// watch that was opened anew tells again what was told before, and the first time counts.
+#[must_use]
+pub fn drains(seen: &[Attempt], drains: &[Drain], told: &[(usize, u64, Instant)]) -> Vec<(Instant, String)> {
+    let mut broken = Vec::new();
+    for (attempt, drain) in seen.iter().flat_map(|attempt| drains.iter().map(move |drain| (attempt, drain))) {
+        let (gateway, host) = attempt.link;
+        let knows = |(to, version, _): &&(usize, u64, Instant)| *to == gateway && *version >= drain.version;
+        let Some((.., at)) = told.iter().filter(knows).min_by_key(|(.., at)| *at) else { continue };
+        let over = drain.to.is_some_and(|to| attempt.from >= to);
+        if host == drain.host && !over && attempt.from > *at + STOPS_WITHIN + WAY {
+            let late = attempt.from.saturating_duration_since(*at);
+            broken.push((
+                attempt.from,
+                format!("g{gateway} sends to s-{host} {late:?} after it was told that it drains"),
+            ));
+        }
+    }
+    broken
+}
+
 /// What a client saw of one request.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -175,6 +211,28 @@
         }
     }
 
+    #[test]
+    fn sends_to_a_draining_host_count_from_when_their_gateway_was_told() {
+        let start = Instant::now();
+        let drain = Drain { host: 1, version: 7, to: Some(start + ms(3_000)) };
+        let told =
+            [(0, 6, start), (0, 7, start + ms(500)), (0, 9, start + ms(900)), (4, 8, start + ms(2_000))];
+        // Gateway, db host, when it was sent, and whether that breaks the rule.
+        let cases = [
+            ((0, 1), 700, false),
+            ((0, 1), 900, true),
+            ((0, 2), 900, false),
+            ((0, 1), 3_100, false),
+            ((4, 1), 2_200, false),
+            ((4, 1), 2_400, true),
+            ((3, 1), 2_900, false),
+        ];
+        for (link, at, wanted) in cases {
+            let attempt = Attempt { id: "a".into(), link, from: start + ms(at), to: None };
+            assert_eq!(!drains(&[attempt], &[drain], &told).is_empty(), wanted, "{link:?} at {at} ms");
+        }
+    }
+
     #[test]
     fn a_cold_one_s_budget_counts_over_any_span() {
         let start = Instant::now();
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -11,11 +11,14 @@
 
 use yewroute_standin::{error, report, rows_at, unix_ms, Do, Host};
 
+use crate::checks::Drain;
 use crate::tcp::Links;
 use crate::{held, LOOK};
 
 /// The number of the group.
 const GROUP: u64 = 2;
+/// How often a list that has not changed is said.
+const AGAIN: Duration = Duration::from_secs(2);
 
 /// What one db host can do.
 #[derive(Clone, Copy, Debug)]
@@ -52,7 +55,7 @@
     lag_ms: AtomicU64,
     /// When it started, if it did so in the middle of a plan; then it is cold.
     started: Mutex<Option<(Instant, u128)>>,
-    draining: Mutex<Option<Instant>>,
+    draining: AtomicBool,
     /// Until when each slot has work.
     slots: Mutex<Vec<Instant>>,
     arrived: Mutex<Vec<Instant>>,
@@ -73,6 +76,9 @@
     version: Arc<AtomicU64>,
     links: Arc<Links>,
     lists: Vec<SocketAddr>,
+    drains: Mutex<Vec<Drain>>,
+    /// When each gateway was told which version, as far as it has changed.
+    told: Mutex<Vec<(usize, u64, Instant)>>,
     broken: Arc<Mutex<Vec<(Instant, String)>>>,
 }
 
@@ -96,11 +102,6 @@
         return Do::Say(report(primary, lag));
     }
     held(&state.arrived).push(now);
-    // A quarter of a second, and a little for the way and for threads that wait for a processor.
-    let late = |since: &Instant| now.saturating_duration_since(*since) > Duration::from_millis(350);
-    if held(&state.draining).as_ref().is_some_and(late) {
-        held(broken).push((now, format!("{name} drains and is sent {query}")));
-    }
     if query.starts_with("INSERT") {
         if !primary {
             return Do::Say(error("25006", "read-only"));
@@ -145,7 +146,7 @@
                 primary: AtomicBool::new(n == 0),
                 lag_ms: AtomicU64::new(20),
                 started: Mutex::default(),
-                draining: Mutex::default(),
+                draining: AtomicBool::new(false),
                 slots: Mutex::new(vec![Instant::now(); shape.slots]),
                 arrived: Mutex::default(),
             });
@@ -162,7 +163,8 @@
             (0..gateways).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
         let lists = listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
         let version = Arc::new(AtomicU64::new(1));
-        let world = Arc::new(Self { shape, hosts, keys, version, links, lists, broken });
+        let (drains, told) = (Mutex::default(), Mutex::default());
+        let world = Arc::new(Self { shape, hosts, keys, version, links, lists, drains, told, broken });
         for (gateway, listener) in listeners.into_iter().enumerate() {
             let world = Arc::downgrade(&world);
             thread::spawn(move || {
@@ -172,15 +174,19 @@
                         let mut line = String::new();
                         BufReader::new(&mut stream).read_line(&mut line).ok()?;
                         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
-                        let mut told = 0;
+                        let (mut told, mut at) = (0, Instant::now());
                         loop {
                             let world = world.upgrade()?;
                             let version = world.version.load(Ordering::SeqCst);
-                            if version != told {
+                            // Said again now and then, as a watch that says nothing is taken for dead.
+                            if version != told || at.elapsed() >= AGAIN {
                                 let line = world.list(gateway);
                                 let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
                                 stream.write_all(chunk.as_bytes()).ok()?;
-                                told = version;
+                                if version != told {
+                                    held(&world.told).push((gateway, version, Instant::now()));
+                                }
+                                (told, at) = (version, Instant::now());
                             }
                             drop(world);
                             thread::sleep(LOOK);
@@ -199,7 +205,7 @@
     pub fn list(&self, gateway: usize) -> String {
         let entry = |(n, db): (usize, &Db)| {
             let role = if db.state.primary.load(Ordering::SeqCst) { "primary" } else { "replica" };
-            let state = if held(&db.state.draining).is_some() { "Terminating" } else { "Ready" };
+            let state = if db.state.draining.load(Ordering::SeqCst) { "Terminating" } else { "Ready" };
             let started = held(&db.state.started).map_or(0, |(_, ms)| ms);
             let (name, addr) = (&db.name, self.links.addr(gateway, n));
             format!(
@@ -229,8 +235,8 @@
         self.hosts.len()
     }
 
-    fn changed(&self) {
-        self.version.fetch_add(1, Ordering::SeqCst);
+    fn changed(&self) -> u64 {
+        self.version.fetch_add(1, Ordering::SeqCst) + 1
     }
 
     /// Another db host is the primary from now on.
@@ -249,9 +255,14 @@
 
     /// A db host drains, or takes requests again.
     pub fn drain(&self, host: usize, drains: bool) {
-        // It counts from when the list can have said so.
-        *held(&self.hosts[host].state.draining) = drains.then(|| Instant::now() + LOOK);
-        self.changed();
+        self.hosts[host].state.draining.store(drains, Ordering::SeqCst);
+        let version = self.changed();
+        let mut all = held(&self.drains);
+        if drains {
+            all.push(Drain { host, version, to: None });
+        } else if let Some(drain) = all.iter_mut().rfind(|drain| drain.host == host) {
+            drain.to = Some(Instant::now());
+        }
     }
 
     /// A db host is started again and is cold.
@@ -268,6 +279,7 @@
     #[must_use]
     pub fn broken(&self, tip: f64, fall: Duration) -> Vec<(Instant, String)> {
         let mut broken = held(&self.broken).clone();
+        broken.extend(crate::checks::drains(&self.links.attempts(), &held(&self.drains), &held(&self.told)));
         let rate = self.shape.slots as f64 / self.shape.service.as_secs_f64();
         for db in &self.hosts {
             let Some((start, _)) = *held(&db.state.started) else { continue };
