Judge a zone by what several zones see of it, and leave lost zones before steps are counted

The damper as committed before did not compile: shares were borrowed for the bar before lost zones were left (damp.rs, step). New: evidence.

--- a/crates/zones/src/damp.rs
+++ b/crates/zones/src/damp.rs
@@ -47,9 +47,9 @@
         }
         let before = self.shares.clone();
         for (shares, target) in self.shares.iter_mut().zip(target) {
+            leave(shares, target, lost);
             let waits = &self.waits;
             let barred = |zone: usize| lost[zone] || (waits[zone] > 0 && target[zone] > shares[zone]);
-            leave(shares, target, lost);
             let target = allowed(target, shares, barred);
             let most = shares.iter().zip(&target).map(|(now, to)| (to - now).abs()).fold(0.0, f64::max);
             if most >= self.damping.least {
--- a/crates/zones/src/lib.rs
+++ b/crates/zones/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 mod damp;
+pub mod evidence;
 mod flow;
 
 pub use damp::{Damper, Damping};
