Hand leadership over when the leader is replaced or ends: another leads at once

The older process of a replacement dropped its seat without a word; others waited out its silence, 2.6 s. It now hands over before it gives its place up (FleetLink::stand_down), as it does at its end. Tested: another leads within a second; without the handing over the test fails.

--- a/crates/agree/src/tests.rs
+++ b/crates/agree/src/tests.rs
@@ -395,6 +395,19 @@
     }
 }
 
+#[test]
+fn a_leader_that_goes_hands_over_at_once() {
+    let mut net = Net::new(9, 5, 14);
+    net.until(secs(30), "five voters", |net| net.voters().len() == 5);
+    let leader = net.leader().expect("one leads");
+    let now = net.now;
+    net.gateways[leader].agree.leave(now);
+    net.run(Duration::from_millis(100));
+    net.kill(leader);
+    let took = net.until(secs(1), "another leads", |net| net.leader().is_some());
+    assert!(net.leader() != Some(leader), "after {took:?}");
+}
+
 #[test]
 fn voters_that_die_one_after_another_are_replaced_and_nothing_decided_is_lost() {
     let mut net = Net::new(9, 3, 3);
--- a/gateway/src/net/fleet/mod.rs
+++ b/gateway/src/net/fleet/mod.rs
@@ -83,7 +83,11 @@
     }
 
     /// The successor takes the name over: nobody is told that this one goes.
-    pub fn stand_down(&mut self) {
+    pub fn stand_down(&mut self, now: Instant) {
+        if let Some((_, fleet, group)) = &mut self.open {
+            group.leave(now, fleet);
+        }
+        self.flush();
         (self.open, self.open_at) = (None, None);
     }
 
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -481,7 +481,7 @@
                 News::Serves => {
                     info!("a newer process serves: clients are sent there");
                     self.life.handed(now);
-                    self.fleet.iter_mut().for_each(FleetLink::stand_down);
+                    self.fleet.iter_mut().for_each(|fleet| fleet.stand_down(now));
                     self.share(now);
                 }
                 News::SuccessorGone => self.successor_gone(now),
