Answer appends that begin below what is decided, and take no state without voters

The guard before the library dropped an append whose entries a voter had already cut from its log, so its leader heard nothing back; the library answers those itself with how far all is decided (handle_append_entries). A state without voters, or with one that both votes and learns, would end the process and is dropped. Looked through the library's other ends of that kind.

--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -242,18 +242,18 @@
         let kind = message.get_msg_type();
         let fits = match kind {
             MessageType::MsgHeartbeat => message.commit <= known,
+            // One that begins below what is decided is answered with how far that is.
+            MessageType::MsgAppend if message.index < log.committed => true,
             MessageType::MsgAppend => {
-                let mut next = message.index;
-                message.get_entries().iter().all(|entry| {
-                    next += 1;
-                    let kept =
-                        entry.index > log.committed || log.term(entry.index).is_ok_and(|t| t == entry.term);
-                    entry.index == next && entry.term <= message.term && kept
-                })
+                let mut follow = message.get_entries().iter().zip(message.index + 1..);
+                follow.all(|(entry, at)| entry.index == at && entry.term <= message.term)
             }
             MessageType::MsgAppendResponse => message.index <= known,
             MessageType::MsgSnapshot => {
-                postcard::from_bytes::<Kept>(message.get_snapshot().get_data()).is_ok()
+                let snapshot = message.get_snapshot();
+                let conf = snapshot.get_metadata().get_conf_state();
+                let apart = conf.learners.iter().all(|learner| !conf.voters.contains(learner));
+                !conf.voters.is_empty() && apart && postcard::from_bytes::<Kept>(snapshot.get_data()).is_ok()
             }
             _ => true,
         };
