--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -10,7 +10,7 @@
 use uuid::Uuid;
 use yewroute::interface::{
     Action, Entry, Event, GroupId, ListKind, Note, Outcome, Phase, Report, Request, RequestId, Role,
-    ServerId, SessionKey, Status,
+    ServerId, SessionKey, Stand, Status,
 };
 use yewroute::Router;
 use yewroute_settings::{span_ms, Deployment, Span};
@@ -280,6 +280,7 @@
                     resent: submit.resent.unwrap_or(false),
                     session: submit.key.map(SessionKey),
                     last_write_age: submit.last_write_ms.map(|span| span.0),
+                    near: None,
                 })
             }
             "FIRED" => Event::Timer(parse::<Fired>(kind, raw)?.name),
@@ -345,6 +346,7 @@
             group: GroupId(self.set),
             started: self.ready_at_ms.filter(|at| !at.0.is_zero()).map(at),
             primary: self.leads == 1.0,
+            stand: Stand::default(),
             phase: match self.phase {
                 WirePhase::Serving => Phase::Serving,
                 WirePhase::Draining => Phase::Draining,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -102,6 +102,8 @@
     pub hosts: Hosts,
     /// `fleet(…)`; without it no other gateway is talked to.
     pub fleet: Option<Fleet>,
+    /// `zones()`: reads are asked near first, by the fleet's zones and regions.
+    pub zones: bool,
 }
 
 impl std::fmt::Display for Edge {
@@ -118,7 +120,8 @@
         let protocol = if hosts.extended { "extended" } else { "simple" };
         writeln!(f, "hosts(\n    protocol = \"{protocol}\",")?;
         write!(f, "    statements_per_connection = {},\n)", hosts.statements_per_connection)?;
-        self.fleet.as_ref().map_or(Ok(()), |fleet| write!(f, "\n{fleet}"))
+        self.fleet.as_ref().map_or(Ok(()), |fleet| write!(f, "\n{fleet}"))?;
+        f.write_str(if self.zones { "\nzones()" } else { "" })
     }
 }
 
@@ -172,7 +175,12 @@
         eval.eval_module(ast, &globals).map(|_| ())
     })
     .map_err(|e| fault(&e))?;
-    Ok(vocabulary::edge(&declared))
+    let (edge, zones) = (vocabulary::edge(&declared), vocabulary::line_of(&declared, "zones"));
+    if edge.zones && edge.fleet.is_none() {
+        let problem = "zones: fleet(...) says which zones there are, and is not called".to_owned();
+        return Err(Fault { file: name.to_owned(), line: zones, column: 1, problem });
+    }
+    Ok(edge)
 }
 
 /// An error of the script's, on one line.
@@ -224,6 +232,7 @@
             ("hosts()\n\nhosts()", "edge.star:3:1: hosts: settled already in line 1"),
             ("fail('not today')", "edge.star:1:1: fail: not today"),
             ("postgress()", "edge.star:1:1: Variable `postgress` not found"),
+            ("hosts()\nzones()", "edge.star:2:1: zones: fleet(...) says which zones there are"),
         ] {
             let told = fault(text);
             assert!(told.starts_with(wanted), "{text}: {told}");
--- a/crates/edge/src/vocabulary.rs
+++ b/crates/edge/src/vocabulary.rs
@@ -68,9 +68,16 @@
             line: number(part, "line"),
         });
     }
+    edge.zones = declared.contains_key("zones");
     edge
 }
 
+/// The line in which a part was settled; 0 if it was not.
+pub fn line_of(declared: &Declared, what: &str) -> usize {
+    let declared = declared.borrow();
+    declared.get(what).and_then(|part| part["line"].parse().ok()).unwrap_or(0)
+}
+
 /// Sets a part, once.
 ///
 /// Guards against: two entries that conflict, of which one would silently win.
@@ -197,6 +204,11 @@
         Ok(NoneType)
     }
 
+    /// Reads are asked near first: in the gateway's zone, then its region, then anywhere.
+    fn zones<'v>(eval: &mut Evaluator<'v, '_, '_>) -> anyhow::Result<NoneType> {
+        settle(eval, "zones", [("on", 1)])
+    }
+
     /// What db hosts understand.
     fn hosts<'v>(
         #[starlark(require = named, default = "simple")] protocol: &str,
--- a/crates/rig/src/checks.rs
+++ b/crates/rig/src/checks.rs
@@ -200,6 +200,7 @@
         let start = Instant::now();
         let attempt = |id: &str, from, to: Option<u64>| Attempt {
             id: id.into(),
+            writes: false,
             link: (0, 1),
             from: start + ms(from),
             to: to.map(|to| start + ms(to)),
@@ -228,7 +229,7 @@
             ((3, 1), 2_900, false),
         ];
         for (link, at, wanted) in cases {
-            let attempt = Attempt { id: "a".into(), link, from: start + ms(at), to: None };
+            let attempt = Attempt { id: "a".into(), writes: false, link, from: start + ms(at), to: None };
             assert_eq!(!drains(&[attempt], &[drain], &told).is_empty(), wanted, "{link:?} at {at} ms");
         }
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -56,6 +56,8 @@
     pub seeds: usize,
     /// For the faults on the way.
     pub seed: u64,
+    /// Reads are asked near first.
+    pub near: bool,
     /// Each zone is a region of its own.
     pub apart: bool,
     /// Datagrams go through relays; without them nothing can be put between gateways, and they cost no time.
@@ -75,6 +77,7 @@
             zones: vec!["a", "b", "c"],
             seeds: 3,
             seed: 1,
+            near: false,
             apart: false,
             relayed: true,
         }
@@ -179,8 +182,9 @@
             &edge,
             format!(
                 "fleet(listen = \"{listen}\", advertise = \"{advertise}\", seeds = {seeds:?}, key_file = \"fleet.key\", \
-                 zone = \"{}\", regions = {{{regions}}})\n",
-                self.zone(n)
+                 zone = \"{}\", regions = {{{regions}}})\n{}",
+                self.zone(n),
+                if self.setup.near { "zones()\n" } else { "" }
             ),
         )?;
         Ok((config, edge))
--- a/crates/rig/src/tcp.rs
+++ b/crates/rig/src/tcp.rs
@@ -19,6 +19,8 @@
 pub struct Attempt {
     /// The request's `id`.
     pub id: String,
+    /// It changes data.
+    pub writes: bool,
     /// From which gateway, to which db host.
     pub link: (usize, usize),
     /// When it was sent.
@@ -158,7 +160,8 @@
         if let Some(id) = id_in(&buffer[..len]).filter(|_| forth) {
             let mut attempts = held(&shared.attempts);
             *at = Some(attempts.len());
-            attempts.push(Attempt { id, link, from: Instant::now(), to: None });
+            let writes = buffer[..len].windows(6).any(|window| window == b"INSERT");
+            attempts.push(Attempt { id, writes, link, from: Instant::now(), to: None });
         }
         drop(at);
         if forth {
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -207,9 +207,9 @@
             let role = if db.state.primary.load(Ordering::SeqCst) { "primary" } else { "replica" };
             let state = if db.state.draining.load(Ordering::SeqCst) { "Terminating" } else { "Ready" };
             let started = held(&db.state.started).map_or(0, |(_, ms)| ms);
-            let (name, addr) = (&db.name, self.links.addr(gateway, n));
+            let (name, addr, zone) = (&db.name, self.links.addr(gateway, n), Self::zone(n));
             format!(
-                r#"{{"id":"{name}","addr":"{addr}","zone":"a","kind":"m","cell":{GROUP},"state":"{state}","weight":1.0,"started_ms":{started},"role":"{role}"}}"#
+                r#"{{"id":"{name}","addr":"{addr}","zone":"{zone}","kind":"m","cell":{GROUP},"state":"{state}","weight":1.0,"started_ms":{started},"role":"{role}"}}"#
             )
         };
         let entries: Vec<String> = self.hosts.iter().enumerate().map(entry).collect();
@@ -217,6 +217,12 @@
         format!(r#"{{"version":{version},"full":true,"servers":[{}]}}"#, entries.join(","))
     }
 
+    /// The zone that a db host stands in: a, b and c in turn, as the rig's gateways do.
+    #[must_use]
+    pub fn zone(host: usize) -> &'static str {
+        ["a", "b", "c"][host % 3]
+    }
+
     /// Where a gateway asks for its list.
     #[must_use]
     pub fn discovery(&self, gateway: usize) -> SocketAddr {
--- a/deploy/edge.star
+++ b/deploy/edge.star
@@ -25,3 +25,6 @@
 #     zone = "a",
 #     regions = {"north": ["a", "b"], "south": ["c"]},
 # )
+
+# With it, reads are asked in the gateway's own zone first, then in its region; docs/operate/zones.md:
+# zones()
--- a/gateway/src/core/directory.rs
+++ b/gateway/src/core/directory.rs
@@ -3,9 +3,10 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-use yewroute::interface::{Entry, GroupId, Phase, ServerId};
+use yewroute::interface::{Entry, GroupId, Phase, ServerId, Stand};
 use yewroute_fleet::name_number;
 
+use super::Near;
 use crate::clock::Clock;
 use crate::proto::catalog::{Member, Members, Role, State};
 
@@ -28,6 +29,8 @@
     members: HashMap<ServerId, Listed>,
     given: u32,
     version: u64,
+    /// Zones and their regions, by numbers; a zone that is not among them is in a region of its own.
+    regions: HashMap<u64, u64>,
 }
 
 impl Directory {
@@ -46,6 +49,18 @@
         self.numbers.keys().map(|name| (name.as_str(), name_number(name)))
     }
 
+    /// Zones by name, each with its region's.
+    pub fn settle_regions(&mut self, near: &Near) {
+        let number = |(zone, region): &(String, String)| (name_number(zone), name_number(region));
+        self.regions = near.zones.iter().map(number).collect();
+    }
+
+    /// Where a zone is.
+    pub fn stand(&self, zone: &str) -> Stand {
+        let zone = name_number(zone);
+        Stand { zone, region: self.regions.get(&zone).copied().unwrap_or(zone) }
+    }
+
     /// How many db hosts are listed.
     pub fn held(&self) -> usize {
         self.members.len()
@@ -116,6 +131,7 @@
             group: GroupId(member.cell),
             started: Some(member.started_ms).filter(|ms| *ms != 0).and_then(|ms| clock.position(ms)),
             primary: member.role == Some(Role::Primary),
+            stand: self.stand(&member.zone),
             phase: match member.state {
                 State::Ready => Phase::Serving,
                 State::Terminating => Phase::Draining,
@@ -137,6 +153,7 @@
             addr: "127.0.0.1:9".parse().unwrap(),
             cell: 2,
             state: *state,
+            zone: String::new(),
             started_ms: 0,
             role: None,
         };
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -22,7 +22,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use yewroute::interface::{Action, Event, RequestId, Role, ServerId, SettingsError, Status};
+use yewroute::interface::{Action, Event, RequestId, Role, ServerId, SettingsError, Stand, Status};
 use yewroute::Router;
 use yewroute_fleet::{Loads, Subject, Value};
 use yewroute_settings::Deployment;
@@ -223,6 +223,24 @@
     }
 }
 
+/// Where this gateway stands.
+#[derive(Clone, Debug, Default)]
+pub struct Near {
+    /// Its zone.
+    pub zone: String,
+    /// All zones, each with its region.
+    pub zones: Vec<(String, String)>,
+}
+
+/// What is known at the start.
+#[derive(Debug)]
+pub struct Known {
+    /// The list as it was last known.
+    pub members: Members,
+    /// Where this gateway stands, if reads are to be asked near first.
+    pub near: Option<Near>,
+}
+
 /// Holds requests and attempts round the module.
 pub struct Core<B> {
     clock: Clock,
@@ -244,6 +262,8 @@
     tally: Tally,
     /// What other gateways are told; nothing is counted while there are none.
     loads: Option<Loads>,
+    /// Where this gateway stands, if reads are asked near first.
+    near: Option<Stand>,
 }
 
 impl<B: Payload> Core<B> {
@@ -254,7 +274,7 @@
         deployment: Deployment,
         seed: u64,
         most_bytes: usize,
-        known: Members,
+        known: Known,
         effects: &mut Vec<Effect<B>>,
     ) -> Result<Self, SettingsError> {
         let router = Router::new(deployment.module.clone(), seed)?;
@@ -276,8 +296,13 @@
             most_bytes,
             tally,
             loads: None,
+            near: None,
         };
-        core.begin(now, known, effects);
+        if let Some(near) = &known.near {
+            core.directory.settle_regions(near);
+            core.near = Some(core.directory.stand(&near.zone));
+        }
+        core.begin(now, known.members, effects);
         Ok(core)
     }
 
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -41,6 +41,7 @@
             resent: ask.resent,
             session: self.deployment.sessions[class].then(|| session(&ask.key)),
             last_write_age: ask.after.map(|after| self.age(now, after)),
+            near: self.near,
         };
         self.bytes += ask.body.bytes();
         if !ask.name.is_empty() {
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -37,6 +37,7 @@
         addr: "127.0.0.1:9".parse().unwrap(),
         cell: 2,
         state,
+        zone: String::new(),
         started_ms: 0,
         role: Some(if primary { ListedRole::Primary } else { ListedRole::Replica }),
     }
@@ -60,14 +61,15 @@
     fn new() -> (Self, Vec<Effect>) {
         let start = Instant::now();
         let clock = Clock::at(start, Duration::from_millis(UNIX_MS));
-        let known = Members {
+        let members = Members {
             version: 41,
             full: true,
             servers: vec![member("a", true, State::Ready), member("b", false, State::Ready)],
         };
         let deployment = Deployment::from_json(SETTINGS).unwrap();
         let mut effects = Vec::new();
-        let core = Core::new(start, clock, deployment, 7, 1000, known, &mut effects).unwrap();
+        let core = Core::new(start, clock, deployment, 7, 1000, Known { members, near: None }, &mut effects)
+            .unwrap();
         (Self { core, start, now: start }, effects)
     }
 
@@ -426,6 +428,7 @@
                 Move::News(full, entries) => {
                     let servers: Vec<Member> = entries.iter().map(|(id, cell, state, primary)| Member {
                         cell: *cell,
+                        zone: String::new(),
                         started_ms: if *primary { 0 } else { b.unix() },
                         ..member(&id.to_string(), *primary, [State::Ready, State::Terminating, State::Gone][*state as usize])
                     }).collect();
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::clock::Clock;
 use crate::config::{Budgets, Config};
-use crate::core::{self, Core, Payload, Results};
+use crate::core::{self, Core, Known, Near, Payload, Results};
 use crate::proto::console::{self as calls, Call, Figures};
 use crate::proto::pg::exchange::Dialect;
 use crate::proto::pg::request::Body;
@@ -199,6 +199,12 @@
         let longest_deadline = longest_deadline.unwrap_or_default();
         let hosts =
             Hosts::new(now, most_hosts, most_bytes, speech, deployment.connect_timeout, deployment.keepalive);
+        let near = config.edge.fleet.as_ref().filter(|_| config.edge.zones).map(|fleet| {
+            let of = |(region, zones): (&String, &Vec<String>)| {
+                zones.iter().map(|zone| (zone.clone(), region.clone())).collect::<Vec<_>>()
+            };
+            Near { zone: fleet.zone.clone(), zones: fleet.regions.iter().flat_map(of).collect() }
+        });
         let mut effects = Vec::new();
         let mut core = Core::new(
             now,
@@ -206,7 +212,7 @@
             deployment,
             config.seed,
             statement_bytes,
-            config.known,
+            Known { members: config.known, near },
             &mut effects,
         )?;
         if let Some(console) = &console {
--- a/gateway/src/proto/catalog.rs
+++ b/gateway/src/proto/catalog.rs
@@ -26,6 +26,9 @@
     pub cell: u64,
     /// Whether it takes requests.
     pub state: State,
+    /// The zone it stands in; empty where the list shows none.
+    #[serde(default)]
+    pub zone: String,
     /// Its last start as Unix time in milliseconds; 0 if long ago.
     #[serde(default)]
     pub started_ms: u64,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -214,6 +214,8 @@
     pub primary: bool,
     /// Whether it takes requests.
     pub phase: Phase,
+    /// Where it stands.
+    pub stand: Stand,
 }
 
 /// What a list event holds.
@@ -246,6 +248,29 @@
     pub session: Option<SessionKey>,
     /// With carried tokens: how long ago the session's last write was committed.
     pub last_write_age: Option<Duration>,
+    /// Where a read is asked first; none if every server is as near as the next.
+    pub near: Option<Stand>,
+}
+
+/// Where a server or a router stands: a zone and its region, each by a number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stand {
+    /// The zone.
+    pub zone: u64,
+    /// The region.
+    pub region: u64,
+}
+
+impl Stand {
+    /// How far another is: 0 in the same zone, 1 in the same region, 2 elsewhere.
+    #[must_use]
+    pub fn far(self, other: Self) -> u8 {
+        match (self.zone == other.zone, self.region == other.region) {
+            (true, _) => 0,
+            (_, true) => 1,
+            _ => 2,
+        }
+    }
 }
 
 /// A server's role in its group.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 //!     started: None,
 //!     primary,
 //!     phase: Phase::Serving,
+//!     stand: Stand::default(),
 //! };
 //! let entries = vec![entry(10, true), entry(11, false)];
 //! let now = Instant::now();
@@ -65,6 +66,7 @@
 //!     resent: false,
 //!     session: None,
 //!     last_write_age: None,
+//!     near: None,
 //! };
 //! router.handle(now + Duration::from_millis(1), Event::Request(request(1, 0)), &mut actions);
 //! router.handle(now + Duration::from_millis(2), Event::Request(request(2, 1)), &mut actions);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -89,6 +89,7 @@
 #[derive(Default)]
 struct Server {
     group: GroupId,
+    stand: Stand,
     usable: bool,
     /// Removed from the list: dropped once nothing is out there.
     gone: bool,
@@ -282,16 +283,15 @@
             Phase::Gone => server.usable = self.settings.rules.soft_removal && server.usable,
         }
         server.gone = entry.phase == Phase::Gone && !server.usable;
+        server.stand = entry.stand;
         server.chill(entry.started, &self.settings);
         let group = self.groups.entry(entry.group).or_default();
         if fresh {
             group.members.push(entry.server);
         }
         // The list's word on roles is the weakest evidence: it counts until anything else has spoken.
-        let newest = matches!(
-            (self.settings.list_role, kind),
-            (ListRole::Late, _) | (ListRole::Start, ListKind::Stale)
-        );
+        let told = (self.settings.list_role, kind);
+        let newest = matches!(told, (ListRole::Late, _) | (ListRole::Start, ListKind::Stale));
         if entry.primary && newest && server.role.is_none() && group.primary.is_none() {
             group.primary = Some(entry.server);
             server.role = Some(Role::Primary);
@@ -507,7 +507,7 @@
         let group = &self.groups[&p.request.group];
         let floor = self.floor(now, p);
         let checked = self.checked();
-        let mut best: Option<(f64, u64, ServerId)> = None;
+        let mut best: Option<(u8, f64, u64, ServerId)> = None;
         let mut crowded = false;
         let mut ahead: Option<(Instant, ServerId)> = None;
         for member in &group.members {
@@ -535,12 +535,13 @@
             }
             // Ties by chance: the roll orders them anew for each request.
             let place = Rng::with_seed(roll ^ u64::from(member.0)).u64(..);
-            let key = (server.weight + server.blame.get(now), place, *member);
+            let far = p.request.near.map_or(0, |near| near.far(server.stand));
+            let key = (far, server.weight + server.blame.get(now), place, *member);
             if best.is_none_or(|best| key < best) {
                 best = Some(key);
             }
         }
-        if let Some((_, _, member)) = best {
+        if let Some((.., member)) = best {
             return Some(member);
         }
         if let (true, Some((_, member))) = (checked && p.sends == 0 && !crowded, ahead) {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -59,7 +59,14 @@
 }
 
 pub fn entry(server: u32, primary: bool) -> Entry {
-    Entry { server: ServerId(server), group: GROUP, started: None, primary, phase: Phase::Serving }
+    Entry {
+        server: ServerId(server),
+        group: GROUP,
+        started: None,
+        primary,
+        phase: Phase::Serving,
+        stand: Stand::default(),
+    }
 }
 
 pub struct Gateway {
@@ -126,6 +133,7 @@
             resent: false,
             session: None,
             last_write_age: None,
+            near: None,
         };
         change(&mut request);
         (id, self.play(Event::Request(request)))
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -70,6 +70,7 @@
             started: None,
             primary: server % MEMBERS == 0,
             phase: Phase::Serving,
+            stand: Stand::default(),
         };
         let list: Vec<Entry> = (0..GROUPS as u32 * MEMBERS).map(entry).collect();
         let start = |seed| Gateway::holding(fleet_settings(), seed, list.clone());
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -116,3 +116,42 @@
     let out = g.answer(id, 0, 2, Status::Miss, note(Role::Replica, g.now - ms(4000)));
     assert_eq!(sends(&out)[0].1, 0);
 }
+
+#[test]
+fn a_read_is_asked_near_first_and_farther_only_where_nearer_ones_cannot() {
+    let at = |zone, region| Stand { zone, region };
+    // The primary and a replica in zone 1, replicas in zone 2 of the same region and in zone 3 of another.
+    let stands = [at(1, 1), at(1, 1), at(2, 1), at(3, 2)];
+    let listed = |n: u32| Entry { stand: stands[n as usize], ..entry(n, n == 0) };
+    let mut g = Gateway::holding(settings(), 7, (0..4).map(listed).collect());
+    let mut asked = |from: Option<Stand>, gone: &[u32]| {
+        let drains = |n: &u32| Entry { phase: Phase::Draining, ..listed(*n) };
+        g.play(Event::List { kind: ListKind::Patch, entries: gone.iter().map(drains).collect() });
+        let mut count = [0; 4];
+        for _ in 0..100 {
+            let (id, out) = g.request_with(ANY, |request| request.near = from);
+            let (_, server) = sends(&out)[0];
+            count[server as usize] += 1;
+            g.now += ms(10);
+            g.outcome(id, 0, server, Status::Good);
+        }
+        g.play(Event::List { kind: ListKind::Whole, entries: (0..4).map(listed).collect() });
+        count
+    };
+    assert!(asked(None, &[])[1..].iter().all(|n| *n > 15), "without a place any is as good");
+    let cases: [(&str, Stand, &[u32], u32); 5] = [
+        ("its zone", at(1, 1), &[], 1),
+        ("its region", at(1, 1), &[1], 2),
+        ("anywhere", at(1, 1), &[1, 2], 3),
+        ("a zone of one", at(3, 2), &[], 3),
+        ("a zone without servers", at(9, 2), &[], 3),
+    ];
+    for (what, from, gone, wanted) in cases {
+        assert_eq!(asked(Some(from), gone)[wanted as usize], 100, "{what}");
+    }
+    // What its replica has no room for goes on to the next.
+    let busy: Vec<u32> = (0..12)
+        .map(|_| sends(&g.request_with(ANY, |request| request.near = Some(at(1, 1))).1)[0].1)
+        .collect();
+    assert!(busy[0] == 1 && busy.contains(&2), "{busy:?}");
+}
