--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,14 +2,22 @@
 //! go on. It sees what the console, clients and db hosts see, and nothing of the gateway's insides.
 #![forbid(unsafe_code)]
 
+pub mod checks;
+pub mod clients;
+pub mod plan;
+pub mod play;
 mod relay;
 mod rules;
+pub mod tcp;
+pub mod world;
 
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use std::{fs, thread};
 
@@ -17,6 +25,7 @@
 
 pub use relay::{Relays, Weather};
 pub use rules::Rules;
+use world::World;
 
 /// Long enough for anything that comes at all.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -25,6 +34,10 @@
 /// The fleet's key in the rig.
 const KEY: &str = "5be4c1d09a8f37e2";
 
+pub(crate) fn held<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// How gateways are set up; all alike but for name and zone.
 pub struct Setup {
     /// The shipped program.
@@ -35,16 +48,42 @@
     pub settings: String,
     /// Discovery; nobody needs to be there.
     pub discovery: SocketAddr,
+    /// Db hosts and lists of their own for each gateway, in place of `known` and `discovery`.
+    pub world: Option<Arc<World>>,
     /// Zones, dealt out in turn; the first half is one region.
     pub zones: Vec<&'static str>,
     /// How many gateways are named as seeds, the first ones.
     pub seeds: usize,
     /// For the faults on the way.
     pub seed: u64,
+    /// Reads are asked near first.
+    pub near: bool,
+    /// Each zone is a region of its own.
+    pub apart: bool,
     /// Datagrams go through relays; without them nothing can be put between gateways, and they cost no time.
     pub relayed: bool,
 }
 
+impl Setup {
+    /// Gateways of this program with these settings, in zones a, b and c, with three seeds and relays between them.
+    #[must_use]
+    pub fn new(program: PathBuf, settings: &str) -> Self {
+        Self {
+            program,
+            known: String::new(),
+            settings: settings.to_owned(),
+            discovery: SocketAddr::from(([127, 0, 0, 1], 9)),
+            world: None,
+            zones: vec!["a", "b", "c"],
+            seeds: 3,
+            seed: 1,
+            near: false,
+            apart: false,
+            relayed: true,
+        }
+    }
+}
+
 /// A gateway's process.
 struct Process {
     child: Child,
@@ -62,9 +101,12 @@
     processes: Vec<Option<Process>>,
 }
 
-/// An address that nobody has at the moment.
-fn free_datagrams() -> io::Result<SocketAddr> {
-    UdpSocket::bind("127.0.0.1:0")?.local_addr()
+/// An address of loopback for this rig alone. Guards against: a port that is freed for a gateway and taken by another
+/// rig, or by a relay, before the gateway has it.
+fn own_address() -> Ipv4Addr {
+    static RIGS: AtomicU8 = AtomicU8::new(0);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + high % 127, low, 1 + RIGS.fetch_add(1, Ordering::SeqCst) % 254)
 }
 
 impl Rig {
@@ -74,9 +116,9 @@
     /// The system has no port or no room for files.
     pub fn new(setup: Setup, count: usize) -> io::Result<Self> {
         let folder = tempfile::tempdir()?;
+        let own = own_address();
         // All at once, so that no two are the same.
-        let sockets: Vec<_> =
-            (0..count).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
+        let sockets: Vec<_> = (0..count).map(|_| UdpSocket::bind((own, 0))).collect::<io::Result<_>>()?;
         let listens: Vec<_> = sockets.iter().map(UdpSocket::local_addr).collect::<io::Result<_>>()?;
         drop(sockets);
         let relays = Relays::start(if setup.relayed { &listens } else { &[] }, setup.seed)?;
@@ -87,6 +129,12 @@
         Ok(Self { setup, folder, relays, listens, processes })
     }
 
+    /// That zone's place among the zones.
+    #[must_use]
+    pub fn zone_number(&self, n: usize) -> usize {
+        n % self.setup.zones.len()
+    }
+
     /// The fleet's key, for members that the rig does not start.
     #[must_use]
     pub fn key(&self) -> [u8; 32] {
@@ -106,7 +154,11 @@
         listen: SocketAddr,
         advertise: SocketAddr,
     ) -> io::Result<(PathBuf, PathBuf)> {
-        let (known, settings, discovery) = (&self.setup.known, &self.setup.settings, self.setup.discovery);
+        let settings = &self.setup.settings;
+        let (known, discovery) = match &self.setup.world {
+            Some(world) => (world.list(n), world.discovery(n)),
+            None => (self.setup.known.clone(), self.setup.discovery),
+        };
         let config = self.folder.path().join(format!("g{n}.json"));
         fs::write(
             &config,
@@ -115,8 +167,14 @@
                 "limits":{{"memory_mb":64,"sockets":256}},"known":{known},"settings":{settings}}}"#
             ),
         )?;
-        let half = self.setup.zones.len().div_ceil(2);
-        let (north, south) = self.setup.zones.split_at(half);
+        let zones = &self.setup.zones;
+        let (north, south) = zones.split_at(zones.len().div_ceil(2));
+        let regions = if self.setup.apart {
+            let region = |zone: &&str| format!("\"region-{zone}\": [\"{zone}\"]");
+            zones.iter().map(region).collect::<Vec<_>>().join(", ")
+        } else {
+            format!("\"north\": {north:?}, \"south\": {south:?}")
+        };
         let seeds: Vec<String> =
             (0..self.listens.len().min(self.setup.seeds)).map(|n| self.place(n).to_string()).collect();
         let edge = self.folder.path().join(format!("g{n}.star"));
@@ -124,8 +182,9 @@
             &edge,
             format!(
                 "fleet(listen = \"{listen}\", advertise = \"{advertise}\", seeds = {seeds:?}, key_file = \"fleet.key\", \
-                 zone = \"{}\", regions = {{\"north\": {north:?}, \"south\": {south:?}}})\n",
-                self.zone(n)
+                 zone = \"{}\", regions = {{{regions}}})\n{}",
+                self.zone(n),
+                if self.setup.near { "zones()\n" } else { "" }
             ),
         )?;
         Ok((config, edge))
@@ -181,7 +240,7 @@
     /// # Errors
     /// It does not come up.
     pub fn start_twin(&mut self, n: usize) -> io::Result<usize> {
-        let listen = free_datagrams()?;
+        let listen = UdpSocket::bind((own_address(), 0))?.local_addr()?;
         let (config, edge) = self.write_files(n, listen, listen)?;
         let twin = self.processes.len();
         let process = self.spawn(&config, &edge, &self.log_path(twin))?;
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -5,13 +5,15 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::held;
+
 /// How finely delays are kept; and how often a relay that nothing waits in looks whether it is over.
 const GRAIN: Duration = Duration::from_millis(2);
 const REST: Duration = Duration::from_millis(100);
@@ -25,6 +27,8 @@
     pub repeat: f64,
     /// Each takes up to so long, at random, so that they overtake each other.
     pub delay: Duration,
+    /// Links that take so much longer, each way.
+    pub far: BTreeMap<(usize, usize), Duration>,
     /// Links that pass nothing on, from one to another.
     pub cuts: BTreeSet<(usize, usize)>,
 }
@@ -37,10 +41,6 @@
     over: AtomicBool,
 }
 
-fn held<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The relays of all gateways.
 pub struct Relays {
     shared: Arc<Shared>,
@@ -103,7 +103,8 @@
             let weather = held(&shared.weather);
             let (lost, twice) = (rng.random::<f64>() < weather.loss, rng.random::<f64>() < weather.repeat);
             for _ in 0..if twice { 2 } else { 1 } {
-                let delay = weather.delay.mul_f64(rng.random::<f64>());
+                let far = weather.far.get(&(from, to)).copied().unwrap_or_default();
+                let delay = far + weather.delay.mul_f64(rng.random::<f64>());
                 if !lost && !weather.cuts.contains(&(from, to)) {
                     taken += 1;
                     waiting.insert((Instant::now() + delay, taken), buffer[..len].to_vec());
