--- a/gateway/src/net/fleet/mod.rs
+++ b/gateway/src/net/fleet/mod.rs
@@ -35,6 +35,11 @@
     open_at: Option<Instant>,
     told: bool,
     unsent: u64,
+    /// The stage that was told last, whether datagrams have come since, and when something is due: with requests this is
+    /// looked at thousands of times a second, and nothing is to be done.
+    said: Option<Stage>,
+    came: bool,
+    due: Option<Instant>,
 }
 
 impl FleetLink {
@@ -51,7 +56,18 @@
         poller: &Poller,
     ) -> io::Result<Self> {
         let name = name.to_owned();
-        let mut link = Self { settled, name, seed, open: None, open_at: None, told: false, unsent: 0 };
+        let mut link = Self {
+            settled,
+            name,
+            seed,
+            open: None,
+            open_at: None,
+            told: false,
+            unsent: 0,
+            said: None,
+            came: false,
+            due: None,
+        };
         match link.join(now, poller) {
             Err(error) if !(patient && error.kind() == ErrorKind::AddrInUse) => return Err(error),
             Err(_) => link.open_at = Some(now + AGAIN),
@@ -78,7 +94,7 @@
         info!(%addr, zone = self.settled.zone, incarnation, "fleet: listening");
         let group = Group::new(now, &self.settled, &terms.me);
         self.open = Some((socket, Fleet::new(now, terms), group));
-        self.open_at = None;
+        (self.open_at, self.said, self.came, self.due) = (None, None, true, Some(now));
         Ok(())
     }
 
@@ -109,6 +125,7 @@
 
     /// Takes the datagrams that have come, some at a time.
     pub fn ready(&mut self, now: Instant) {
+        self.came = true;
         let Some((socket, fleet, _)) = &mut self.open else { return };
         let mut scratch = [0; SCRATCH];
         for _ in 0..AT_ONCE {
@@ -123,9 +140,8 @@
 
     /// When it is to be called again.
     pub fn next(&self) -> Option<Instant> {
-        let due = self.open.as_ref().and_then(|(_, fleet, _)| fleet.next());
-        let group = self.open.as_ref().and_then(|(_, _, group)| group.next());
-        due.into_iter().chain(group).chain(self.open_at).min()
+        let due = self.due.filter(|_| self.open.is_some());
+        due.into_iter().chain(self.open_at).min()
     }
 
     /// How many gateways there are, this one included.
@@ -150,6 +166,11 @@
             Life::Draining | Life::Drained => Stage::Draining,
             Life::Stopping => Stage::Stopping,
         };
+        let due = self.due.is_some_and(|at| at <= now);
+        if self.said == Some(stage) && rows.is_empty() && !self.came && !due {
+            return;
+        }
+        (self.said, self.came) = (Some(stage), false);
         fleet.say(now, stage);
         rows.into_iter().for_each(|(subject, value)| fleet.write(now, subject, value));
         if fleet.next().is_some_and(|at| at <= now) {
@@ -181,6 +202,7 @@
             }
         }
         group.tick(now, &self.settled, fleet);
+        self.due = fleet.next().into_iter().chain(group.next()).min();
         self.flush();
     }
 
