--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 //! `docs/design/fleet-view.md` weighs this against other ways.
 #![forbid(unsafe_code)]
 
+mod body;
 pub mod facts;
 pub mod load;
 mod member;
@@ -23,8 +24,8 @@
 use rand::seq::IteratorRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
 
+use body::{read, Body};
 pub use facts::{name_number, Decided, Facts, Row, Stage, Subject, Value, Word, GROUP, MOST_VOTERS};
 pub use load::Loads;
 use member::Codec;
@@ -82,43 +83,6 @@
 /// Bytes that may wait to be spent on rows.
 const BURST: f64 = 4.0 * seal::LONGEST as f64;
 
-/// The body of a datagram.
-#[derive(Serialize, Deserialize)]
-enum Body<'a> {
-    /// Membership, as the library writes it.
-    Swim(&'a [u8]),
-    /// Rows.
-    /// Each in bytes of its own, so that one which a later release has brought is passed over, and the others are read.
-    Rows { from: SocketAddr, rows: Vec<&'a [u8]> },
-    /// How does the receiver see this process?
-    Ask { me: Id, nonce: u64 },
-    /// As one that lives, or not.
-    Seen { nonce: u64, alive: bool },
-    /// Who are the owners of these rows? They are no members yet, by what the asker knows.
-    Who { from: SocketAddr, owners: Vec<u64> },
-    /// These.
-    Here(Vec<Id>),
-    /// What was decided, from this number on?
-    Decided { from: SocketAddr, after: u64 },
-    /// A message that is only carried.
-    Carried(&'a [u8]),
-    /// The receiver is suspected, by the protocol's count of its refutations.
-    Suspected { id: Id, count: u16, from: SocketAddr },
-    /// The sender lives, and has refuted up to this count.
-    Lives { id: Id, count: u16 },
-    /// Hashes of the members that the sender knows, by parts of their numbers: whom does the receiver know besides?
-    Whom { from: SocketAddr, parts: Vec<u16> },
-}
-
-/// Kinds of bodies that this release reads. Later ones come after them, and new fields at the end of what there is.
-const BODIES: u8 = 11;
-
-fn read(body: &[u8]) -> Result<Body<'_>, Dropped> {
-    let later = body.first().is_some_and(|kind| *kind >= BODIES);
-    let why = if later { Dropped::Newer } else { Dropped::Malformed };
-    postcard::from_bytes(body).map_err(|_| why)
-}
-
 /// The part that a name's number falls into.
 fn part_of(number: u64) -> usize {
     usize::try_from(number % PARTS as u64).unwrap_or(0)
--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::body::BODIES;
 use super::*;
 
 const KEY: [u8; 32] = [7; 32];
