Count a request's time from its arrival also when it lies behind others on its connection

Ruled out: answers held back or cut off by a reset, requests lost at a SIGHUP, a lost wake-up; each request had its answer or its client's end. Change: the arrival of bytes that are read ahead is kept (net/arrivals.rs), and what a request waited behind others is taken off its wait. The module is told of both, as that wait does not count in how fast an answer is.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -277,6 +277,7 @@
                     class: submit.grade,
                     group: GroupId(submit.set_no),
                     left: submit.left_ms.0,
+                    waited: Duration::ZERO,
                     resent: submit.resent.unwrap_or(false),
                     session: submit.key.map(SessionKey),
                     last_write_age: submit.last_write_ms.map(|span| span.0),
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -67,6 +67,8 @@
     pub scope: Scope,
     /// How long the client will wait; as long as its class allows if it is longer.
     pub wait: Duration,
+    /// How much of that is over, as it lay behind other requests of its client.
+    pub waited: Duration,
     /// What names its session, in a class that has sessions.
     pub key: Vec<u8>,
     /// The position that it must see, as Unix time in milliseconds.
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -45,13 +45,16 @@
         self.taken += 1;
         // Guards against: timers and db hosts' work kept for longer than any client of the class waits.
         self.count_demand(class, group);
-        let wait = ask.wait.min(self.deployment.module.classes[class].deadline);
+        let whole_wait = ask.wait.min(self.deployment.module.classes[class].deadline);
+        let waited = ask.waited.min(whole_wait);
+        let wait = whole_wait - waited;
         let id = RequestId(self.taken);
         let request = Request {
             id,
             class,
             group: GroupId(group),
             left: wait,
+            waited,
             resent: ask.resent,
             session: self.deployment.sessions[class].then(|| session(&ask.key)),
             last_write_age: ask.after.map(|after| self.age(now, after)),
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -52,6 +52,7 @@
         writes: class == "order",
         scope: Scope::Class(class.to_owned(), 2),
         wait: Duration::from_millis(wait_ms),
+        waited: Duration::ZERO,
         key: b"k".to_vec(),
         after: None,
         resent: false,
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -6,6 +6,7 @@
 use tracing::warn;
 use yewroute_lifecycle::Leaving;
 
+use super::arrivals::Arrivals;
 use super::poller::Interest;
 use super::wire::{Wire, CHUNK};
 use super::Input;
@@ -71,6 +72,8 @@
     /// Something is to be written that must not wait for the next answer.
     pub(super) prompt: bool,
     pub(super) buffer: Vec<u8>,
+    /// When the bytes in `buffer` came.
+    pub(super) arrivals: Arrivals,
     /// The client sends no more; it may still read.
     pub(super) ended: bool,
     pub(super) interest: Interest,
@@ -99,6 +102,7 @@
             session: Session::new(terms),
             prompt: false,
             buffer: Vec::new(),
+            arrivals: Arrivals::default(),
             ended: false,
             interest: Interest::READ,
             accepted: now,
@@ -247,6 +251,7 @@
             }
         }
         self.buffer.drain(..used);
+        self.arrivals.remove(used);
         let unfinished = !self.buffer.is_empty() && self.takes() && !stalled;
         self.unfinished = if used > 0 { None } else { self.unfinished }.filter(|_| unfinished);
         self.unfinished = self.unfinished.or(unfinished.then_some(now));
@@ -306,7 +311,8 @@
         if took.is_err() && query {
             inbox.push_back(Input::Unreadable);
         }
-        self.took(now, number, took?, query, inbox);
+        let waited = self.arrivals.age(now, from + len);
+        self.took(now, number, took?, Origin { query, waited }, inbox);
         Ok(Some(from + len))
     }
 
@@ -332,11 +338,13 @@
         if took.is_err() {
             inbox.push_back(Input::Unreadable);
         }
-        self.took(now, number, took?, true, inbox);
+        let waited = self.arrivals.age(now, from + len);
+        self.arrivals.remove(from + len);
+        self.took(now, number, took?, Origin { query: true, waited }, inbox);
         Ok(Some(0))
     }
 
-    fn took(&mut self, now: Instant, number: u64, took: Took, query: bool, inbox: &mut VecDeque<Input>) {
+    fn took(&mut self, now: Instant, number: u64, took: Took, origin: Origin, inbox: &mut VecDeque<Input>) {
         // What has been set aside for a request stays so until its answer.
         if !matches!(took, Took::Ask(_)) {
             self.long = None;
@@ -344,14 +352,14 @@
         match took {
             Took::Close => self.phase = Phase::Closing,
             Took::Ask(wanted) => {
-                inbox.push_back(Input::Ask(ClientId(number), ask(wanted)));
+                inbox.push_back(Input::Ask(ClientId(number), ask(wanted, origin.waited)));
                 self.phase = Phase::Busy;
                 (self.asked, self.requested) = (true, true);
             }
             Took::Flush => self.prompt = true,
             Took::Done => {
                 self.phase = Phase::Idle(now);
-                self.asked |= query || self.session.holds();
+                self.asked |= origin.query || self.session.holds();
                 // A client that has prepared something is no stranger that only holds a connection.
                 self.requested |= self.session.holds();
             }
@@ -359,13 +367,22 @@
     }
 }
 
-/// A request as the core has it.
-fn ask(wanted: Wanted) -> Ask<Body> {
+/// The message that something was taken from.
+struct Origin {
+    /// It is a simple query.
+    query: bool,
+    /// How long ago its last byte came.
+    waited: Duration,
+}
+
+/// A request as the core has it, with how long it lay behind others on its connection.
+fn ask(wanted: Wanted, waited: Duration) -> Ask<Body> {
     Ask {
         name: wanted.id,
         writes: wanted.writes,
         scope: wanted.scope.map_or(Scope::Anyone, |(class, group)| Scope::Class(class, group)),
         wait: wanted.wait,
+        waited,
         key: wanted.key,
         after: wanted.after,
         resent: wanted.resent,
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -299,8 +299,12 @@
             return;
         }
         if client.reads() {
+            let before = client.buffer.len();
             match client.wire.read(&mut self.scratch, &mut client.buffer) {
-                Ok(Taken::Some) => client.heard = now,
+                Ok(Taken::Some) => {
+                    client.heard = now;
+                    client.arrivals.append(now, client.buffer.len() - before);
+                }
                 Ok(Taken::Nothing) => {}
                 // It may have closed one direction only, and still wait for its answers; or it has gone, and
                 // then the answer to these bytes is a reset.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -242,6 +242,9 @@
     pub group: GroupId,
     /// Time left before the client abandons this try.
     pub left: Duration,
+    /// How much of its client's time was over when it arrived, as it lay behind other requests of that client. It comes on
+    /// top of `left` in what the client gave this try, and does not count in how fast it is answered.
+    pub waited: Duration,
     /// The client marked it as a repeat.
     pub resent: bool,
     /// Its session, for writes and session reads.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 //!     class,
 //!     group: GroupId(1),
 //!     left: Duration::from_secs(1),
+//!     waited: Duration::ZERO,
 //!     resent: false,
 //!     session: None,
 //!     last_write_age: None,
--- a/src/policy/waiting.rs
+++ b/src/policy/waiting.rs
@@ -21,15 +21,14 @@
         .max(ago(request.sees));
         // Guards against: serving repeats whose aim has passed. Hurts where clients give tries of one class
         // different times for reasons of their own.
-        let left = request.left;
-        let deadline = now + left;
-        let cut = self.tries.cut(request.class, left, request.resent);
-        let began = if cut { deadline.checked_sub(class.deadline).map_or(now, |b| b.min(now)) } else { now };
+        let (left, whole) = (request.left, request.left + request.waited);
+        let cut = self.tries.cut(request.class, whole, request.resent);
+        let began = (now + whole).checked_sub(class.deadline).filter(|b| cut && *b < now).unwrap_or(now);
         let useful = if class.late_worth > 0.0 { class.deadline } else { class.aim };
         let group = request.group;
         let pending = Pending {
             request,
-            ends: deadline.min(began + useful),
+            ends: (now + left).min(began + useful),
             patient: now + left / 2,
             reached: false,
             floor,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -130,6 +130,7 @@
             class,
             group: GROUP,
             left: ms(2000),
+            waited: Duration::ZERO,
             resent: false,
             session: None,
             last_write_age: None,
