Check settings whole where they are read, and state and test each default

What was seen: settings whose figures are inconsistent (a deadline under its class's aim, TipMultiple 0, no classes) passed Deployment::from_json and were found only by Router::new. So the start ended with 1 and a field of the module's ("classes.deadline is out of range"), and a reload took such a file and moved discovery. At fault: settings/src/lib.rs, Conf::check, which ended without the module's check; src/validate.rs, which could not be asked from outside.

Change: Settings::check and Class::check are public, Conf::check asks both and names the key with the class's index. A missing key is named by itself, not only in serde's message. MaxOpen 0 is a fault, and so is MustAskInMs 0 where lists are asked for (a broken watch would be asked again without a pause); where lists arrive unasked 0 stands for none. Tests moved to settings/src/tests.rs.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -2,6 +2,22 @@
 //!
 //! The simulator hands this object to each instance and a real gateway finds it in its configuration, with the
 //! same names and units. Both programs around the module take it from here.
+//!
+//! A key that is not in this table has no default: if it is missing, the settings are faulty. Keys that are not
+//! known are passed over.
+//!
+//! | missing key | what counts |
+//! | --- | --- |
+//! | `Bounds.ConnectTimeoutMs` | 250 |
+//! | `Bounds.KeepaliveMs` | 30000 |
+//! | `Bounds.MaxOpen` | 20000 |
+//! | `Bounds.MaxRetryAfterMs` | 0: clients that are told when to come back are told "at once" |
+//! | `Classes[].KeyScope` | `cell`: the group of the request drops repeats; a scope other than `cell` and `all` makes the class one that is sent once |
+//! | `Classes[].LateWorth` | 0: nothing is earned after the aim |
+//! | `Classes[].Name` | an empty name |
+//! | `Classes[].RepeatWindowMs` | none; a fault in a class whose effect is `deduplicated` |
+//! | `Rules.MustAskInMs` | never: nothing counts as told for want of asking; 0 stands for the same where lists arrive unasked, and is a fault where they are asked for |
+//! | `Rules.SoftRemoval` | false: a db host that is gone gets nothing, whether or not it was seen to drain |
 
 use std::time::Duration;
 
@@ -9,7 +25,8 @@
 use serde::{Deserialize, Deserializer};
 use thiserror::Error;
 use yewroute::interface::{
-    Class, Discovery, Effect, Freshness, KeyScope, Limits, ListRole, Rules, Settings, Tokens, WhenBehind,
+    Class, Discovery, Effect, Freshness, KeyScope, Limits, ListRole, Rules, Settings, SettingsError, Tokens,
+    WhenBehind,
 };
 
 /// What is wrong, and with which key.
@@ -36,6 +53,20 @@
     }
 }
 
+/// What serde says of a key that is missing, up to the key's name.
+const MISSING_FIELD: &str = "missing field `";
+
+/// The fault that serde's message tells of, at a path.
+fn fault_at(path: &str, message: &str) -> Fault {
+    // A missing key is reported at the object that should hold it.
+    let missing = message.strip_prefix(MISSING_FIELD).and_then(|rest| rest.split('`').next());
+    match missing {
+        Some(key) if path == "." => Fault::at(key, message),
+        Some(key) => Fault::at(format!("{path}.{key}"), message),
+        None => Fault::at(path, message),
+    }
+}
+
 /// Parses JSON so that a fault names its key.
 ///
 /// # Errors
@@ -43,7 +74,7 @@
 pub fn parse<T: DeserializeOwned>(text: &str) -> Result<T, Fault> {
     let mut json = serde_json::Deserializer::from_str(text);
     let value = serde_path_to_error::deserialize(&mut json)
-        .map_err(|e| Fault::at(e.path().to_string(), e.inner().to_string()))?;
+        .map_err(|e| fault_at(&e.path().to_string(), &e.inner().to_string()))?;
     json.end().map_err(|e| Fault::at(".", e.to_string()))?;
     Ok(value)
 }
@@ -129,7 +160,7 @@
     AtMostOnce,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Copy, Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum WireDiscovery {
     Automatic,
@@ -225,6 +256,35 @@
     20_000
 }
 
+/// A span that has to be over 0.
+fn positive(key: &str, span: Duration) -> Result<Duration, Fault> {
+    if span.is_zero() {
+        Err(Fault::at(key, "must be over 0"))
+    } else {
+        Ok(span)
+    }
+}
+
+/// The key, as the settings name it, of what the module finds inconsistent; `index` is that of the class.
+fn inconsistent(error: &SettingsError, index: usize) -> Fault {
+    let (SettingsError::Empty(field) | SettingsError::OutOfRange(field)) = error;
+    let key = match *field {
+        "classes" => "Classes".to_owned(),
+        "classes.aim" => format!("Classes[{index}].AimMs"),
+        "classes.deadline" => format!("Classes[{index}].DeadlineMs"),
+        "classes.worth" => format!("Classes[{index}].Credit"),
+        "classes.late_worth" => format!("Classes[{index}].LateWorth"),
+        "gateways" => "Instances".to_owned(),
+        "limits.max_attempts" => "Bounds.MaxAttempts".to_owned(),
+        "rules.start_capacity" => "Rules.StartCapacity".to_owned(),
+        "rules.cold" => "Rules.ColdMs".to_owned(),
+        "rules.fall" => "Rules.FallMs".to_owned(),
+        "rules.tip_multiple" => "Rules.TipMultiple".to_owned(),
+        other => other.to_owned(),
+    };
+    Fault::at(key, error.to_string())
+}
+
 impl Conf {
     fn check(self) -> Result<Deployment, Fault> {
         let conf = self;
@@ -273,25 +333,28 @@
                 WireFreshness::Bounded => Freshness::Bounded(bound.0),
                 WireFreshness::Any => Freshness::Any,
             };
-            class_names.push(class.name);
-            classes.push(Class {
+            let checked = Class {
                 aim: class.aim_ms.0,
                 deadline: class.deadline_ms.0,
                 worth: class.credit,
                 late_worth: class.late_worth,
                 effect,
                 freshness,
-            });
+            };
+            checked.check().map_err(|error| inconsistent(&error, index))?;
+            class_names.push(class.name);
+            classes.push(checked);
         }
-        let positive = |key: &str, span: Duration| {
-            if span.is_zero() {
-                Err(Fault::at(key, "must be over 0"))
-            } else {
-                Ok(span)
-            }
-        };
         let connect_timeout = positive("Bounds.ConnectTimeoutMs", conf.bounds.connect_timeout_ms.0)?;
         let keepalive = positive("Bounds.KeepaliveMs", conf.bounds.keepalive_ms.0)?;
+        if conf.bounds.max_open == 0 {
+            return Err(Fault::at("Bounds.MaxOpen", "must be over 0"));
+        }
+        // Guards against: asking without a pause while discovery is out of reach.
+        let must_ask_in = match (conf.rules.must_ask_in_ms, conf.discovery) {
+            (None, _) | (Some(Span(Duration::ZERO)), WireDiscovery::Automatic) => Duration::MAX,
+            (Some(span), _) => positive("Rules.MustAskInMs", span.0)?,
+        };
         let sessions = classes
             .iter()
             .map(|c: &Class| matches!(c.freshness, Freshness::Session | Freshness::Write))
@@ -327,10 +390,11 @@
                 cold: conf.rules.cold_ms.0,
                 tip_multiple: conf.rules.tip_multiple,
                 fall: conf.rules.fall_ms.0,
-                must_ask_in: conf.rules.must_ask_in_ms.map_or(Duration::MAX, |span| span.0),
+                must_ask_in,
                 soft_removal: conf.rules.soft_removal.unwrap_or(false),
             },
         };
+        module.check().map_err(|error| inconsistent(&error, 0))?;
         Ok(Deployment {
             module,
             class_names,
@@ -344,45 +408,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_class_repeats_only_in_a_scope_that_is_known() {
-        let text = include_str!("../../gateway/tests/common/settings.json");
-        for (scope, repeats) in [("cell", true), ("all", true), ("zone", false)] {
-            let text = text.replace("\"KeyScope\": \"cell\"", &format!("\"KeyScope\": \"{scope}\""));
-            let effect = Deployment::from_json(&text).unwrap().module.classes[1].effect;
-            assert_eq!(effect != Effect::AtMostOnce, repeats, "{scope}: {effect:?}");
-        }
-    }
-
-    #[test]
-    fn spans_are_neither_negative_nor_endless() {
-        let span = |text| parse::<Span>(text).map(|span| span.0).map_err(|fault| fault.to_string());
-        assert_eq!(span("8412.25"), Ok(Duration::from_micros(8_412_250)));
-        for text in ["-1.0", "1e18", "1e300"] {
-            assert!(span(text).unwrap_err().contains("no span of time"), "{text}");
-        }
-    }
-
-    #[test]
-    fn a_span_goes_out_as_it_came() {
-        for ms in [1100.5, 620_894_735.627, 0.0, 8492.25] {
-            assert_eq!(span_ms(Duration::from_secs_f64(ms / 1000.0)), ms);
-        }
-    }
-
-    #[test]
-    fn a_fault_names_its_key_from_the_root() {
-        #[derive(Debug, Deserialize)]
-        struct Inner {
-            #[serde(rename = "Key")]
-            _key: u32,
-        }
-        let fault = parse::<Vec<Inner>>(r#"[{"Key":1},{"Key":"x"}]"#).unwrap_err();
-        assert_eq!(fault.key, "[1].Key");
-        assert_eq!(fault.inside("settings").key, "settings.[1].Key");
-        assert_eq!(Fault::at(".", "odd").inside("settings").key, "settings");
-    }
-}
+mod tests;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -21,7 +21,6 @@
 use crate::fading::{since, Fading};
 use crate::interface::*;
 use crate::measured::{Blame, Commits, Doubt, Latencies, Queue, Tries};
-use crate::validate;
 
 type Out<'a> = &'a mut Vec<Action>;
 
@@ -175,7 +174,7 @@
     /// # Errors
     /// Names the settings field that is inconsistent.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        validate::check(&settings)?;
+        settings.check()?;
         let mut rng = Rng::with_seed(seed);
         Ok(Self {
             taste: rng.u64(..),
