Name file and key of a faulty configuration, and take signals before it is read

What was seen: the error of a faulty configuration named its key but not its file; two classes of one name were taken, the second out of reach for requests; a SIGHUP or SIGTERM in the first moments, while the file is read, killed the process. At fault: ConfigError::Fault had no file; Signals::new was called in Gateway::new, after Config::read.

Change: ConfigError::Key has the file, ConfigError::Variable is a variable's; the signals are taken first thing in serve(). What comes meanwhile counts once the gateway runs: reload, then drain.

In gateway/tests/rules.rs the expected errors now begin with the file, which asks for more than before.

Tests of the configuration moved to gateway/src/config/tests.rs.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -33,9 +33,12 @@
     /// The file cannot be read.
     #[error("EDGE_CONFIG: {0}: {1}")]
     File(String, std::io::Error),
-    /// A key of the file, or a variable that stands for one.
+    /// A key of the file.
+    #[error("{0}: {1}")]
+    Key(String, Fault),
+    /// A variable that stands for a key.
     #[error("{0}")]
-    Fault(#[from] Fault),
+    Variable(#[from] Fault),
     /// The operator's file.
     #[error("{0}")]
     Edge(#[from] yewroute_edge::Fault),
@@ -134,10 +137,51 @@
     1024
 }
 
-/// The file's text.
-fn text() -> Result<String, ConfigError> {
-    let path = env::var("EDGE_CONFIG").map_err(|_| ConfigError::Unset("EDGE_CONFIG"))?;
-    fs::read_to_string(&path).map_err(|e| ConfigError::File(path, e))
+/// The configuration file: where it is, and its text.
+struct Source {
+    path: String,
+    text: String,
+}
+
+impl Source {
+    /// Reads the file that `EDGE_CONFIG` names.
+    fn read() -> Result<Self, ConfigError> {
+        let path = env::var("EDGE_CONFIG").map_err(|_| ConfigError::Unset("EDGE_CONFIG"))?;
+        match fs::read_to_string(&path) {
+            Ok(text) => Ok(Self { path, text }),
+            Err(error) => Err(ConfigError::File(path, error)),
+        }
+    }
+
+    /// A fault of the file's.
+    fn fault(&self, fault: Fault) -> ConfigError {
+        ConfigError::Key(self.path.clone(), fault)
+    }
+
+    /// Reads the keys.
+    fn keys(&self) -> Result<File, Fault> {
+        let file: File = parse(&self.text)?;
+        if file.limits.sockets < LEAST_SOCKETS {
+            return Err(Fault::at("limits.sockets", format!("must be at least {LEAST_SOCKETS}")));
+        }
+        if file.limits.memory_mb < LEAST_MEMORY {
+            return Err(Fault::at("limits.memory_mb", format!("must be at least {LEAST_MEMORY}")));
+        }
+        Ok(file)
+    }
+}
+
+/// Reads the settings. Guards against: classes that share a name, by which requests name their class.
+fn deployment(settings: &RawValue) -> Result<Deployment, Fault> {
+    let deployment = Deployment::from_json(settings.get())?;
+    let names = &deployment.class_names;
+    for (index, name) in names.iter().enumerate() {
+        if let Some(first) = names[..index].iter().position(|other| other == name) {
+            let problem = format!("{name:?} is the name of Classes[{first}] too");
+            return Err(Fault::at(format!("Classes[{index}].Name"), problem));
+        }
+    }
+    Ok(deployment)
 }
 
 /// The variables that still count at a reload.
@@ -168,7 +212,7 @@
     /// # Errors
     /// Names the variable or key at fault.
     pub fn read(edge: Option<PathBuf>) -> Result<Self, ConfigError> {
-        Self::parse(&text()?, |name| env::var(name).ok())?.with_edge(edge)
+        Self::parse(&Source::read()?, |name| env::var(name).ok())?.with_edge(edge)
     }
 
     /// Reads the file again, for a reload. Guards against: `EDGE_DISCOVERY`, which is as it was at the start,
@@ -177,7 +221,8 @@
     /// # Errors
     /// Names the variable or key at fault.
     pub fn read_again(edge: Option<PathBuf>) -> Result<Self, ConfigError> {
-        Self::parse(&text()?, |name| variable_of_reload(name, |name| env::var(name).ok()))?.with_edge(edge)
+        let variable = |name| variable_of_reload(name, |name| env::var(name).ok());
+        Self::parse(&Source::read()?, variable)?.with_edge(edge)
     }
 
     /// Takes the operator's file, if there is one, and holds it against the limits.
@@ -209,19 +254,19 @@
     }
 
     /// Reads the file's text; a variable outweighs the key it stands for.
-    fn parse(text: &str, variable: impl Fn(&'static str) -> Option<String>) -> Result<Self, Fault> {
-        let file: File = parse(text)?;
+    fn parse(
+        source: &Source,
+        variable: impl Fn(&'static str) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
+        let file = source.keys().map_err(|fault| source.fault(fault))?;
         let address = |name: &'static str, told: SocketAddr| match variable(name) {
             Some(text) => text.parse().map_err(|e| Fault::at(name, format!("{e}"))),
             None => Ok(told),
         };
-        let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| Fault::at("seed", e.to_string()))?;
-        if file.limits.sockets < LEAST_SOCKETS {
-            return Err(Fault::at("limits.sockets", format!("must be at least {LEAST_SOCKETS}")));
-        }
-        if file.limits.memory_mb < LEAST_MEMORY {
-            return Err(Fault::at("limits.memory_mb", format!("must be at least {LEAST_MEMORY}")));
-        }
+        let seed = u64::from_str_radix(&file.seed, 16)
+            .map_err(|error| source.fault(Fault::at("seed", error.to_string())))?;
+        let deployment =
+            deployment(&file.settings).map_err(|fault| source.fault(fault.inside("settings")))?;
         Ok(Self {
             name: variable("EDGE_NAME").unwrap_or(file.name),
             listen: address("EDGE_LISTEN", file.listen)?,
@@ -234,7 +279,7 @@
             sockets: file.limits.sockets,
             memory_kib: file.limits.memory_mb.saturating_mul(1024),
             known: file.known,
-            deployment: Deployment::from_json(file.settings.get()).map_err(|f| f.inside("settings"))?,
+            deployment,
             edge_file: None,
             edge: Edge::default(),
         })
@@ -242,92 +287,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const FILE: &str = r#"{"name": "n0", "listen": "127.0.0.1:5432", "discovery": "127.0.0.1:8500", "seed": "8c1f",
-        "limits": {}, "known": {"version": 1, "full": true, "servers": []}, "settings": "#;
-
-    fn parse(variables: &[(&str, &str)]) -> Result<Config, Fault> {
-        let text = format!("{FILE}{}}}", include_str!("../tests/common/settings.json"));
-        let told =
-            |name| variables.iter().find(|(key, _)| *key == name).map(|(_, value)| (*value).to_owned());
-        Config::parse(&text, told)
-    }
-
-    #[test]
-    fn variables_outweigh_the_file_and_limits_have_defaults() {
-        let config = parse(&[]).unwrap();
-        assert_eq!((config.name.as_str(), config.seed, config.sockets), ("n0", 0x8c1f, 1024));
-        assert_eq!(
-            Budgets::of(config.memory_kib),
-            Budgets { most_bytes: 24 << 20, statement_bytes: 72 << 20 }
-        );
-        assert_eq!(config.listen.port(), 5432);
-        let config = parse(&[("EDGE_NAME", "n7"), ("EDGE_LISTEN", "127.0.0.2:6000")]).unwrap();
-        assert_eq!((config.name.as_str(), config.listen.port()), ("n7", 6000));
-        assert_eq!((config.discovery.port(), config.console), (8500, None));
-        let config = parse(&[("EDGE_CONSOLE", "127.0.0.3:7000")]).unwrap();
-        assert_eq!(config.console.unwrap().to_string(), "127.0.0.3:7000");
-    }
-
-    #[test]
-    fn at_a_reload_the_file_says_where_discovery_is() {
-        let told =
-            |name| (name == "EDGE_DISCOVERY" || name == "EDGE_LISTEN").then(|| "127.0.0.9:1".to_owned());
-        let text = format!("{FILE}{}}}", include_str!("../tests/common/settings.json"));
-        let config = Config::parse(&text, |name| variable_of_reload(name, told)).unwrap();
-        assert_eq!(config.discovery.to_string(), "127.0.0.1:8500");
-        assert_eq!(config.listen.to_string(), "127.0.0.9:1");
-    }
-
-    #[test]
-    fn variables_outweigh_the_fleet_s_place_and_zone_and_faults_name_them() {
-        let file = "fleet(listen = '127.0.0.1:1', key_file = 'k', zone = 'a', regions = {'n': ['a', 'b']})";
-        let edge = Edge::parse("edge.star", file.to_owned()).unwrap();
-        let told = |key: &'static str, value: &'static str| {
-            let mut fleet = edge.fleet.clone().unwrap();
-            let told = fleet_variables(&mut fleet, |name| (name == key).then(|| value.to_owned()));
-            told.map(|()| (fleet.listen.port(), fleet.zone)).map_err(|fault| fault.key)
-        };
-        assert_eq!(told("EDGE_ZONE", "b"), Ok((1, "b".to_owned())));
-        assert_eq!(told("EDGE_FLEET_LISTEN", "127.0.0.1:9"), Ok((9, "a".to_owned())));
-        assert_eq!(told("EDGE_ZONE", "c"), Err("EDGE_ZONE".to_owned()));
-        assert_eq!(told("EDGE_FLEET_LISTEN", "x"), Err("EDGE_FLEET_LISTEN".to_owned()));
-    }
-
-    #[test]
-    fn the_first_table_is_held_against_the_settings_and_the_fleet_s_zones() {
-        let told = |entry: &str| {
-            let fleet = "fleet(listen = '127.0.0.1:1', key_file = 'k', zone = 'a', regions = {'n': ['a']})";
-            let text = format!("{fleet}\nfederation()\n{entry}");
-            let edge = Edge::parse("edge.star", text).unwrap();
-            let told = Config { edge, ..parse(&[]).unwrap() }.check_table(Path::new("edge.star"));
-            told.map_err(|error| error.to_string())
-        };
-        assert_eq!(told("route('r', classes = ['view'], groups = [9], zones = {'a': 1})"), Ok(()));
-        for (entry, wanted) in [
-            (
-                "limit('l', rate = 5, classes = ['vieww'])",
-                "edge.star:3: limit \"l\": class \"vieww\" is unknown; ",
-            ),
-            (
-                "\nroute('r', zones = {'b': 1})",
-                "edge.star:4: route \"r\": zone \"b\" is unknown; the zones of",
-            ),
-            (
-                "route('r', classes = ['order'], zones = {'a': 1})",
-                "edge.star:3: route \"r\": class \"order\" writes",
-            ),
-        ] {
-            let told = told(entry).unwrap_err();
-            assert!(told.starts_with(wanted), "{told}");
-        }
-    }
-
-    #[test]
-    fn a_variable_at_fault_is_named() {
-        let fault = parse(&[("EDGE_DISCOVERY", "nowhere")]).unwrap_err();
-        assert_eq!(fault.key, "EDGE_DISCOVERY");
-    }
-}
+mod tests;
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -21,6 +21,7 @@
 
 use cli::{Cli, Command};
 use config::Config;
+use net::signals::Signals;
 
 /// The configuration is at fault: starting again as it is will not help.
 const EXIT_CONFIG: u8 = 78;
@@ -38,6 +39,14 @@
 }
 
 fn serve(edge: Option<PathBuf>) -> ExitCode {
+    // Guards against: a signal that comes while the configuration is read, which would kill the process.
+    let signals = match Signals::new() {
+        Ok(signals) => signals,
+        Err(error) => {
+            error!(%error, "stopped");
+            return ExitCode::FAILURE;
+        }
+    };
     let config = match Config::read(edge) {
         Ok(config) => config,
         Err(error) => {
@@ -45,7 +54,7 @@
             return ExitCode::from(EXIT_CONFIG);
         }
     };
-    match net::run(config) {
+    match net::run(config, signals) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             error!(%error, "stopped");
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -11,7 +11,7 @@
 mod hosts;
 mod listener;
 pub(crate) mod poller;
-mod signals;
+pub(crate) mod signals;
 pub(crate) mod wire;
 
 use std::collections::VecDeque;
@@ -174,8 +174,8 @@
 }
 
 /// Serves until SIGTERM has come and all is answered.
-pub fn run(config: Config) -> Result<(), RunError> {
-    let mut gateway = Gateway::new(config)?;
+pub fn run(config: Config, signals: Signals) -> Result<(), RunError> {
+    let mut gateway = Gateway::new(config, signals)?;
     let mut ready = Vec::new();
     let mut now = Instant::now();
     gateway.settle(now);
@@ -195,10 +195,9 @@
 }
 
 impl Gateway {
-    fn new(config: Config) -> Result<Self, RunError> {
+    fn new(config: Config, signals: Signals) -> Result<Self, RunError> {
         let now = Instant::now();
         let poller = Poller::new()?;
-        let signals = Signals::new()?;
         poller.add(&signals, Token::Signals, Interest::READ)?;
         let console_share = config.console.map_or(0, |_| console::share(config.sockets));
         let limits = Means { sockets: config.sockets, kib: config.memory_kib };
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -5,7 +5,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -222,10 +222,30 @@
     /// Puts `to` in the place of `from` in the configuration it was started with, and sends SIGHUP.
     pub fn reload(&self, from: &str, to: &str) {
         assert!(self.config.contains(from), "{from}");
-        std::fs::write(self.folder.path().join("config.json"), self.config.replace(from, to)).unwrap();
+        self.reload_text(self.config.replace(from, to).as_bytes());
+    }
+
+    /// Puts another configuration in place and sends SIGHUP.
+    pub fn reload_text(&self, config: &[u8]) {
+        std::fs::write(self.config_path(), config).unwrap();
+        self.hang_up();
+    }
+
+    /// Sends SIGHUP.
+    pub fn hang_up(&self) {
         self.signal("-HUP");
     }
 
+    /// The configuration that it was started with.
+    pub fn config(&self) -> &str {
+        &self.config
+    }
+
+    /// Where its configuration is.
+    pub fn config_path(&self) -> PathBuf {
+        self.folder.path().join("config.json")
+    }
+
     /// Puts another operator's file in place and sends SIGHUP.
     pub fn reload_edge(&self, edge: &str) {
         std::fs::write(self.folder.path().join("edge.star"), edge).unwrap();
--- a/gateway/tests/rules.rs
+++ b/gateway/tests/rules.rs
@@ -377,16 +377,13 @@
     let mut gateway = Gateway::pair(&primary, &replica);
     let mut out = gateway.client();
     out.send(&statement("order", 3000, ",k=1"));
-    for (from, to, said) in [
-        (
-            r#""sockets":256"#,
-            r#""sockets":"few""#,
-            "the configuration in force stays\" error=\"limits.sockets: ",
-        ),
-        (r#""seed":"8c1f"#, r#""seed":"8c1f","#, "the configuration in force stays\" error="),
+    let file = gateway.config_path().display().to_string();
+    for (from, to, named) in [
+        (r#""sockets":256"#, r#""sockets":"few""#, "limits.sockets: "),
+        (r#""seed":"8c1f"#, r#""seed":"8c1f","#, ""),
     ] {
         gateway.reload(from, to);
-        gateway.logs(said);
+        gateway.logs(&format!("the configuration in force stays\" error=\"{file}: {named}"));
     }
     // EDGE_DISCOVERY still names the old one.
     let new = Discovery::start(&[]);
@@ -488,7 +485,7 @@
             .unwrap();
         let text = String::from_utf8(output.stderr).unwrap();
         assert_eq!(output.status.code(), Some(78), "{text}");
-        assert!(text.contains(named), "{text}");
+        assert!(text.contains(&format!("error=\"{}: {named}", path.display())), "{text}");
     }
 }
 
