--- /dev/null
+++ b/gateway/src/net/hosts/assign.rs
@@ -0,0 +1,129 @@
+//! Gives waiting jobs connections to their db hosts, and writes them.
+
+use std::rc::Rc;
+
+use tracing::warn;
+use yewroute::interface::{ServerId, Status};
+
+use super::{Around, Conn, Due, Hosts, JobId, Speech, State};
+use crate::core::Ended;
+use crate::net::poller::{Interest, Token};
+use crate::net::wire::{Shared, Wire, CHUNK};
+use crate::proto::pg::backend;
+use crate::proto::pg::exchange::Sent;
+use crate::proto::pg::request::Body;
+
+impl Hosts {
+    /// Gives waiting jobs connections: idle ones first, then new ones.
+    pub(super) fn pump(&mut self, server: ServerId, a: &mut Around) {
+        loop {
+            let pool = self.pools.entry(server).or_default();
+            let Some(id) = pool.waiting.front().copied() else { return };
+            let Some(addr) = a.directory.open(server) else {
+                // Guards against: a first byte for a db host that drains, of a send that was queued or
+                // still connecting when the news came.
+                self.end(id, Ended::silent(Status::NotSent), a);
+                continue;
+            };
+            if self.jobs.get(&id).is_some_and(|job| job.leave.over()) {
+                self.end(id, Ended::silent(Status::NotSent), a);
+                continue;
+            }
+            let pool = self.pools.entry(server).or_default();
+            if let Some(number) = pool.idle.pop() {
+                let conn = self.conns.get(&number);
+                // Guards against: a stale connection that ends as a reset. One that the db host has closed
+                // may not have been polled yet.
+                if conn.is_some_and(|conn| conn.addr == addr && conn.wire.quiet()) {
+                    pool.waiting.pop_front();
+                    self.write(number, id, a);
+                } else {
+                    self.conns.remove(&number);
+                }
+                continue;
+            }
+            if pool.dialing >= pool.waiting.len() {
+                return;
+            }
+            if self.conns.len() >= self.most && !self.evict() {
+                warn!(open = self.conns.len(), "out of connections to db hosts");
+                let last = self.pools[&server].waiting.back().copied().unwrap_or(id);
+                self.end(last, Ended::silent(Status::NotSent), a);
+                continue;
+            }
+            self.opened += 1;
+            let number = self.opened;
+            let dialled = Wire::dial(addr)
+                .and_then(|wire| a.poller.add(&wire, Token::Host(number), Interest::WRITE).map(|()| wire));
+            match dialled {
+                Ok(wire) => {
+                    self.timers.set(a.now + self.connect_timeout, Due::Connect(number));
+                    let conn = Conn::new(a.now, server, addr, wire);
+                    self.conns.insert(number, conn);
+                    self.pools.entry(server).or_default().dialing += 1;
+                }
+                Err(error) => {
+                    warn!(%addr, %error, "cannot dial");
+                    self.end(id, Ended::silent(Status::ConnectFailed), a);
+                }
+            }
+        }
+    }
+
+    /// Closes the idle connection that was used longest ago.
+    fn evict(&mut self) -> bool {
+        let idle = self.conns.iter().filter_map(|(number, conn)| match conn.state {
+            State::Idle(since) => Some((since, *number)),
+            _ => None,
+        });
+        let Some((_, number)) = idle.min() else { return false };
+        self.forget(number);
+        true
+    }
+
+    /// Writes a job's query on a connection that is free.
+    pub(super) fn write(&mut self, number: u64, id: JobId, a: &mut Around) {
+        let (Some(conn), Some(job)) = (self.conns.get_mut(&number), self.jobs.get_mut(&id)) else { return };
+        job.conn = Some(number);
+        conn.state = State::Busy(id);
+        (conn.begun, conn.passing, conn.paused) = (false, false, false);
+        // An attempt that is written once more, as its statement was not there, is the same one.
+        conn.forwarding = matches!(id, JobId::Attempt(_)) && !job.again;
+        let wait = job.cut_at.saturating_duration_since(a.now);
+        let body = job.body.clone();
+        conn.sent = Sent::default();
+        match &body {
+            // A long statement is one buffer from its client to every db host that it is written to.
+            Some(body) if body.bytes() > CHUNK && matches!(**body, Body::Simple(_)) => {
+                if let Body::Simple(simple) = &**body {
+                    simple.put_head(conn.wire.out(), wait);
+                    conn.wire.share(Rc::clone(body) as Rc<dyn Shared>, 0..simple.wait_at.start);
+                    simple.put_tail(conn.wire.out(), wait);
+                }
+            }
+            Some(body) => {
+                let Speech { dialect, statements } = self.speech;
+                let (out, gather) = (conn.wire.out(), &mut conn.gather);
+                conn.sent = conn.prepared.put(out, gather, body, wait, dialect, statements);
+            }
+            None => backend::put_query(conn.wire.out(), |out| out.extend(backend::SHOW_LOAD)),
+        }
+        if conn.flush(number, &mut self.forwards, a).is_err() {
+            self.lose(number, a);
+        }
+    }
+
+    /// A new connection did not come up; the job that has waited longest pays for it.
+    pub(super) fn fail_dial(&mut self, number: u64, status: Status, why: &str, a: &mut Around) {
+        let Some(conn) = self.conns.remove(&number) else { return };
+        match a.directory.open(conn.server) {
+            Some(addr) => warn!(%addr, why, "no connection to a db host"),
+            None => warn!(why, "no connection to a db host that has left"),
+        }
+        let pool = self.pools.entry(conn.server).or_default();
+        pool.dialing -= 1;
+        if let Some(id) = pool.waiting.front().copied() {
+            self.end(id, Ended::silent(status), a);
+        }
+    }
+}
--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -4,6 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 
 use super::*;
+use crate::net::wire::Wire;
 use crate::proto::pg::bind::{Bind, Bound};
 use crate::proto::pg::table::Table;
 
