--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,6 +88,7 @@
 mod fading;
 pub mod interface;
 mod measured;
+mod pending;
 mod policy;
 mod validate;
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -21,6 +21,7 @@
 use crate::fading::{since, Fading};
 use crate::interface::*;
 use crate::measured::{Blame, Commits, Doubt, Latencies, Queue, Tries};
+use crate::pending::{Attempt, Pending};
 use crate::validate;
 
 type Out<'a> = &'a mut Vec<Action>;
@@ -116,34 +117,6 @@
     owed_at: Option<Instant>,
 }
 
-struct Pending {
-    request: Request,
-    /// When it stops being worth an attempt: at its aim where a late answer earns nothing.
-    ends: Instant,
-    /// Until when it waits for a first place; and whether an attempt has reached a server at all.
-    patient: Instant,
-    reached: bool,
-    floor: Option<Instant>,
-    sends: u32,
-    out: Option<u32>,
-    may_have_run: Option<Instant>,
-    tried: Vec<ServerId>,
-    erred: Vec<ServerId>,
-    asked_at: Option<Instant>,
-}
-
-struct Attempt {
-    server: ServerId,
-    weight: f64,
-    class: usize,
-    sent: Instant,
-    /// Nothing else of this router was out there; and nothing had been heard from there for a while.
-    alone: bool,
-    idle: bool,
-    /// It is given up before its request's time ends.
-    early: bool,
-}
-
 #[derive(Default)]
 struct Group {
     members: Vec<ServerId>,
