Say whether an attempt that waited may still begin, and keep fresh reads off unknown members

Cause: what a read must see was checked when it was decided on only. A read with a bound on the age of its data may wait for its connection longer than the bound, and a replica whose primary is lost stands still meanwhile; where db hosts answer from what they have (WhenBehind silent) that is a stale read. Checked and ruled out: fresh and session reads, whose floor does not move, and positions, which never go back. Found beside it: where no primary is known a fresh read was sent round the members like a write (pick_write), which only turn it away where they check for themselves.

Change: Router::may_begin says at any later moment whether a send still fits; the same test is part of the round over members.

--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -115,6 +115,21 @@
         }
     }
 
+    /// Whether an attempt may begin that was decided on a while ago, as when its connection came up late.
+    /// Guards against: a read of data that has grown too old by then, or of one that was the primary.
+    pub fn may_begin(&self, now: Instant, id: RequestId, server: ServerId) -> bool {
+        let Some(p) = self.requests.get(&id) else { return false };
+        self.servers.get(&server).is_some_and(|s| s.usable && self.fits(now, p, server))
+    }
+
+    /// A server may be asked: it is the primary, checks for itself, or is known to have what must be seen.
+    fn fits(&self, now: Instant, p: &Pending, id: ServerId) -> bool {
+        let write = self.settings.classes[p.request.class].freshness == Freshness::Write;
+        let primary = self.groups[&p.request.group].primary == Some(id);
+        let checked = self.checked() && p.request.sees.is_none();
+        write || primary || checked || self.servers[&id].reaches(self.floor(now, p), now, false)
+    }
+
     /// Servers turn away at once what they must not answer, and say where they stand: the request itself is
     /// the probe. Guards against: every gateway probing every server for what the next answer tells; a probe
     /// is paid for, a request turned away has lost two milliseconds. Hurts where turning away is slow.
@@ -191,7 +206,8 @@
             let told = since(now, server.role_at) < REPLICA_HOLDS;
             let replica = server.role == Some(Role::Replica) && told;
             let again = server.role_at.is_some() && !told;
-            server.answers(now) && !asked && !replica && (again || !p.tried.contains(member))
+            let asks = server.answers(now) && !asked && !replica && (again || !p.tried.contains(member));
+            asks && self.fits(now, p, **member)
         };
         group.members.iter().filter(asks).copied().max_by_key(|m| self.servers[m].position)
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -132,3 +132,41 @@
     }
     assert!(first < 20, "{first} sends by 200 gateways in the first moments");
 }
+
+#[test]
+fn a_fresh_read_goes_to_no_member_that_is_not_known_to_be_the_primary() {
+    let members = vec![entry(0, false), entry(1, false)];
+    let mut g = Gateway::holding(settings(), 7, members.clone());
+    let (read, out) = g.request(FRESH);
+    assert_eq!(sends(&out), [], "they answer from what they have");
+    let at = g.now;
+    assert_eq!(sends(&g.position(1, Role::Primary, at)), [(read, 1)]);
+    // Where members turn away what they are behind for, the read itself may ask them.
+    let checked = Settings { when_behind: WhenBehind::Refuses, ..settings() };
+    let mut g = Gateway::holding(checked, 7, members);
+    assert_eq!(sends(&g.request(FRESH).1).len(), 1);
+}
+
+#[test]
+fn a_read_that_waited_for_its_connection_begins_only_where_it_would_be_sent_now() {
+    let mut g = Gateway::start(settings(), 1);
+    let (replica, primary) = (ServerId(1), ServerId(0));
+    let at = g.now;
+    g.position(1, Role::Replica, at);
+    let (read, out) = g.request(BOUNDED);
+    assert_eq!(sends(&out), [(read, 1)]);
+    g.now += ms(1000);
+    assert!(g.router.may_begin(g.now, read, replica), "as old as its class allows");
+    g.now += ms(1);
+    assert!(!g.router.may_begin(g.now, read, replica), "its server has told of nothing newer");
+    g.position(1, Role::Replica, at + ms(1));
+    assert!(g.router.may_begin(g.now, read, replica));
+    assert!(g.router.may_begin(g.now, read, primary));
+    let now = g.now;
+    g.position(0, Role::Replica, now - ms(2000));
+    assert!(!g.router.may_begin(g.now, read, primary), "it is the primary no more");
+    let (write, _) = g.request(WRITE);
+    assert!(g.router.may_begin(g.now, write, primary), "it turns writes away itself");
+    g.play(Event::Gone(read));
+    assert!(!g.router.may_begin(g.now, read, replica), "nobody wants it");
+}
