Write attempts last in each wake-up, once all that has come has been told

Cause: a connection to a db host that came up was given the waiting attempt while the wake-up's events were still being read (hosts.rs gather -> pump -> write, and the rest of a long attempt in ready). A drain, a client's reset or the attempt's own end that had come in the same wake-up were told only after; a gateway that got no processor for a while then began sends for clients gone for over 0.1 s and at db hosts whose drain was told over 250 ms ago. Ruled out: sends decided in that wake-up (the directory is asked at the write) and further wake-ups (the attempt is withdrawn or barred by then). Also: what waited for a connection to a db host that drains or has moved waited until that connection came up or was given up, and the data that a read may see was not looked at again.

Change: Hosts::serve_waiting, at the end of settle, is the one place that gives connections and writes what is left of an attempt; it looks again at drain, address, lease, end and, by Router::may_begin, at what the read must see. The time told is read from the clock at the write. Dials to a db host that drains or has moved are dropped with the news and their jobs go elsewhere at once. A statement that was not there is written again the same way, and not for a client that has gone.

--- a/gateway/src/core/send.rs
+++ b/gateway/src/core/send.rs
@@ -5,7 +5,7 @@
 
 use yewroute::interface::{Event, Note, Outcome, Report, RequestId, ServerId, Status};
 
-use super::{Attempt, Core, Effect, Payload};
+use super::{Attempt, AttemptId, Core, Effect, Payload};
 
 /// So long before half of a request's time an attempt has to have a connection, if no db host has seen the request;
 /// and one that is tried elsewhere after that.
@@ -13,6 +13,14 @@
 const LAST: Duration = Duration::from_millis(5);
 
 impl<B: Payload> Core<B> {
+    /// Whether an attempt that has waited for a connection may still begin: its client is there, and the module would send
+    /// it there now.
+    pub fn may_begin(&self, now: Instant, attempt: AttemptId) -> bool {
+        let wanted = self.held.get(&attempt.0).is_some_and(|held| held.out == Some(attempt));
+        let sent = self.attempts.get(&attempt).filter(|_| wanted);
+        sent.is_some_and(|sent| self.router.may_begin(now, attempt.0, sent.server))
+    }
+
     pub(super) fn send(
         &mut self,
         now: Instant,
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -2,7 +2,7 @@
 
 mod assign;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,7 +13,7 @@
 use super::poller::{Poller, Ready};
 use super::wire::{Taken, CHUNK};
 use super::Input;
-use crate::core::{AttemptId, Directory, Ended};
+use crate::core::{AttemptId, Core, Ended};
 use crate::proto::pg::backend::{self, Reply, Step, Verdict};
 use crate::proto::pg::exchange::Dialect;
 use crate::proto::pg::request::Body;
@@ -58,10 +58,19 @@
     conn: Option<u64>,
     /// It has been written once more, as its statement was not there.
     again: bool,
+    /// Its client has gone.
+    withdrawn: bool,
     /// Tells a probe from an earlier one to the same db host, whose timer may still be set.
     number: u64,
 }
 
+impl Job {
+    /// Its time is over. The clock is read again: the turn of the loop may have begun long ago.
+    fn is_over(&self, now: Instant) -> bool {
+        self.cut_at <= now.max(Instant::now())
+    }
+}
+
 #[derive(Clone, Copy)]
 enum Due {
     /// Connecting has taken too long.
@@ -88,6 +97,12 @@
     conns: HashMap<u64, Conn>,
     pools: BTreeMap<ServerId, Pool>,
     jobs: HashMap<JobId, Job>,
+    /// Db hosts whose waiting jobs may have a connection now, and connections with room for the rest of an attempt: both
+    /// wait for [`Hosts::serve_waiting`].
+    servable: BTreeSet<ServerId>,
+    writable: BTreeSet<u64>,
+    /// How often the list had changed when waiting jobs were last compared with it.
+    list_changes: u64,
     timers: Timers<Due>,
     opened: u64,
     started: u64,
@@ -115,7 +130,7 @@
 pub struct Around<'a> {
     pub now: Instant,
     pub poller: &'a Poller,
-    pub directory: &'a Directory,
+    pub core: &'a Core<Body>,
     pub inbox: &'a mut VecDeque<Input>,
 }
 
@@ -135,6 +150,9 @@
             conns: HashMap::new(),
             pools: BTreeMap::new(),
             jobs: HashMap::new(),
+            servable: BTreeSet::new(),
+            writable: BTreeSet::new(),
+            list_changes: 0,
             timers,
             opened: 0,
             started: 0,
@@ -168,28 +186,27 @@
         self.forwards
     }
 
-    /// Starts an attempt.
+    /// Starts an attempt. It is written by [`Hosts::serve_waiting`], as is all else.
     pub fn start(
         &mut self,
         attempt: AttemptId,
         server: ServerId,
         body: Rc<Body>,
         (begin_by, cut_at, leave): (Option<Instant>, Instant, Leave),
-        a: &mut Around,
     ) {
         let id = JobId::Attempt(attempt);
         if let Some(by) = begin_by {
             self.timers.set(by, Due::Begin(id));
         }
-        self.take(id, server, Some(body), (cut_at, leave), a);
+        self.take(id, server, Some(body), (cut_at, leave));
     }
 
     /// Starts a probe.
-    pub fn probe(&mut self, server: ServerId, a: &mut Around) {
+    pub fn probe(&mut self, now: Instant, server: ServerId) {
         if self.jobs.contains_key(&JobId::Probe(server)) {
             return;
         }
-        self.take(JobId::Probe(server), server, None, (a.now + self.connect_timeout, Leave::default()), a);
+        self.take(JobId::Probe(server), server, None, (now + self.connect_timeout, Leave::default()));
     }
 
     fn take(
@@ -198,20 +215,21 @@
         server: ServerId,
         body: Option<Rc<Body>>,
         (cut_at, leave): (Instant, Leave),
-        a: &mut Around,
     ) {
         self.started += 1;
         let number = self.started;
         self.timers.set(cut_at, Due::Cut(id, number));
-        self.jobs.insert(id, Job { server, leave, body, cut_at, conn: None, again: false, number });
+        let (conn, again, withdrawn) = (None, false, false);
+        self.jobs.insert(id, Job { server, leave, body, cut_at, conn, again, withdrawn, number });
         self.pools.entry(server).or_default().waiting.push_back(id);
-        self.pump(server, a);
+        self.servable.insert(server);
     }
 
     /// Drops an attempt that nobody waits for, if it cannot have run.
     pub fn withdraw(&mut self, attempt: AttemptId, a: &mut Around) {
         let id = JobId::Attempt(attempt);
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.withdrawn = true;
         match job.conn {
             None => self.end(id, Ended::silent(Status::NotSent), a),
             // Guards against: a long statement held for a client that has gone.
@@ -314,7 +332,7 @@
             self.malformed(number, "a value that stopped", a);
         }
         for (server, pool) in &mut self.pools {
-            let open = a.directory.open(*server).is_some();
+            let open = a.core.directory().open(*server).is_some();
             pool.idle.retain(|number| {
                 let state = self.conns.get(number).map(|conn| conn.state);
                 let keep =
@@ -328,7 +346,7 @@
         // Guards against: a pool for every db host there ever was.
         self.pools.retain(|server, pool| {
             let used = !pool.idle.is_empty() || !pool.waiting.is_empty() || pool.dialing > 0;
-            used || a.directory.open(*server).is_some()
+            used || a.core.directory().open(*server).is_some()
         });
     }
 
@@ -348,12 +366,13 @@
             conn.state = State::Starting;
             backend::put_startup(conn.wire.out());
         }
-        if (event.write || conn.state == State::Starting)
-            && conn.flush(number, &mut self.forwards, a).is_err()
-        {
+        if conn.state == State::Starting && conn.flush(number, &mut self.forwards, a).is_err() {
             self.lose(number, a);
             return;
         }
+        if event.write && matches!(conn.state, State::Busy(_)) {
+            self.writable.insert(number);
+        }
         // Guards against: a busy loop over a connection that has broken and is not read from.
         if conn.paused && !event.broken {
             return;
@@ -390,8 +409,7 @@
                 if conn.buffer.capacity() > 2 * CHUNK {
                     conn.buffer = Vec::new();
                 }
-                let server = conn.server;
-                self.pump(server, a);
+                self.servable.insert(conn.server);
                 return;
             }
             match conn.gather.next(&conn.buffer[used..]) {
@@ -443,16 +461,17 @@
     fn answered(&mut self, number: u64, reply: Reply, a: &mut Around) {
         let Some(conn) = self.conns.get_mut(&number) else { return };
         if let State::Busy(id) = conn.state {
-            // The statement was not there, so nothing ran. It is the same attempt that goes on, once, unless the
-            // db host drains or the time is over: then it ends as one that never ran.
+            // The statement was not there, so nothing ran. It is the same attempt that waits for a connection once more,
+            // unless its client has gone: then it ends as one that never ran.
             let lost = conn.prepared.settle(&conn.sent, &reply);
-            let open = a.directory.open(conn.server) == Some(conn.addr);
-            if let (true, true, Some(job)) = (lost, open, self.jobs.get_mut(&id)) {
-                if !job.again && job.cut_at > a.now && !job.leave.over() {
-                    job.again = true;
-                    self.write(number, id, a);
-                    return;
-                }
+            let job = self.jobs.get_mut(&id).filter(|job| lost && !job.again && !job.withdrawn);
+            if let Some(job) = job {
+                (job.again, job.conn) = (true, None);
+                conn.state = State::Idle(a.now);
+                let pool = self.pools.entry(conn.server).or_default();
+                pool.idle.push(number);
+                pool.waiting.push_front(id);
+                return;
             }
         }
         let Some(conn) = self.conns.get_mut(&number) else { return };
--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -1,6 +1,7 @@
 //! Gives waiting jobs connections to their db hosts, and writes them.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use tracing::warn;
 use yewroute::interface::{ServerId, Status};
@@ -14,18 +15,62 @@
 use crate::proto::pg::request::Body;
 
 impl Hosts {
+    /// Writes what waits for a connection or for room on one.
+    ///
+    /// Guards against: bytes of an attempt that go out when its end, its client's leaving or its db host's drain has
+    /// come already, in the same wake-up, and is not told yet. Called when nothing is left to be told.
+    pub fn serve_waiting(&mut self, a: &mut Around) {
+        for number in std::mem::take(&mut self.writable) {
+            self.write_rest(number, a);
+        }
+        if self.list_changes != a.core.directory().changes() {
+            self.list_changes = a.core.directory().changes();
+            self.drop_outdated_dials(a);
+        }
+        for server in std::mem::take(&mut self.servable) {
+            self.pump(server, a);
+        }
+    }
+
+    /// Guards against: jobs that wait on for a db host that drains, or at an address that it has left.
+    fn drop_outdated_dials(&mut self, a: &Around) {
+        let (conns, pools) = (&mut self.conns, &mut self.pools);
+        conns.retain(|_, conn| {
+            let dialling = matches!(conn.state, State::Connecting | State::Starting);
+            let outdated = dialling && a.core.directory().open(conn.server) != Some(conn.addr);
+            if outdated {
+                pools.entry(conn.server).or_default().dialing -= 1;
+            }
+            !outdated
+        });
+        let waiting = self.pools.iter().filter(|(_, pool)| !pool.waiting.is_empty());
+        self.servable.extend(waiting.map(|(server, _)| *server));
+    }
+
+    /// Goes on writing an attempt. Guards against: its last byte going out when its time is over.
+    fn write_rest(&mut self, number: u64, a: &mut Around) {
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        let State::Busy(id) = conn.state else { return };
+        let over = self.jobs.get(&id).filter(|job| job.is_over(a.now)).map(|job| job.number);
+        match over {
+            Some(job) if !conn.may_have_run() => self.cut(id, job, a),
+            _ if conn.flush(number, &mut self.forwards, a).is_err() => self.lose(number, a),
+            _ => {}
+        }
+    }
+
     /// Gives waiting jobs connections: idle ones first, then new ones.
-    pub(super) fn pump(&mut self, server: ServerId, a: &mut Around) {
+    fn pump(&mut self, server: ServerId, a: &mut Around) {
         loop {
             let pool = self.pools.entry(server).or_default();
             let Some(id) = pool.waiting.front().copied() else { return };
-            let Some(addr) = a.directory.open(server) else {
+            let Some(addr) = a.core.directory().open(server) else {
                 // Guards against: a first byte for a db host that drains, of a send that was queued or
                 // still connecting when the news came.
                 self.end(id, Ended::silent(Status::NotSent), a);
                 continue;
             };
-            if self.jobs.get(&id).is_some_and(|job| job.leave.over()) {
+            if !self.may_begin(id, a) {
                 self.end(id, Ended::silent(Status::NotSent), a);
                 continue;
             }
@@ -70,6 +115,16 @@
         }
     }
 
+    /// Whether a job's first byte may go out now, however long it has waited.
+    fn may_begin(&self, id: JobId, a: &Around) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let fits = match id {
+            JobId::Attempt(attempt) => a.core.may_begin(a.now, attempt),
+            JobId::Probe(_) => true,
+        };
+        fits && !job.is_over(a.now) && !job.leave.over()
+    }
+
     /// Closes the idle connection that was used longest ago.
     fn evict(&mut self) -> bool {
         let idle = self.conns.iter().filter_map(|(number, conn)| match conn.state {
@@ -82,14 +137,14 @@
     }
 
     /// Writes a job's query on a connection that is free.
-    pub(super) fn write(&mut self, number: u64, id: JobId, a: &mut Around) {
+    fn write(&mut self, number: u64, id: JobId, a: &mut Around) {
         let (Some(conn), Some(job)) = (self.conns.get_mut(&number), self.jobs.get_mut(&id)) else { return };
         job.conn = Some(number);
         conn.state = State::Busy(id);
         (conn.begun, conn.passing, conn.paused) = (false, false, false);
         // An attempt that is written once more, as its statement was not there, is the same one.
         conn.forwarding = matches!(id, JobId::Attempt(_)) && !job.again;
-        let wait = job.cut_at.saturating_duration_since(a.now);
+        let wait = job.cut_at.saturating_duration_since(a.now.max(Instant::now()));
         let body = job.body.clone();
         conn.sent = Sent::default();
         match &body {
@@ -116,7 +171,7 @@
     /// A new connection did not come up; the job that has waited longest pays for it.
     pub(super) fn fail_dial(&mut self, number: u64, status: Status, why: &str, a: &mut Around) {
         let Some(conn) = self.conns.remove(&number) else { return };
-        match a.directory.open(conn.server) {
+        match a.core.directory().open(conn.server) {
             Some(addr) => warn!(%addr, why, "no connection to a db host"),
             None => warn!(why, "no connection to a db host that has left"),
         }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -672,7 +672,8 @@
     }
 
     /// Tells the core what has come and does what it says, until there is nothing more to do. All that has
-    /// come is told before anything is done, so that news of a drain comes before the next send.
+    /// come is told before anything is done, and attempts begin last, so that news of a drain and clients that have gone
+    /// come before the next send.
     fn settle(&mut self, now: Instant) {
         loop {
             while let Some(input) = self.inbox.pop_front() {
@@ -684,7 +685,12 @@
             if let Some(link) = &self.federation {
                 self.core.hand_on_channels(|news| link.channels(news), &mut self.effects);
             }
-            if self.inbox.is_empty() && self.effects.is_empty() {
+            if !self.inbox.is_empty() || !self.effects.is_empty() {
+                continue;
+            }
+            let (hosts, mut around) = self.hosts(now);
+            hosts.serve_waiting(&mut around);
+            if self.inbox.is_empty() {
                 return;
             }
         }
@@ -695,7 +701,7 @@
         match effect {
             Effect::Start { attempt, server, body, begin_by, cut_at, permit, send_by } => {
                 let leave = Leave { permit, send_by };
-                hosts.start(attempt, server, body, (begin_by, cut_at, leave), &mut around);
+                hosts.start(attempt, server, body, (begin_by, cut_at, leave));
             }
             Effect::Pass(client, bytes) => {
                 self.clients.pass(now, client, &bytes, &self.poller, &mut self.inbox);
@@ -707,7 +713,7 @@
             Effect::Resume(attempt) => hosts.pause(attempt, false, &mut around),
             Effect::Abandon(attempt) => hosts.abandon(attempt),
             Effect::Withdraw(attempt) => hosts.withdraw(attempt, &mut around),
-            Effect::Probe(server) => hosts.probe(server, &mut around),
+            Effect::Probe(server) => hosts.probe(now, server),
             Effect::CloseIdle(server) => hosts.close_idle(server),
             Effect::Answer(client, answer) => {
                 self.clients.answer(now, client, answer, &self.poller, &mut self.inbox);
@@ -717,8 +723,7 @@
     }
 
     fn hosts(&mut self, now: Instant) -> (&mut Hosts, Around<'_>) {
-        let around =
-            Around { now, poller: &self.poller, directory: self.core.directory(), inbox: &mut self.inbox };
+        let around = Around { now, poller: &self.poller, core: &self.core, inbox: &mut self.inbox };
         (&mut self.hosts, around)
     }
 }
