End no attempt by a connection that was made for one that has gone

Cause: a dial that failed ended the job that had waited longest (fail_dial). When the job that it was made for had been withdrawn, that was another one whose own connection was still coming up: it lost an attempt, and its db host was blamed, by the age of a stranger's dial. Ruled out: a job that has no dial of its own; it pays as before.

--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -168,7 +168,8 @@
         }
     }
 
-    /// A new connection did not come up; the job that has waited longest pays for it.
+    /// A new connection did not come up; the job that has waited longest pays for it, unless each still has one that is
+    /// being made. Guards against: a job that ends by the connection of one that was given up.
     pub(super) fn fail_dial(&mut self, number: u64, status: Status, why: &str, a: &mut Around) {
         let Some(conn) = self.conns.remove(&number) else { return };
         match a.core.directory().open(conn.server) {
@@ -177,7 +178,8 @@
         }
         let pool = self.pools.entry(conn.server).or_default();
         pool.dialing -= 1;
-        if let Some(id) = pool.waiting.front().copied() {
+        let short = pool.dialing < pool.waiting.len();
+        if let Some(id) = pool.waiting.front().copied().filter(|_| short) {
             self.end(id, Ended::silent(status), a);
         }
     }
--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -1,11 +1,20 @@
 //! Connections to db hosts, as far as sockets of one process show them.
 
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::time::Instant;
+
+use yewroute_settings::Deployment;
+use yewroute_standin::{error, frame, read_frame, served};
 
 use super::*;
+use crate::clock::Clock;
+use crate::core::{Ask, ClientId, Effect, Known, Scope};
+use crate::net::poller::Token;
 use crate::net::wire::Wire;
+use crate::proto::catalog::{Member, Members, Role, State as Listed};
 use crate::proto::pg::bind::{Bind, Bound};
+use crate::proto::pg::request::Wanted;
 use crate::proto::pg::table::Table;
 
 /// A connection whose system buffer for what it sends is as small as the system allows, and its other end.
@@ -44,3 +53,223 @@
     assert!(conn.may_have_run());
     assert_eq!(come[all - 15..], *b"E\0\0\0\x09\0\0\0\0\0S\0\0\0\x04");
 }
+
+/// Connections to one db host, a primary of which the test does each step, with the core and times that are made up.
+struct Bench {
+    poller: Poller,
+    core: Core<Body>,
+    hosts: Hosts,
+    listener: TcpListener,
+    now: Instant,
+    inbox: VecDeque<Input>,
+    clients: u64,
+}
+
+impl Bench {
+    fn new(dialect: Dialect) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let member = Member {
+            id: "s-a".to_owned(),
+            addr: listener.local_addr().unwrap(),
+            cell: 2,
+            state: Listed::Ready,
+            zone: String::new(),
+            started_ms: 0,
+            role: Some(Role::Primary),
+        };
+        let members = Members { version: 41, full: true, servers: vec![member] };
+        let settings = include_str!("../../../tests/common/settings.json");
+        let deployment = Deployment::from_json(settings).unwrap();
+        let (now, known) = (Instant::now(), Known { members, near: None });
+        let (clock, most_bytes) = (Clock::start(), 1 << 24);
+        let core = Core::new(now, clock, deployment, 7, most_bytes, known, &mut Vec::new()).unwrap();
+        let speech = Speech { dialect, statements: 8 };
+        let timeout = Duration::from_secs(5);
+        let hosts = Hosts::new(now, 16, most_bytes, speech, timeout, Duration::from_secs(30));
+        let (poller, inbox) = (Poller::new().unwrap(), VecDeque::new());
+        Self { poller, core, hosts, listener, now, inbox, clients: 0 }
+    }
+
+    fn with<T>(&mut self, act: impl FnOnce(&mut Hosts, &mut Around) -> T) -> T {
+        let Self { poller, core, hosts, now, inbox, .. } = self;
+        act(hosts, &mut Around { now: *now, poller, core, inbox })
+    }
+
+    /// A write asks, and waits for its connection from then on.
+    fn ask(&mut self, body: Body, wait: Duration) -> AttemptId {
+        self.clients += 1;
+        let ask = Ask {
+            name: self.clients.to_string().into_bytes(),
+            writes: true,
+            scope: Scope::Class("order".to_owned(), 2),
+            wait,
+            key: b"k".to_vec(),
+            after: None,
+            resent: false,
+            channel: None,
+            number: None,
+            body,
+        };
+        let mut effects = Vec::new();
+        self.core.handle(self.now, Input::Ask(ClientId(self.clients), ask), &mut effects);
+        let started = effects.into_iter().find_map(|effect| match effect {
+            Effect::Start { attempt, server, body, begin_by, cut_at, .. } => {
+                Some((attempt, server, body, (begin_by, cut_at, Leave::default())))
+            }
+            _ => None,
+        });
+        let (attempt, server, body, times) = started.expect("an attempt");
+        self.hosts.start(attempt, server, body, times);
+        self.with(Hosts::serve_waiting);
+        attempt
+    }
+
+    /// Takes in what has come, without giving connections.
+    fn wake(&mut self) {
+        let mut ready = Vec::new();
+        let until = Instant::now() + Duration::from_secs(5);
+        self.poller.wait(Instant::now(), Some(until), &mut ready).unwrap();
+        for event in ready {
+            let Token::Host(number) = event.token else { continue };
+            self.with(|hosts, around| hosts.ready(number, event, around));
+        }
+    }
+
+    /// The next connection, up to its startup message.
+    fn accept(&mut self) -> TcpStream {
+        let (mut peer, _) = self.listener.accept().unwrap();
+        peer.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        self.wake();
+        let mut head = [0; 4];
+        peer.read_exact(&mut head).unwrap();
+        peer.read_exact(&mut vec![0; u32::from_be_bytes(head) as usize - 4]).unwrap();
+        peer
+    }
+
+    fn ended(&mut self) -> Vec<(AttemptId, Status)> {
+        let ended = self.inbox.drain(..).filter_map(|input| match input {
+            Input::Ended(attempt, ended) => Some((attempt, ended.status)),
+            _ => None,
+        });
+        ended.collect()
+    }
+}
+
+fn insert(value: &str) -> Body {
+    let text = format!("INSERT INTO t VALUES ('{value}') /* id=1,c=order,d=1000,cluster=2 */");
+    Wanted::simple(text.into_bytes()).unwrap().body
+}
+
+fn welcome() -> Vec<u8> {
+    [frame(b'R', &[0; 4]), frame(b'Z', b"I")].concat()
+}
+
+/// Whether nothing has come, or the connection is closed.
+fn is_silent(peer: &mut TcpStream) -> bool {
+    peer.set_nonblocking(true).unwrap();
+    !matches!(peer.read(&mut [0]), Ok(1))
+}
+
+#[test]
+fn an_attempt_whose_time_ended_while_its_connection_came_up_is_not_written() {
+    let mut bench = Bench::new(Dialect::Simple);
+    let attempt = bench.ask(insert("a"), Duration::from_millis(600));
+    let mut peer = bench.accept();
+    peer.write_all(&welcome()).unwrap();
+    bench.wake();
+    // The turn began in time, and time went on in it.
+    std::thread::sleep(Duration::from_millis(600));
+    bench.with(Hosts::serve_waiting);
+    assert_eq!(bench.ended(), [(attempt, Status::NotSent)]);
+    assert!(is_silent(&mut peer));
+}
+
+#[test]
+fn the_last_byte_of_an_attempt_is_not_written_once_its_time_is_over() {
+    let mut bench = Bench::new(Dialect::Simple);
+    let value = "x".repeat(7_000_000);
+    let attempt = bench.ask(insert(&value), Duration::from_millis(600));
+    let mut peer = bench.accept();
+    peer.write_all(&welcome()).unwrap();
+    bench.wake();
+    bench.with(Hosts::serve_waiting);
+    let mut come = vec![0; 1_000_000];
+    peer.read_exact(&mut come).unwrap();
+    // There is room again at the very moment at which it is over.
+    bench.wake();
+    bench.now += Duration::from_millis(600);
+    bench.with(Hosts::serve_waiting);
+    assert_eq!(bench.ended(), [(attempt, Status::NotSent)]);
+    peer.read_to_end(&mut come).unwrap();
+    assert!(come.len() < value.len(), "{} of {}", come.len(), value.len());
+}
+
+#[test]
+fn a_connection_that_was_made_for_one_that_has_gone_ends_no_other_attempt() {
+    let mut bench = Bench::new(Dialect::Simple);
+    let gone = bench.ask(insert("gone"), Duration::from_secs(3));
+    let first = bench.accept();
+    let there = bench.ask(insert("there"), Duration::from_secs(3));
+    let mut second = bench.accept();
+    bench.with(|hosts, around| hosts.withdraw(gone, around));
+    assert_eq!(bench.ended(), [(gone, Status::NotSent)]);
+    drop(first);
+    bench.wake();
+    bench.with(Hosts::serve_waiting);
+    assert_eq!(bench.ended(), [], "it has a connection of its own that comes up");
+    second.write_all(&welcome()).unwrap();
+    bench.wake();
+    bench.with(Hosts::serve_waiting);
+    let (kind, query) = read_frame(&mut second).unwrap();
+    assert!(kind == b'Q' && query.windows(5).any(|part| part == b"there"));
+    second.write_all(&served("primary")).unwrap();
+    bench.wake();
+    assert_eq!(bench.ended(), [(there, Status::Good)]);
+}
+
+#[test]
+fn a_statement_that_was_not_there_is_written_again_only_for_a_client_that_is() {
+    for leaves in [false, true] {
+        let mut bench = Bench::new(Dialect::Extended);
+        let text = "INSERT INTO t VALUES ($1) /* id=$2,c=order,d=$3,cluster=2 */";
+        let mut table = Table::new(1 << 20);
+        let mut execute = || {
+            let statement = table.lease(text.as_bytes(), &[]).unwrap();
+            let values = vec![Some(&b"x"[..]), Some(b"id"), Some(b"900")];
+            let bind = Bind { portal: b"", statement: b"", formats: vec![], values, results: vec![] };
+            Body::Execute(Rc::new(Bound::new(statement, bind).unwrap()))
+        };
+        let first = bench.ask(execute(), Duration::from_secs(3));
+        let mut peer = bench.accept();
+        peer.write_all(&welcome()).unwrap();
+        bench.wake();
+        bench.with(Hosts::serve_waiting);
+        let kinds = |peer: &mut TcpStream, count: usize| {
+            (0..count).map(|_| char::from(read_frame(peer).unwrap().0)).collect::<String>()
+        };
+        assert_eq!(kinds(&mut peer, 4), "PBES");
+        let parsed = [frame(b'1', b""), frame(b'2', b"")].concat();
+        let done = [frame(b'C', b"INSERT 0 1\0"), frame(b'Z', b"I")].concat();
+        peer.write_all(&[parsed.clone(), done.clone()].concat()).unwrap();
+        bench.wake();
+        assert_eq!(bench.ended(), [(first, Status::Good)]);
+
+        let second = bench.ask(execute(), Duration::from_secs(3));
+        assert_eq!(kinds(&mut peer, 3), "BES", "it is prepared");
+        if leaves {
+            bench.with(|hosts, around| hosts.withdraw(second, around));
+        }
+        peer.write_all(&error("26000", "no such statement")).unwrap();
+        bench.wake();
+        bench.with(Hosts::serve_waiting);
+        if leaves {
+            assert_eq!(bench.ended(), [(second, Status::Full)], "it never ran");
+            assert!(is_silent(&mut peer));
+        } else {
+            assert_eq!(kinds(&mut peer, 4), "PBES");
+            peer.write_all(&[parsed, done].concat()).unwrap();
+            bench.wake();
+            assert_eq!(bench.ended(), [(second, Status::Good)]);
+        }
+    }
+}
