--- a/src/lib.rs
+++ b/src/lib.rs
@@ -89,6 +89,7 @@
 mod fading;
 pub mod interface;
 mod measured;
+mod pending;
 mod policy;
 mod validate;
 
