Call discovery at a steady pace without a watch, and drop nothing that it has written

Read path by path: net/discovery.rs waited in the wrong places. Calls that failed were followed after pauses that doubled, then by the module's pause of 1 to 3 s, then by 3 s for a call that hung: 5.5 to 8.5 s from discovery's return to a list, where 6 s is the bound whatever a failed call allows (`failed`, `tick` with `left / 2`, `WatchBroken`). And what had been written, so told, was lost in three places: whole lists in one read with malformed bytes behind them (`feed(..)?` before the lines were looked at), a list unread on the old watch at SIGHUP (`links.clear()`), and a list on a new call when the silent watch brought a line in the same moment (`truncate(1)`). Where lists are pushed a call that hung was given 3 s. Ruled out: hosts.rs ends queued and connecting sends of a draining host at `pump`; the module stops with the list.

Change: as long as there is no watch calls are made by a schedule of its own (discovery/schedule.rs): 1 to 1.5 s after one that failed, 1.5 to 2 s after one that waits (0.1 and 0.5 s where lists are pushed), no backoff, a third of the time left before a deadline. A watch that ended is opened anew after 0 to 0.3 s and not after the module's pause; the module's subscription finds it open or being opened. The oldest of four connections is kept 10 s, so that a slow discovery is not called in vain. A new watch closes only earlier connections; the answer to a call that an earlier connection has overtaken is not taken (it would undo a change), and the call is made again.

Worst case from discovery's return to its list: 1.5 s and its answer; 3.5 s and its answer after a call that hangs. From the last line of a silent watch: 2.6 s and its answer; 3.8 s after one call that hangs, 4.6 s after two.

Tests: tests/watch.rs, 23 cases on real sockets (5 tests, 10.4 s); schedule/tests.rs. On the sources before, 10 of the cases fail: reset watch with calls that hang, return after failures, three of what was written, five of the pace. The one of the overtaken call fails with its guard taken out. tests silence (10), rules (26): passed.

--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -1,9 +1,13 @@
 //! The watch on discovery's list, and the clock by which one that says nothing is opened anew.
 //!
 //! What a watch misses counts as told a fixed time after it fell silent, whether or not it came. So silence is seen as
-//! soon as a line is overdue, and each try to open it anew is given half of the time that is left: another one follows
-//! before the end. A try that brings nothing is not closed for that, as discovery handles calls in turn, and a long
-//! list takes its time; the first of all to bring a whole line becomes the watch, and the others are closed.
+//! soon as a line is overdue, and calls follow each other until one of them brings a list ([`schedule`] says when). A
+//! call that brings nothing is not closed for that, as discovery handles calls in turn, and a long list takes its time.
+//! The first list of a call makes it the watch; earlier connections are closed then. Later calls stay open, as what
+//! discovery has written on them counts as told too.
+
+mod link;
+mod schedule;
 
 use std::collections::VecDeque;
 use std::io;
@@ -12,87 +16,80 @@
 
 use tracing::warn;
 
-use super::poller::{Interest, Poller, Ready, Token};
-use super::wire::{Taken, Wire, CHUNK};
+use super::poller::{Poller, Ready};
 use super::Input;
-use crate::proto::catalog::{Lists, News};
-use crate::proto::http::{self, Lines};
+use crate::proto::catalog::Members;
+use link::{Link, Received};
+pub use schedule::Manner;
+use schedule::{Opening, Schedule};
 
 /// As long as nothing changes, an empty line comes this often (protocol page, "Discovery").
-const LINE_EVERY: Duration = Duration::from_secs(2);
+const LINE_INTERVAL: Duration = Duration::from_secs(2);
 /// A line is overdue this much later, and up to twice as much, so that many gateways do not ask in step.
-const OVERDUE: Duration = Duration::from_millis(300);
+const LINE_OVERDUE_AFTER: Duration = Duration::from_millis(300);
 /// What a silent watch misses counts as told so long after its last line at the soonest ("One clock for silence").
-const TOLD: Duration = Duration::from_secs(6);
+const CHANGE_TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
 /// After SIGHUP the list of another discovery counts as told so much later.
-const MOVED: Duration = Duration::from_secs(4);
-/// No try is worth it in less, and none is waited for less.
-const LEAST: Duration = Duration::from_millis(400);
-/// The mean pause after the first try that failed, doubled with each; and the only one where lists are pushed, since
-/// there what a local agent has counts at once.
-const PAUSE: Duration = Duration::from_millis(200);
-const PUSHED_PAUSE: Duration = Duration::from_millis(100);
-/// Connections open at a time: the silent watch and two tries.
-const MOST: usize = 3;
-
-/// How discovery is to be asked, as the settings say.
-#[derive(Clone, Copy)]
-pub struct Manner {
-    /// Lists come from an agent unasked, and the module never asks for them.
-    pub pushed: bool,
-    /// Without a watch, what was in the list so long after a call counts as told.
-    pub must_ask_in: Duration,
-}
+const CHANGE_TOLD_AFTER_MOVE: Duration = Duration::from_secs(4);
+/// Connections open at a time: the silent watch and three calls.
+const MAX_CONNECTIONS: usize = 4;
+/// The oldest call is kept for so long, however many follow it. Guards against: a slow discovery, each call of which is
+/// given up before it is answered.
+const OLDEST_CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The connections to discovery.
 pub struct Discovery {
     addr: SocketAddr,
-    manner: Manner,
-    rng: fastrand::Rng,
+    pushed: bool,
+    schedule: Schedule,
+    /// The oldest first.
     links: Vec<Link>,
-    chase: Option<Chase>,
-    /// When the watch is silent, if there is one.
-    silent_at: Option<Instant>,
-    last_line: Instant,
+    state: State,
+    /// The last list that came.
+    heard: Option<Heard>,
     opened: u64,
 }
 
-/// Tries to open a watch.
-struct Chase {
-    /// What is missed counts as told from then on.
-    until: Instant,
-    /// A try that failed is followed by another one before that, instead of leaving it to the module to ask again.
-    hurried: bool,
-    failed: u32,
-    next: Instant,
+/// What there is of a watch.
+enum State {
+    /// The module has not asked for one yet.
+    Unasked,
+    /// None; calls are made.
+    Opening(Opening),
+    /// It is open.
+    Watching(Watch),
 }
 
-struct Link {
+struct Watch {
     number: u64,
-    wire: Wire,
-    lines: Lines,
-    lists: Lists,
-    connected: bool,
-    /// Its first list has come.
-    listed: bool,
-    /// Bytes since its last whole line.
-    begun: usize,
+    last_line: Instant,
+    silent_at: Instant,
+}
+
+#[derive(Clone, Copy)]
+struct Heard {
+    at: Instant,
+    version: u64,
 }
 
 impl Discovery {
     pub fn new(now: Instant, addr: SocketAddr, manner: Manner, seed: u64) -> Self {
         // Where lists are pushed nobody asks for the first one.
-        let chase = manner.pushed.then(|| Chase::new(now, TOLD, true));
-        let rng = fastrand::Rng::with_seed(seed);
-        Self { addr, manner, rng, links: Vec::new(), chase, silent_at: None, last_line: now, opened: 0 }
+        let state = match manner.pushed {
+            true => State::Opening(Schedule::at_once(now, None)),
+            false => State::Unasked,
+        };
+        let schedule = Schedule::new(manner, seed);
+        let pushed = manner.pushed;
+        Self { addr, pushed, schedule, links: Vec::new(), state, heard: None, opened: 0 }
     }
 
-    /// Opens a watch from a version on, in place of the one there is.
+    /// Opens a watch from a version on. One that is open or being opened already is left as it is.
     pub fn watch(&mut self, now: Instant, since: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        self.silent_at = None;
-        let within = TOLD.min(self.manner.must_ask_in);
-        self.chase = Some(Chase::new(now, within, self.manner.pushed));
-        self.tick(now, since, poller, inbox);
+        if matches!(self.state, State::Unasked) {
+            self.state = State::Opening(Schedule::at_once(now, None));
+            self.tick(now, since, poller, inbox);
+        }
     }
 
     /// Goes on at another address, at once; at the same one the watch stays as it is.
@@ -104,30 +101,18 @@
         poller: &Poller,
         inbox: &mut VecDeque<Input>,
     ) {
-        if self.addr != addr {
-            self.addr = addr;
-            self.links.clear();
-            self.silent_at = None;
-            self.chase = Some(Chase::new(now, MOVED, true));
-            self.tick(now, since, poller, inbox);
+        if self.addr == addr {
+            return;
         }
-    }
-
-    fn open(&mut self, since: u64, poller: &Poller) -> io::Result<()> {
-        if self.links.len() >= MOST {
-            // The one that has got least of a line; of several, the oldest.
-            let least = self.links.iter().enumerate().min_by_key(|(_, link)| link.begun).map(|(at, _)| at);
-            least.map(|at| self.links.remove(at));
+        // Guards against: news that the old one has written, and that are closed unread.
+        for link in &mut self.links {
+            inbox.extend(link.read_rest().into_iter().map(Input::Members));
         }
-        self.opened += 1;
-        let mut wire = Wire::dial(self.addr)?;
-        let path = format!("/catalog/members?follow=1&since={since}");
-        wire.out().extend(http::get(&path, &self.addr.to_string()));
-        poller.add(&wire, Token::Watch(self.opened), Interest::WRITE)?;
-        let (lines, lists) = (Lines::default(), Lists::default());
-        let number = self.opened;
-        self.links.push(Link { number, wire, lines, lists, connected: false, listed: false, begun: 0 });
-        Ok(())
+        self.addr = addr;
+        self.links.clear();
+        self.heard = None;
+        self.state = State::Opening(Schedule::at_once(now, Some(now + CHANGE_TOLD_AFTER_MOVE)));
+        self.tick(now, since, poller, inbox);
     }
 
     pub fn ready(
@@ -139,132 +124,119 @@
         inbox: &mut VecDeque<Input>,
     ) {
         let Some(at) = self.links.iter().position(|link| link.number == number) else { return };
-        let link = &mut self.links[at];
-        let (read, alive) = link.ready(event, poller, inbox);
-        if alive {
-            self.links.swap(0, at);
-            self.links.truncate(1);
-            self.chase = None;
-            self.last_line = now;
-            let overdue = OVERDUE.mul_f64(1.0 + self.rng.f64());
-            self.silent_at = Some(now + LINE_EVERY + overdue);
+        let Received { lists, alive, mut end } = self.links[at].ready(event, poller);
+        match self.outdated(at, &lists) {
+            // The next call is answered with what counts.
+            true => end = Some("an older list than has come since the call".to_owned()),
+            false => {
+                self.take(now, lists, inbox);
+                if alive {
+                    self.watch_on(now, number);
+                }
+            }
         }
-        if let Err(error) = read {
-            warn!(why = error, "watch broken");
+        if let Some(why) = end {
+            warn!(why, "watch broken");
             self.links.retain(|link| link.number != number);
-            self.failed(now, inbox);
+            self.lost(now, number, inbox);
+        }
+    }
+
+    /// Guards against: changes undone by the answer to a call that an earlier connection has overtaken meanwhile.
+    fn outdated(&self, at: usize, lists: &[Members]) -> bool {
+        let (Some(first), Some(heard)) = (lists.first(), self.heard) else { return false };
+        let overtaken = heard.at > self.links[at].called;
+        let is_watch = matches!(&self.state, State::Watching(watch) if watch.number == self.links[at].number);
+        overtaken
+            && !is_watch
+            && self.links[..at].iter().any(|link| link.listed)
+            && first.version < heard.version
+    }
+
+    fn take(&mut self, now: Instant, lists: Vec<Members>, inbox: &mut VecDeque<Input>) {
+        for members in lists {
+            self.heard = Some(Heard { at: now, version: members.version });
+            inbox.push_back(Input::Members(members));
         }
     }
 
+    /// A connection has brought a line: it is the watch, and those before it are not needed any more.
+    fn watch_on(&mut self, now: Instant, number: u64) {
+        self.links.retain(|link| link.number >= number);
+        let overdue = self.schedule.jittered(LINE_OVERDUE_AFTER..2 * LINE_OVERDUE_AFTER);
+        let silent_at = now + LINE_INTERVAL + overdue;
+        self.state = State::Watching(Watch { number, last_line: now, silent_at });
+    }
+
     /// When [`Discovery::tick`] is due.
     pub fn next(&self) -> Option<Instant> {
-        self.chase.as_ref().map(|chase| chase.next).or(self.silent_at)
+        match &self.state {
+            State::Unasked => None,
+            State::Opening(opening) => Some(opening.next),
+            State::Watching(watch) => Some(watch.silent_at),
+        }
     }
 
     /// Guards against: a discovery that vanished and says nothing, on a connection that stays open.
     pub fn tick(&mut self, now: Instant, since: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        if self.chase.is_none() && self.silent_at.is_some_and(|at| at <= now) {
-            warn!(why = "silent", "watch broken");
-            self.silent_at = None;
-            let left = (self.last_line + TOLD).saturating_duration_since(now);
-            self.chase = Some(Chase::new(now, left, true));
-        }
-        let Some(chase) = self.chase.as_mut().filter(|chase| chase.next <= now) else { return };
-        let left = chase.until.saturating_duration_since(now);
-        if left < LEAST {
-            if !self.manner.pushed {
-                // The module asks again after a while; what is open may still bring something.
-                warn!(why = "no list in time", "watch broken");
-                self.chase = None;
-                inbox.push_back(Input::WatchBroken);
-                return;
+        if let State::Watching(watch) = &self.state {
+            if watch.silent_at <= now {
+                warn!(why = "silent", "watch broken");
+                let deadline = watch.last_line + CHANGE_TOLD_AFTER_SILENCE;
+                self.state = State::Opening(Schedule::at_once(now, Some(deadline)));
+                self.tell_broken(inbox);
             }
-            chase.until = now + TOLD;
         }
-        chase.next = now + (left / 2).max(LEAST);
-        if let Err(error) = self.open(since, poller) {
-            warn!(why = %error, "watch broken");
-            self.failed(now, inbox);
+        let State::Opening(opening) = &mut self.state else { return };
+        if opening.next > now {
+            return;
         }
-    }
-
-    /// A connection has ended, and is no longer among the others.
-    fn failed(&mut self, now: Instant, inbox: &mut VecDeque<Input>) {
-        let watched = self.silent_at.take().is_some();
-        if watched && self.manner.pushed {
-            self.chase = Some(Chase::new(now, TOLD, true));
+        if opening.deadline.is_some_and(|deadline| deadline <= now) {
+            warn!(why = "no list in time", "watch broken");
+            opening.deadline = None;
         }
-        match &mut self.chase {
-            Some(chase) if chase.hurried => {
-                chase.failed += 1;
-                let pause =
-                    if self.manner.pushed { PUSHED_PAUSE } else { PAUSE * (1 << chase.failed.min(8)) / 2 };
-                chase.next = chase.next.min(now + pause.mul_f64(0.5 + self.rng.f64()));
-            }
-            // Another try is still out, or the module has been told.
-            Some(_) if self.links.iter().any(|link| !link.listed) => {}
-            None if !watched => {}
-            _ => {
-                self.chase = None;
-                inbox.push_back(Input::WatchBroken);
-            }
+        self.schedule.called(now, opening);
+        if let Err(error) = self.call(now, since, poller) {
+            warn!(why = %error, "watch broken");
+            self.lost(now, self.opened, inbox);
         }
     }
-}
 
-impl Chase {
-    fn new(now: Instant, within: Duration, hurried: bool) -> Self {
-        Self { until: now + within, hurried, failed: 0, next: now }
+    fn call(&mut self, now: Instant, since: u64, poller: &Poller) -> io::Result<()> {
+        if self.links.len() >= MAX_CONNECTIONS {
+            self.make_room(now);
+        }
+        self.opened += 1;
+        self.links.push(Link::open(now, self.opened, self.addr, since, poller)?);
+        Ok(())
     }
-}
 
-impl Link {
-    /// Takes what has come: whether that went well, and whether a whole line was among it.
-    fn ready(
-        &mut self,
-        event: Ready,
-        poller: &Poller,
-        inbox: &mut VecDeque<Input>,
-    ) -> (Result<(), String>, bool) {
-        let mut alive = false;
-        (self.take(event, poller, inbox, &mut alive), alive)
+    /// Closes the connection of least use: the silent watch, or the call that has got least of a line; of several, the
+    /// oldest but for the one that is given its time.
+    fn make_room(&mut self, now: Instant) {
+        let oldest = self.links.iter().position(|link| !link.listed);
+        let oldest = oldest.filter(|at| now < self.links[*at].called + OLDEST_CALL_TIMEOUT);
+        let others = self.links.iter().enumerate().filter(|(at, _)| Some(*at) != oldest);
+        let least = others.min_by_key(|(_, link)| (!link.listed, link.begun)).map(|(at, _)| at);
+        least.map(|at| self.links.remove(at));
     }
 
-    fn take(
-        &mut self,
-        event: Ready,
-        poller: &Poller,
-        inbox: &mut VecDeque<Input>,
-        alive: &mut bool,
-    ) -> Result<(), String> {
-        let text = |e: io::Error| e.to_string();
-        if !self.connected && (event.write || event.broken) {
-            self.wire.dialled().map_err(text)?;
-            self.connected = true;
-        }
-        if event.write && self.wire.flush().map_err(text)? {
-            poller.change(&self.wire, Token::Watch(self.number), Interest::READ).map_err(text)?;
-        }
-        let (mut scratch, mut bytes, mut lines) = (vec![0; CHUNK], Vec::new(), Vec::new());
-        let taken = self.wire.read(&mut scratch, &mut bytes).map_err(text)?;
-        self.begun += bytes.len();
-        self.lines.feed(&bytes, &mut lines).map_err(|e| e.to_string())?;
-        for line in &lines {
-            match self.lists.take(line).map_err(|fault| format!("malformed list: {fault}"))? {
-                News::Part => continue,
-                News::List(members) => {
-                    self.listed = true;
-                    inbox.push_back(Input::Members(members));
-                }
-                News::Empty => {}
+    /// A connection has ended, and is no longer among the others.
+    fn lost(&mut self, now: Instant, number: u64, inbox: &mut VecDeque<Input>) {
+        match &mut self.state {
+            State::Watching(watch) if watch.number == number => {
+                self.state = State::Opening(self.schedule.after_end(now));
+                self.tell_broken(inbox);
             }
-            // The first line of a watch holds what was missed before: until then it has brought nothing.
-            *alive |= self.listed;
-            self.begun = 0;
+            State::Opening(opening) => self.schedule.failed(now, opening),
+            State::Watching(_) | State::Unasked => {}
         }
-        if taken == Taken::End || self.lines.ended() {
-            return Err("ended by discovery".to_owned());
+    }
+
+    /// The module learns that its watch broke; when it asks for another one, that is open or being opened.
+    fn tell_broken(&self, inbox: &mut VecDeque<Input>) {
+        if !self.pushed {
+            inbox.push_back(Input::WatchBroken);
         }
-        Ok(())
     }
 }
--- /dev/null
+++ b/gateway/src/net/discovery/schedule.rs
@@ -0,0 +1,107 @@
+//! When the next call to discovery is made while there is no watch. No I/O.
+//!
+//! A change counts as told 6 s after discovery had it and could be reached, whatever a failed, refused or given-up call
+//! allows. So calls go on at a steady pace for as long as there is no watch, without a backoff, and a call that hangs
+//! is no reason to wait for it. The pace is jittered, as many gateways share one discovery that handles calls in turn.
+
+use std::ops::Range;
+use std::time::{Duration, Instant};
+
+/// From a call that still waits for its answer to the next one. Calls that wait too long in discovery's queue mostly
+/// fail within 2 s; another one sooner would only lengthen the queue.
+const WAITING_CALL_INTERVAL: Range<Duration> = Duration::from_millis(1_500)..Duration::from_millis(2_000);
+/// From a call that failed to the next one.
+const FAILED_CALL_INTERVAL: Range<Duration> = Duration::from_millis(1_000)..Duration::from_millis(1_500);
+/// From the end of a watch to the first call.
+const ENDED_WATCH_DELAY: Range<Duration> = Duration::ZERO..Duration::from_millis(300);
+/// Where lists are pushed, what a local agent has counts at once: calls follow sooner.
+const PUSHED_WAITING_CALL_INTERVAL: Range<Duration> = Duration::from_millis(400)..Duration::from_millis(600);
+const PUSHED_FAILED_CALL_DELAY: Range<Duration> = Duration::from_millis(50)..Duration::from_millis(150);
+/// Before a deadline each waiting call is given this part of the time left, and no less than the minimum.
+const DEADLINE_DIVISOR: u32 = 3;
+const MIN_CALL_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How discovery is to be asked, as the settings say.
+#[derive(Clone, Copy)]
+pub struct Manner {
+    /// Lists come from an agent unasked, and the module never asks for them.
+    pub pushed: bool,
+    /// Without a watch, what was in the list so long after a call counts as told.
+    pub must_ask_in: Duration,
+}
+
+/// Calls made since there was no watch.
+pub struct Opening {
+    /// What is missed counts as told from then on; none once that is over, or if it is counted from the next call.
+    pub deadline: Option<Instant>,
+    /// When the next call is made.
+    pub next: Instant,
+}
+
+/// The pace of calls.
+pub struct Schedule {
+    manner: Manner,
+    rng: fastrand::Rng,
+    last_call: Option<Instant>,
+}
+
+impl Schedule {
+    pub fn new(manner: Manner, seed: u64) -> Self {
+        Self { manner, rng: fastrand::Rng::with_seed(seed), last_call: None }
+    }
+
+    /// A delay within a range, the same for no two gateways.
+    pub fn jittered(&mut self, range: Range<Duration>) -> Duration {
+        range.start + (range.end - range.start).mul_f64(self.rng.f64())
+    }
+
+    /// Calls from now on, the first one at once.
+    pub fn at_once(now: Instant, deadline: Option<Instant>) -> Opening {
+        Opening { deadline, next: now }
+    }
+
+    /// Calls after a watch that ended. Guards against: a discovery that ends each watch right away and is called again
+    /// without a pause.
+    pub fn after_end(&mut self, now: Instant) -> Opening {
+        let next = if self.manner.pushed {
+            now + self.jittered(PUSHED_FAILED_CALL_DELAY)
+        } else {
+            self.after_last_call(now).max(now + self.jittered(ENDED_WATCH_DELAY))
+        };
+        Opening { deadline: None, next }
+    }
+
+    /// A call is made now: sets when the next one follows if this one brings nothing.
+    pub fn called(&mut self, now: Instant, opening: &mut Opening) {
+        self.last_call = Some(now);
+        let waiting = if self.manner.pushed { PUSHED_WAITING_CALL_INTERVAL } else { WAITING_CALL_INTERVAL };
+        let steady = self.jittered(waiting).min(self.longest_interval());
+        let left = opening.deadline.map(|deadline| deadline.saturating_duration_since(now));
+        let interval =
+            left.map_or(steady, |left| steady.min((left / DEADLINE_DIVISOR).max(MIN_CALL_INTERVAL)));
+        opening.next = now + interval;
+    }
+
+    /// A call has failed: the next one follows sooner than after one that waits.
+    pub fn failed(&mut self, now: Instant, opening: &mut Opening) {
+        let next = if self.manner.pushed {
+            now + self.jittered(PUSHED_FAILED_CALL_DELAY)
+        } else {
+            self.after_last_call(now).max(now)
+        };
+        opening.next = opening.next.min(next);
+    }
+
+    fn after_last_call(&mut self, now: Instant) -> Instant {
+        let interval = self.jittered(FAILED_CALL_INTERVAL).min(self.longest_interval());
+        self.last_call.map_or(now, |last| last + interval)
+    }
+
+    /// Several calls fit into the time that the settings give for asking.
+    fn longest_interval(&self) -> Duration {
+        (self.manner.must_ask_in / DEADLINE_DIVISOR).max(MIN_CALL_INTERVAL)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/gateway/tests/watch.rs
@@ -0,0 +1,550 @@
+//! What is owed when a watch or a call for the list ends or stalls: a change counts as told 6 s after discovery had it
+//! and could be reached, whatever a failed, refused or given-up call allows; 250 ms later nothing new goes to a db host
+//! that drains. The cases of each test run side by side.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::*;
+
+const SERVED: &[u8] = b"TDCZ";
+const SETTINGS: &str = include_str!("common/settings.json");
+/// From a change on, or from its discovery's return; after SIGHUP; and what a drain has, with the slack on sockets.
+const TOLD: Duration = Duration::from_secs(6);
+const MOVED: Duration = Duration::from_secs(4);
+const DRAIN: Duration = Duration::from_millis(250 + 50);
+/// A line comes at least so often as long as a watch is well.
+const LINE_INTERVAL: Duration = Duration::from_secs(2);
+const FAILED: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+/// Longer than any test.
+const FOREVER: Duration = Duration::from_secs(60);
+
+/// Discovery that plays a part for each call, each on a thread of its own. A connection ends with its part.
+struct Calls {
+    addr: SocketAddr,
+    /// When each call came, with its first line.
+    came: Arc<Mutex<Vec<(Instant, String)>>>,
+}
+
+impl Calls {
+    /// Plays a part for each call; the part gets the call's number, from 0 on.
+    fn start(part: impl Fn(usize, &mut TcpStream) + Send + Sync + 'static) -> Self {
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap(), part)
+    }
+
+    fn on(listener: TcpListener, part: impl Fn(usize, &mut TcpStream) + Send + Sync + 'static) -> Self {
+        let addr = listener.local_addr().unwrap();
+        let came = Arc::new(Mutex::new(Vec::new()));
+        let (kept, part) = (Arc::clone(&came), Arc::new(part));
+        thread::spawn(move || {
+            for mut stream in listener.incoming().map_while(Result::ok) {
+                let mut line = String::new();
+                let _ = BufReader::new(&mut stream).read_line(&mut line);
+                let mut calls = kept.lock().unwrap();
+                calls.push((Instant::now(), line));
+                let (number, part) = (calls.len() - 1, Arc::clone(&part));
+                thread::spawn(move || part(number, &mut stream));
+            }
+        });
+        Self { addr, came }
+    }
+
+    /// When the call of this number came.
+    fn at(&self, number: usize) -> Instant {
+        until(|| self.came.lock().unwrap().len() > number, || format!("no call {number}"));
+        self.came.lock().unwrap()[number].0
+    }
+}
+
+fn say(stream: &mut TcpStream, text: &str) {
+    let _ = stream.write_all(text.as_bytes());
+}
+
+/// Nothing more comes, and the connection stays open.
+fn hang() {
+    thread::sleep(FOREVER);
+}
+
+/// A line of a watch that is open.
+fn line(text: &str) -> String {
+    format!("{:x}\r\n{text}\n\r\n", text.len() + 1)
+}
+
+/// A watch with its first list, which brings nothing new.
+fn unchanged() -> String {
+    watch(&[&list(41, false, &[])])
+}
+
+/// Two db hosts: reads go to the replica as long as it does not drain.
+struct Pair {
+    primary: Host,
+    replica: Host,
+}
+
+impl Pair {
+    fn new() -> Self {
+        Self { primary: Host::well(true), replica: Host::well(false) }
+    }
+
+    fn list(&self, version: u32, full: bool, state: &str) -> String {
+        let primary = entry("s-a", &self.primary, "primary", "Ready", 0);
+        list(version, full, &[primary, entry("s-b", &self.replica, "replica", state, 0)])
+    }
+
+    /// The replica drains.
+    fn drain(&self) -> String {
+        self.list(42, false, "Terminating")
+    }
+
+    fn gateway(&self, discovery: SocketAddr, settings: &str) -> Gateway {
+        Gateway::told_by(discovery, &pair(&self.primary, &self.replica), settings)
+    }
+
+    fn reads_at_replica(&self, gateway: &Gateway) -> usize {
+        let (mut client, before) = (gateway.client(), self.replica.asked().len());
+        for _ in 0..10 {
+            assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
+        }
+        self.replica.asked().len() - before
+    }
+
+    /// Reads go to the replica now; from `mark` on, none does.
+    fn drained_by(&self, gateway: &Gateway, mark: Instant) {
+        assert!(self.reads_at_replica(gateway) > 0, "reads go to the replica at first");
+        self.none_from(gateway, mark);
+    }
+
+    fn none_from(&self, gateway: &Gateway, mark: Instant) {
+        thread::sleep(mark.saturating_duration_since(Instant::now()));
+        assert_eq!(self.reads_at_replica(gateway), 0, "sends past the bound: {}", gateway.log());
+    }
+}
+
+/// Plays cases side by side, and names those that failed.
+fn side_by_side(cases: &[(&str, fn())]) {
+    let failed: Vec<&str> = thread::scope(|scope| {
+        let threads: Vec<_> = cases.iter().map(|(name, case)| (*name, scope.spawn(case))).collect();
+        threads.into_iter().filter_map(|(name, thread)| thread.join().is_err().then_some(name)).collect()
+    });
+    assert!(failed.is_empty(), "failed: {failed:?}");
+}
+
+fn pushed() -> String {
+    SETTINGS.replace("\"subscribe\"", "\"automatic\"")
+}
+
+fn signal(gateway: &Gateway, signal: &str) {
+    assert!(Command::new("kill").args([signal, &gateway.pid().to_string()]).status().unwrap().success());
+}
+
+/// What happens while the gateway does not run comes to it at once, in this order.
+fn at_once(gateway: &Gateway, happens: impl FnOnce()) {
+    signal(gateway, "-STOP");
+    happens();
+    thread::sleep(Duration::from_millis(50));
+    signal(gateway, "-CONT");
+}
+
+#[test]
+fn a_watch_that_ends_or_stalls_is_opened_anew_in_time() {
+    side_by_side(&[
+        ("reset just before a drain, two calls that hang, a slow answer", reset_before_a_drain),
+        ("call after call fails, and the first after the return hangs", back_after_failures),
+        ("empty lines before the first list", empty_lines_first),
+        ("a connect that does not come up", connect_that_does_not_come_up),
+        ("a call that is turned away after it has waited", turned_away_after_waiting),
+    ]);
+}
+
+fn reset_before_a_drain() {
+    let hosts = Pair::new();
+    let (drain, ended) = (hosts.drain(), Arc::new(Mutex::new(None)));
+    let end = Arc::clone(&ended);
+    let discovery = Calls::start(move |call, stream| match call {
+        0 => {
+            say(stream, &unchanged());
+            thread::sleep(Duration::from_millis(1_600));
+            *end.lock().unwrap() = Some(Instant::now());
+        }
+        1 | 2 => hang(),
+        _ => {
+            thread::sleep(Duration::from_secs(1));
+            say(stream, &watch(&[&drain]));
+            hang();
+        }
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    until(|| ended.lock().unwrap().is_some(), || "no call".to_owned());
+    let ended = ended.lock().unwrap().unwrap();
+    hosts.drained_by(&gateway, ended + TOLD + DRAIN);
+}
+
+fn back_after_failures() {
+    let hosts = Pair::new();
+    let drain = hosts.drain();
+    // Discovery can be reached right after the last call that failed.
+    let discovery = Calls::start(move |call, stream| match call {
+        0 | 1 => say(stream, FAILED),
+        2 => hang(),
+        3 => {
+            thread::sleep(Duration::from_secs(2));
+            say(stream, FAILED);
+        }
+        _ => {
+            say(stream, &watch(&[&drain]));
+            hang();
+        }
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    let back = discovery.at(1);
+    hosts.drained_by(&gateway, back + TOLD + DRAIN);
+}
+
+fn empty_lines_first() {
+    let hosts = Pair::new();
+    let drain = hosts.drain();
+    let discovery = Calls::start(move |call, stream| match call {
+        0 | 1 => {
+            say(stream, &watch(&[""]));
+            while stream.write_all(line("").as_bytes()).is_ok() {
+                thread::sleep(Duration::from_millis(500));
+            }
+        }
+        _ => {
+            say(stream, &watch(&[&drain]));
+            hang();
+        }
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    hosts.drained_by(&gateway, discovery.at(0) + TOLD + DRAIN);
+}
+
+fn connect_that_does_not_come_up() {
+    let hosts = Pair::new();
+    let drain = hosts.drain();
+    let listener = unanswering();
+    let addr = listener.local_addr().unwrap();
+    // They fill the queue, so that the system passes over what comes after them.
+    let filling: Vec<_> = (0..4).map(|_| thread::spawn(move || TcpStream::connect(addr))).collect();
+    thread::sleep(Duration::from_millis(100));
+    let gateway = hosts.gateway(addr, SETTINGS);
+    thread::sleep(Duration::from_millis(4_000));
+    let back = Instant::now();
+    let discovery = Calls::on(listener, move |_, stream| {
+        say(stream, &watch(&[&drain]));
+        hang();
+    });
+    drop(filling);
+    hosts.drained_by(&gateway, back + TOLD + DRAIN);
+    drop(discovery);
+}
+
+/// A listener with room for one connection that nobody has taken.
+fn unanswering() -> TcpListener {
+    use rustix::net::{bind, ipproto, listen, socket, AddressFamily, SocketType};
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, Some(ipproto::TCP)).unwrap();
+    bind(&socket, &"127.0.0.1:0".parse::<SocketAddr>().unwrap()).unwrap();
+    listen(&socket, 0).unwrap();
+    socket.into()
+}
+
+fn turned_away_after_waiting() {
+    let hosts = Pair::new();
+    let drain = hosts.drain();
+    let discovery = Calls::start(move |call, stream| match call {
+        0 => {
+            say(stream, &unchanged());
+            hang();
+        }
+        1 => {
+            thread::sleep(Duration::from_secs(2));
+            say(stream, FAILED);
+        }
+        2 => {}
+        _ => {
+            say(stream, &watch(&[&drain]));
+            hang();
+        }
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    hosts.drained_by(&gateway, discovery.at(0) + TOLD + DRAIN);
+}
+
+#[test]
+fn what_was_written_counts_though_its_connection_is_given_up() {
+    side_by_side(&[
+        ("a list and something malformed right behind it", list_before_malformed_bytes),
+        ("a list on the watch and SIGHUP to another discovery", list_before_sighup),
+        ("a list on a new call and a line on the silent watch", list_beside_a_late_line),
+        ("the answer to an older call comes after a newer list", older_list_after_a_newer_one),
+    ]);
+}
+
+fn list_before_malformed_bytes() {
+    let hosts = Pair::new();
+    let drain = hosts.drain();
+    let discovery = Calls::start(move |call, stream| {
+        if call == 0 {
+            say(stream, &unchanged());
+            thread::sleep(Duration::from_millis(500));
+            say(stream, &(line(&drain) + "no chunk\r\n"));
+        }
+        hang();
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    hosts.drained_by(&gateway, discovery.at(0) + Duration::from_millis(500) + DRAIN);
+}
+
+fn list_before_sighup() {
+    let hosts = Pair::new();
+    // Longer than what is read at a time.
+    let drain = line(&(hosts.drain() + &" ".repeat(50_000)));
+    let watcher = Arc::new(Mutex::new(None));
+    let kept = Arc::clone(&watcher);
+    let old = Calls::start(move |_, stream| {
+        say(stream, &unchanged());
+        *kept.lock().unwrap() = stream.try_clone().ok();
+        hang();
+    });
+    let new = Calls::start(|_, _| hang());
+    let gateway = hosts.gateway(old.addr, SETTINGS);
+    until(|| watcher.lock().unwrap().is_some(), || "no call".to_owned());
+    assert!(hosts.reads_at_replica(&gateway) > 0);
+    at_once(&gateway, || {
+        say(watcher.lock().unwrap().as_mut().unwrap(), &drain);
+        gateway.reload(&old.addr.to_string(), &new.addr.to_string());
+    });
+    hosts.none_from(&gateway, Instant::now() + DRAIN);
+}
+
+fn list_beside_a_late_line() {
+    let hosts = Pair::new();
+    let drain = watch(&[&hosts.drain()]);
+    let (old, new) = (Arc::new(Mutex::new(None)), Arc::new(Mutex::new(None)));
+    let (first, second) = (Arc::clone(&old), Arc::clone(&new));
+    let discovery = Calls::start(move |call, stream| {
+        match call {
+            0 => {
+                say(stream, &unchanged());
+                *first.lock().unwrap() = stream.try_clone().ok();
+            }
+            1 => *second.lock().unwrap() = stream.try_clone().ok(),
+            _ => {}
+        }
+        hang();
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    until(|| new.lock().unwrap().is_some(), || "no second call".to_owned());
+    assert!(hosts.reads_at_replica(&gateway) > 0);
+    at_once(&gateway, || {
+        say(old.lock().unwrap().as_mut().unwrap(), &line(""));
+        say(new.lock().unwrap().as_mut().unwrap(), &drain);
+    });
+    hosts.none_from(&gateway, Instant::now() + DRAIN);
+}
+
+fn older_list_after_a_newer_one() {
+    let hosts = Pair::new();
+    let (drain, before) = (hosts.drain(), watch(&[&hosts.list(41, true, "Ready")]));
+    let (old, new) = (Arc::new(Mutex::new(None)), Arc::new(Mutex::new(None)));
+    let (first, second) = (Arc::clone(&old), Arc::clone(&new));
+    let discovery = Calls::start(move |call, stream| {
+        match call {
+            0 => {
+                say(stream, &unchanged());
+                *first.lock().unwrap() = stream.try_clone().ok();
+            }
+            1 => *second.lock().unwrap() = stream.try_clone().ok(),
+            _ => {}
+        }
+        hang();
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    until(|| new.lock().unwrap().is_some(), || "no second call".to_owned());
+    assert!(hosts.reads_at_replica(&gateway) > 0);
+    say(old.lock().unwrap().as_mut().unwrap(), &line(&drain));
+    thread::sleep(Duration::from_millis(100));
+    say(new.lock().unwrap().as_mut().unwrap(), &before);
+    hosts.none_from(&gateway, Instant::now() + DRAIN);
+}
+
+#[test]
+fn calls_go_on_at_a_steady_pace_without_a_watch() {
+    side_by_side(&[
+        ("calls that hang", || paced(SETTINGS, 1_400, 2_200, |_| hang())),
+        ("calls that are turned away", || paced(SETTINGS, 900, 1_700, |stream| say(stream, FAILED))),
+        ("calls that are reset", || paced(SETTINGS, 900, 1_700, |_| {})),
+        ("watches that end right after their first list", || {
+            paced(SETTINGS, 900, 1_700, |stream| say(stream, &unchanged()));
+        }),
+        ("calls that hang, where lists are pushed", || paced(&pushed(), 350, 800, |_| hang())),
+        ("calls that are reset, where lists are pushed", || paced(&pushed(), 40, 350, |_| {})),
+    ]);
+}
+
+/// The time between calls, in milliseconds, over nine seconds.
+fn paced(settings: &str, least_ms: u64, most_ms: u64, part: fn(&mut TcpStream)) {
+    let hosts = Pair::new();
+    let discovery = Calls::start(move |_, stream| part(stream));
+    let gateway = hosts.gateway(discovery.addr, settings);
+    thread::sleep(Duration::from_secs(9));
+    let came: Vec<Instant> = discovery.came.lock().unwrap().iter().map(|(at, _)| *at).collect();
+    assert!(came.len() > 3, "{}", gateway.log());
+    for (at, next) in came.iter().zip(&came[1..]) {
+        let between = next.duration_since(*at);
+        let allowed = Duration::from_millis(least_ms)..Duration::from_millis(most_ms);
+        assert!(allowed.contains(&between), "{between:?} between calls: {}", gateway.log());
+    }
+}
+
+#[test]
+fn sighup_to_another_discovery_is_followed_by_a_drain() {
+    side_by_side(&[
+        ("while the old watch is silent", || moved(SETTINGS, true)),
+        ("while the old watch is silent, where lists are pushed", || moved(&pushed(), true)),
+        ("while the old watch is well, where lists are pushed", || moved(&pushed(), false)),
+        ("whose versions are lower", lower_versions),
+    ]);
+}
+
+/// The new discovery has it at once; its first call hangs.
+fn moved(settings: &str, silent: bool) {
+    let hosts = Pair::new();
+    let drain = hosts.drain();
+    let old = Calls::start(|_, stream| {
+        say(stream, &unchanged());
+        hang();
+    });
+    let new = Calls::start(move |call, stream| {
+        if call > 0 {
+            say(stream, &watch(&[&drain]));
+        }
+        hang();
+    });
+    let gateway = hosts.gateway(old.addr, settings);
+    let from = old.at(0);
+    if silent {
+        // Calls are being made meanwhile.
+        thread::sleep((from + Duration::from_millis(3_000)).saturating_duration_since(Instant::now()));
+    }
+    gateway.reload(&old.addr.to_string(), &new.addr.to_string());
+    hosts.drained_by(&gateway, Instant::now() + MOVED + DRAIN);
+}
+
+fn lower_versions() {
+    let hosts = Pair::new();
+    let (whole, drain) = (hosts.list(7, true, "Ready"), hosts.list(8, false, "Terminating"));
+    let old = Calls::start(|_, stream| {
+        say(stream, &unchanged());
+        hang();
+    });
+    let new = Calls::start(move |call, stream| {
+        if call == 0 {
+            say(stream, &watch(&[&whole]));
+            thread::sleep(Duration::from_millis(500));
+            return;
+        }
+        say(stream, &watch(&[&drain]));
+        hang();
+    });
+    let gateway = hosts.gateway(old.addr, SETTINGS);
+    old.at(0);
+    gateway.reload(&old.addr.to_string(), &new.addr.to_string());
+    let again = new.at(1);
+    assert!(new.came.lock().unwrap()[1].1.contains("since=7 "), "it goes on from what it holds");
+    hosts.none_from(&gateway, again + DRAIN);
+}
+
+#[test]
+fn lists_come_in_any_form_and_hosts_come_back() {
+    side_by_side(&[
+        ("in pieces, cut anywhere", list_in_pieces),
+        ("a list with a host that is named twice", host_named_twice),
+        ("a host drains and is ready again", ready_again),
+        ("a connection to it was being opened", connection_being_opened),
+    ]);
+}
+
+fn list_in_pieces() {
+    let hosts = Pair::new();
+    let indented = hosts.drain().replace('{', "{\n  ").replace(',', ",\n  ");
+    // Chunks of seven bytes, written three bytes at a time.
+    let chunks = (indented + "\n").into_bytes();
+    let body: String = chunks
+        .chunks(7)
+        .map(|c| format!("{:X};x=1\r\n{}\r\n", c.len(), String::from_utf8_lossy(c)))
+        .collect();
+    let text = watch(&[]) + &body;
+    let discovery = Calls::start(move |_, stream| {
+        let _ = stream.set_nodelay(true);
+        for piece in text.as_bytes().chunks(3) {
+            let _ = stream.write_all(piece);
+            thread::sleep(Duration::from_micros(300));
+        }
+        hang();
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    hosts.none_from(&gateway, discovery.at(0) + LINE_INTERVAL + DRAIN);
+}
+
+/// The entry that comes last counts.
+fn host_named_twice() {
+    let hosts = Pair::new();
+    let named = |state| entry("s-b", &hosts.replica, "replica", state, 0);
+    let twice = list(42, false, &[named("Ready"), named("Terminating")]);
+    let discovery = Calls::start(move |_, stream| {
+        say(stream, &watch(&[&twice]));
+        hang();
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    hosts.none_from(&gateway, discovery.at(0) + DRAIN);
+}
+
+fn ready_again() {
+    let hosts = Pair::new();
+    let (drain, ready) = (hosts.drain(), hosts.list(43, false, "Ready"));
+    let discovery = Calls::start(move |_, stream| {
+        say(stream, &watch(&[&drain]));
+        thread::sleep(Duration::from_millis(1_500));
+        say(stream, &line(&ready));
+        hang();
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    hosts.none_from(&gateway, discovery.at(0) + DRAIN);
+    thread::sleep(Duration::from_millis(1_500));
+    assert!(hosts.reads_at_replica(&gateway) > 0, "reads go there again: {}", gateway.log());
+}
+
+/// The welcome comes after the news of the drain; what waited for it goes elsewhere.
+fn connection_being_opened() {
+    let (primary, replica) =
+        (Host::well(true), Host::slow(Duration::from_millis(200), |query| well(false, query)));
+    let hosts = Pair { primary, replica };
+    let drain = hosts.drain();
+    let watcher = Arc::new(Mutex::new(None));
+    let kept = Arc::clone(&watcher);
+    let discovery = Calls::start(move |_, stream| {
+        say(stream, &unchanged());
+        *kept.lock().unwrap() = stream.try_clone().ok();
+        hang();
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    until(|| watcher.lock().unwrap().is_some(), || "no call".to_owned());
+    let mut clients: Vec<Client> = (0..4).map(|_| gateway.client()).collect();
+    for client in &mut clients {
+        client.send(&statement("view", 1200, ""));
+    }
+    thread::sleep(Duration::from_millis(50));
+    say(watcher.lock().unwrap().as_mut().unwrap(), &line(&drain));
+    for client in &mut clients {
+        assert_eq!(client.answer(), SERVED);
+    }
+    assert!(hosts.replica.asked().is_empty(), "{:?}", hosts.replica.asked());
+    hosts.none_from(&gateway, Instant::now());
+}
