--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -103,6 +103,7 @@
             writes: true,
             scope: Scope::Class("order".to_owned(), 2),
             wait,
+            waited: Duration::ZERO,
             key: b"k".to_vec(),
             after: None,
             resent: false,
