See that a client has gone where no end of its connection tells

Cause: the gateway learns of a client's end by reading up to it. Two ends were never read. One lies behind more pipelined commands than are read while a request is out (32 KiB, Client::reads); the client's system may not even have sent it. The other is that of a client which had ended its sending before: the one notice that told a half-closed connection from a closed one was written when the end of sending came (Clients::ready), and a later close sends nothing. In both cases attempts went on for a client that had gone: three copies of the request in the test, where one may go out. Ruled out: a reset, which wakes the loop in any phase; a burst of leaving clients, which one round of 256 events after the other handles (test of 300).

Change: as long as a request is out and its client is not read from, a notice goes out every 40 ms; a reset answers it if nobody is there.

Second fault, same lines: with an extended pipeline held back (holds_back) the interest in reading stayed as it was, so a buffer that was full made a busy loop until the answer came: 290 ms of processor time in 300 ms. The interest is now set before.

--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -6,7 +6,7 @@
 use tracing::warn;
 use yewroute_lifecycle::Leaving;
 
-use super::poller::Interest;
+use super::poller::{Interest, Poller, Token};
 use super::wire::{Wire, CHUNK};
 use super::Input;
 use crate::core::{Ask, ClientId, Scope};
@@ -32,6 +32,9 @@
 const LONGEST_UNASKED: usize = 64 * 1024;
 /// A client that has taken none of its answers for so long is given up.
 const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
+/// How often a client that is not read from is asked whether it is still there, while a request of it is out. Nothing may
+/// be sent for one that has been gone for 0.1 s.
+pub(super) const PRESENCE_PROBE_INTERVAL: Duration = Duration::from_millis(40);
 /// How long a closed connection is given to take its last bytes.
 const LINGER: Duration = Duration::from_secs(1);
 /// While clients leave, a connection is given so long to say what it came for.
@@ -71,8 +74,10 @@
     /// Something is to be written that must not wait for the next answer.
     pub(super) prompt: bool,
     pub(super) buffer: Vec<u8>,
-    /// The client sends no more; it may still read.
+    /// The client sends no more, and all that it has sent has been read; it may still read.
     pub(super) ended: bool,
+    /// It has been asked whether it is still there, within [`PRESENCE_PROBE_INTERVAL`].
+    pub(super) probed: bool,
     pub(super) interest: Interest,
     pub(super) accepted: Instant,
     /// A query has come whole; and one that was a request, not only an empty one or a parameter's.
@@ -100,6 +105,7 @@
             prompt: false,
             buffer: Vec::new(),
             ended: false,
+            probed: false,
             interest: Interest::READ,
             accepted: now,
             asked: false,
@@ -199,6 +205,34 @@
         matches!(self.phase, Phase::Lingering(_)) || self.wire.quiet()
     }
 
+    /// Asks to be woken for what is wanted; false if the connection is broken.
+    pub(super) fn listen(&mut self, number: u64, unwritten: bool, poller: &Poller) -> bool {
+        let wanted = Interest { read: self.reads(), write: unwritten };
+        if wanted == self.interest {
+            return true;
+        }
+        self.interest = wanted;
+        poller.change(&self.wire, Token::Client(number), wanted).is_ok()
+    }
+
+    /// Asks a client whose leaving would not be seen whether it is still there: a notice, which it passes over, and which a
+    /// reset answers if it has gone. True if it is to be asked again later.
+    ///
+    /// Guards against: requests sent for a client that has gone, where no end of its connection tells. That of one that has
+    /// ended its sending only does not, and that of one whose commands are not read on now lies behind them.
+    pub(super) fn probe_presence(&mut self) -> bool {
+        let waits = self.phase == Phase::Busy && !self.passing;
+        if self.probed || !waits || self.reads() {
+            return false;
+        }
+        // What is not taken yet asks as well.
+        if self.stuck.is_none() {
+            frontend::put_notice(self.wire.out(), "still waiting for the answer");
+        }
+        (self.probed, self.prompt) = (true, true);
+        true
+    }
+
     /// More bytes are wanted.
     pub(super) fn reads(&self) -> bool {
         let most = match (self.phase, self.long) {
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -9,13 +9,12 @@
 use yewroute_ledger::{Grant, Ledger};
 use yewroute_lifecycle::Leaving;
 
-use super::client::{Client, Long, Phase};
+use super::client::{Client, Long, Phase, PRESENCE_PROBE_INTERVAL};
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
 use super::Input;
 use crate::core::{Answer, ClientId};
 use crate::proto::pg::code;
-use crate::proto::pg::frontend;
 use crate::proto::pg::session::{Final, Terms};
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
@@ -37,6 +36,8 @@
 enum Due {
     Sweep,
     Accept,
+    /// A client that is not read from is asked again whether it is still there.
+    Probe(u64),
 }
 
 /// All clients' connections, and the listener.
@@ -253,6 +254,12 @@
                         self.accept(now, poller);
                     }
                 }
+                Due::Probe(number) => {
+                    if let Some(client) = self.clients.get_mut(&number) {
+                        client.probed = false;
+                        self.work(now, number, poller, inbox);
+                    }
+                }
             }
         }
     }
@@ -304,13 +311,7 @@
                 Ok(Taken::Nothing) => {}
                 // It may have closed one direction only, and still wait for its answers; or it has gone, and
                 // then the answer to these bytes is a reset.
-                Ok(Taken::End) => {
-                    client.ended = true;
-                    if client.phase == Phase::Busy && !client.passing {
-                        frontend::put_notice(client.wire.out(), "still waiting for the answer");
-                        client.prompt = true;
-                    }
-                }
+                Ok(Taken::End) => client.ended = true,
                 Err(_) => {
                     self.gone(number, inbox);
                     return;
@@ -459,6 +460,9 @@
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return false };
             let stalled = client.take_messages(now, number, self.welcome.yes, &mut self.table, inbox);
+            if client.probe_presence() {
+                self.timers.set(now + PRESENCE_PROBE_INTERVAL, Due::Probe(number));
+            }
             let idle = client.takes() && !stalled;
             let leaves = self.welcome.leaving >= Leaving::Answered && client.answered_last();
             if (client.ended || leaves) && idle {
@@ -493,7 +497,8 @@
     fn settle(&mut self, now: Instant, number: u64, poller: &Poller) -> bool {
         let Some(client) = self.clients.get_mut(&number) else { return true };
         if client.holds_back() {
-            return true;
+            // Guards against: a busy loop over bytes that are not read now.
+            return client.listen(number, false, poller);
         }
         let before = client.wire.unwritten();
         let Ok(written) = client.wire.flush() else { return false };
@@ -520,12 +525,7 @@
                 return true;
             }
         }
-        let interest = Interest { read: client.reads(), write: !written };
-        if interest != client.interest {
-            client.interest = interest;
-            return poller.change(&client.wire, Token::Client(number), interest).is_ok();
-        }
-        true
+        client.listen(number, !written, poller)
     }
 
     fn gone(&mut self, number: u64, inbox: &mut VecDeque<Input>) {
--- /dev/null
+++ b/gateway/tests/clients.rs
@@ -0,0 +1,155 @@
+//! Clients that leave, flood or stop reading: what the gateway still does for them, on real sockets.
+
+mod common;
+
+use std::net::Shutdown;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use client::{bind, execute, parse, sync};
+use common::*;
+
+const SERVED: &[u8] = b"TDCZ";
+const ERROR: &[u8] = b"EZ";
+/// The first copy of a request breaks after this time, so that a second one is sent for a client that is still there.
+const FIRST_COPY: Duration = Duration::from_millis(300);
+
+/// A primary that never serves anything: each copy of a request breaks after [`FIRST_COPY`].
+fn breaking() -> Host {
+    Host::start(|query| match query {
+        "SHOW load" => well(true, query),
+        _ => Do::BreakLater(FIRST_COPY),
+    })
+}
+
+/// How often a db host was asked something with this text in it.
+fn copies(host: &Host, text: &str) -> usize {
+    host.asked().iter().filter(|query| query.contains(text)).count()
+}
+
+/// The message of a simple query.
+fn query(text: &str) -> Vec<u8> {
+    frame(b'Q', &[text.as_bytes(), b"\0"].concat())
+}
+
+#[test]
+fn a_client_that_leaves_behind_more_commands_than_are_read_is_seen_to_be_gone() {
+    let (primary, replica) = (breaking(), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    let mut gone = gateway.client();
+    gone.send(&statement("order", 1_000, ",k=gone"));
+    // Far more than is read while the first is out, so that the end of the connection lies behind unread bytes.
+    let behind: Vec<u8> = (0..1_500).flat_map(|_| query(&statement("order", 1_000, ",k=behind"))).collect();
+    gone.write(&behind);
+    until(|| copies(&primary, "k=gone") == 1, || gateway.log());
+    drop(gone);
+    // One that is there gets a second copy, and an answer when its time is over: the mark that all is over.
+    let mut there = gateway.client();
+    assert_eq!(there.ask(&statement("order", 1_000, ",k=there")), ERROR);
+    assert!(copies(&primary, "k=there") > 1, "{:?}", primary.asked());
+    assert_eq!((copies(&primary, "k=gone"), copies(&primary, "k=behind")), (1, 0));
+}
+
+#[test]
+fn a_client_that_closes_after_it_has_ended_its_sending_is_seen_to_be_gone() {
+    let (primary, replica) = (breaking(), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    let mut gone = gateway.client();
+    gone.send(&statement("order", 1_000, ",k=gone"));
+    gone.stream.shutdown(Shutdown::Write).unwrap();
+    // The gateway has seen the end and asked whether somebody is there. Now nobody is, which no packet tells.
+    assert_eq!(read_frame(&mut gone.stream).unwrap().0, b'N');
+    drop(gone);
+    let mut there = gateway.client();
+    there.send(&statement("order", 1_000, ",k=there"));
+    there.stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(there.answer(), ERROR, "one that only ended its sending is answered");
+    assert!(copies(&primary, "k=there") > 1, "{:?}", primary.asked());
+    assert_eq!(copies(&primary, "k=gone"), 1, "{:?}", primary.asked());
+}
+
+#[test]
+fn nothing_is_sent_for_a_client_that_leaves_while_its_connection_to_a_db_host_is_made_or_within_a_request() {
+    let primary = Host::slow(Duration::from_millis(200), |query| well(true, query));
+    let replica = Host::well(false);
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    let mut half = gateway.client();
+    half.write(&query(&statement("order", 1_000, ",k=half"))[..60]);
+    let mut gone = gateway.client();
+    gone.send(&statement("order", 1_000, ",k=gone"));
+    until(|| gateway.figure("svc_outstanding") == 1, || gateway.log());
+    drop((half, gone));
+    until(|| gateway.figure("svc_outstanding") == 0, || gateway.log());
+    // The connection that was being made for it serves the next.
+    assert_eq!(gateway.client().ask(&statement("order", 2_000, ",k=there")), SERVED);
+    assert_eq!((primary.asked().len(), copies(&primary, "k=there")), (1, 1), "{:?}", primary.asked());
+}
+
+#[test]
+fn hundreds_of_clients_that_leave_at_once_while_they_wait_get_no_attempt() {
+    const CLIENTS: usize = 300;
+    let slow = |primary: bool| {
+        Host::start(move |query| match well(primary, query) {
+            Do::Say(bytes) if query != "SHOW load" => Do::SayLater(Duration::from_millis(250), bytes),
+            other => other,
+        })
+    };
+    let (primary, replica) = (slow(true), slow(false));
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    gateway.reload(r#""sockets":256"#, r#""sockets":1024"#);
+    gateway.logs("SIGHUP: configuration read again");
+    let mut clients: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    clients.iter_mut().for_each(|client| client.send(&statement("view", 1_200, "")));
+    let asked = || primary.asked().len() + replica.asked().len();
+    until(|| asked() > 0, || gateway.log());
+    let waiting = gateway.figure("svc_outstanding") as usize - asked();
+    drop(clients);
+    thread::sleep(Duration::from_millis(100));
+    let begun = asked();
+    assert!(waiting > 50, "{waiting} waited, {begun} were sent");
+    until(|| gateway.figure("svc_outstanding") == 0, || gateway.log());
+    thread::sleep(Duration::from_millis(600));
+    assert_eq!(asked(), begun, "of {waiting} that waited");
+}
+
+/// Time on a processor that a process has used.
+fn processor_time(pid: u32) -> Duration {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+    // Fields 14 and 15 of the line, in ticks of 10 ms.
+    let ticks: u64 = fields[11..13].iter().map(|field| field.parse::<u64>().unwrap()).sum();
+    Duration::from_millis(10 * ticks)
+}
+
+#[test]
+fn a_pipeline_longer_than_is_read_ahead_waits_without_using_the_processor() {
+    const VIEW: &str = "SELECT doc FROM items WHERE id = $1 /* id=$2,c=view,d=$3,cluster=2 */";
+    const ASKED: usize = 2_000;
+    let hold = Arc::new(AtomicBool::new(true));
+    let held = Arc::clone(&hold);
+    let replica = Host::start(move |query| {
+        while query != "SHOW load" && held.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(1));
+        }
+        well(false, query)
+    });
+    let primary = Host::well(true);
+    let gateway = Gateway::with_edge(&pair(&primary, &replica), "postgres()\nhosts(protocol = 'extended')");
+    let mut client = gateway.client();
+    let one = |n: usize| {
+        let id = format!("p{n}");
+        [bind("", "v", &[Some("7f3a"), Some(&id), Some("1200")]), execute("", 0)].concat()
+    };
+    let asked: Vec<u8> = (0..ASKED).flat_map(one).collect();
+    assert!(asked.len() > 96 * 1024, "{}", asked.len());
+    client.write(&[parse("v", VIEW, &[]), asked, sync()].concat());
+    until(|| !replica.asked().is_empty(), || gateway.log());
+    let before = processor_time(gateway.pid());
+    thread::sleep(Duration::from_millis(300));
+    let used = processor_time(gateway.pid()) - before;
+    hold.store(false, Ordering::SeqCst);
+    assert!(used < Duration::from_millis(150), "{used:?} in 300 ms");
+    assert_eq!(client.answer().iter().filter(|kind| **kind == b'C').count(), ASKED, "all are answered");
+}
