Cancel the request that a cancel request names

Cause: the welcome handed out a key of zeros for every connection, and a cancel request closed its own connection and did nothing (Client::open): a client that had cancelled went on to get attempts, three copies of one request in the test.

Change: each connection has its number and a secret of the process for a key. A cancel request that has both ends the request that is out there at once: 57014, or 40003 if it does not merely read and an attempt of it may have run. Nothing is sent for it later; an attempt under way is withdrawn if it is not written whole and left otherwise, as for a client that has gone. A value that is being passed on is not cut off, commands behind go on, other keys cancel nothing. Not handed on to other gateways or to the other process of this one.

--- a/crates/pgwire/src/frontend.rs
+++ b/crates/pgwire/src/frontend.rs
@@ -10,13 +10,22 @@
 const GSS_REQUEST: i32 = 80_877_104;
 const CANCEL_REQUEST: i32 = 80_877_102;
 
+/// What a cancel request names, as BackendKeyData told it to the client whose query is to be cancelled.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CancelKey {
+    /// The process ID: which connection.
+    pub process: u32,
+    /// The secret key.
+    pub secret: u32,
+}
+
 /// What a connection opens with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Opening {
     /// Asks for encryption: answered with [`NO_ENCRYPTION`], the startup message follows.
     Encryption,
-    /// Asks to cancel a query: no answer, the connection is closed.
-    Cancel,
+    /// Asks to cancel the query that is out on another connection: no answer, this one is closed. None if it names none.
+    Cancel(Option<CancelKey>),
     /// The startup message, of this minor version.
     Startup {
         /// The minor version asked for.
@@ -36,13 +45,19 @@
     let number = i32::from_be_bytes(*head);
     let opening = match number {
         SSL_REQUEST | GSS_REQUEST => Opening::Encryption,
-        CANCEL_REQUEST => Opening::Cancel,
+        CANCEL_REQUEST => Opening::Cancel(cancel_key(&body[head.len()..])),
         n if n >> 16 == VERSION_MAJOR => Opening::Startup { minor: n & 0xffff },
         n => Opening::Version(n >> 16),
     };
     Ok(Some((opening, len)))
 }
 
+fn cancel_key(bytes: &[u8]) -> Option<CancelKey> {
+    let (process, secret) = bytes.split_first_chunk::<4>()?;
+    let secret = <[u8; 4]>::try_from(secret).ok()?;
+    Some(CancelKey { process: u32::from_be_bytes(*process), secret: u32::from_be_bytes(secret) })
+}
+
 /// One message of a client after its startup.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Message<'a> {
@@ -115,8 +130,8 @@
     })
 }
 
-/// Appends the welcome that follows a startup message.
-pub fn put_welcome(out: &mut Vec<u8>, minor: i32) {
+/// Appends the welcome that follows a startup message; `key` is what cancels this connection's queries.
+pub fn put_welcome(out: &mut Vec<u8>, minor: i32, key: CancelKey) {
     if minor > 0 {
         // NegotiateProtocolVersion: 3.0 is the newest here, and no option was refused.
         frame::put(out, b'v', |b| {
@@ -138,8 +153,11 @@
             frame::put_text(b, value);
         });
     }
-    // BackendKeyData: there is nothing that a cancel request could name.
-    frame::put(out, b'K', |b| b.extend([0; 8]));
+    // BackendKeyData.
+    frame::put(out, b'K', |b| {
+        b.extend(key.process.to_be_bytes());
+        b.extend(key.secret.to_be_bytes());
+    });
     put_ready(out);
 }
 
@@ -200,3 +218,8 @@
 pub fn put_failure(out: &mut Vec<u8>) {
     put_error(out, "ERROR", code::UNKNOWN_COMPLETION, "failed: whether it took effect is not known", None);
 }
+
+/// Appends the answer to a request that its client has cancelled.
+pub fn put_cancelled(out: &mut Vec<u8>) {
+    put_error(out, "ERROR", code::QUERY_CANCELED, "canceling statement due to user request", None);
+}
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -41,6 +41,8 @@
     pub const SYNTAX: &str = "42601";
     /// A pipeline without its Sync.
     pub const IDLE_IN_PIPELINE: &str = "25P03";
+    /// The client has cancelled its request, which has had no effect.
+    pub const QUERY_CANCELED: &str = "57014";
     /// There is no room for more bytes of clients.
     pub const OUT_OF_MEMORY: &str = "53200";
     /// A write met a replica.
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -54,6 +54,8 @@
     OutOfTurn(bool, String, Option<Duration>),
     /// Failed: it may have taken effect.
     Failed,
+    /// Cancelled by its client, without an effect.
+    Cancelled,
     /// It can never be served, and why.
     Invalid(&'static str),
 }
@@ -461,6 +463,7 @@
                         frontend::put_out_of_turn(out, full, &why, retry_after);
                     }
                     Final::Invalid(why) => frontend::put_invalid(out, why),
+                    Final::Cancelled => frontend::put_cancelled(out),
                     Final::Failed | Final::Served(_) => frontend::put_failure(out),
                 }
                 self.skip();
--- a/crates/traffic/src/conversation.rs
+++ b/crates/traffic/src/conversation.rs
@@ -321,7 +321,7 @@
                 self.expected.push_back(Expected::Startup);
             }
             // Nothing more comes on a connection that cancels.
-            Opening::Cancel => {}
+            Opening::Cancel(_) => {}
             Opening::Version(_) => return None,
         }
         Some(Some(len))
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -102,6 +102,8 @@
     },
     /// Failed: it may have taken effect.
     Failed,
+    /// Cancelled by its client, without an effect.
+    Cancelled,
     /// Refused by its channel's order, and why: a further try is harmless.
     OutOfTurn {
         /// There is no room, rather than nobody to ask.
@@ -153,6 +155,8 @@
     Ask(ClientId, Ask<B>),
     /// A client is gone.
     ClientGone(ClientId),
+    /// A client cancels its request; it waits for the answer.
+    Cancel(ClientId),
     /// An attempt ended; once for each [`Effect::Start`].
     Ended(AttemptId, Ended),
     /// A probe ended; once for each [`Effect::Probe`].
@@ -372,6 +376,7 @@
         match input {
             Input::Ask(client, ask) => self.take_in(now, client, ask, effects),
             Input::ClientGone(client) => self.leave(now, client, effects),
+            Input::Cancel(client) => self.cancel(now, client, effects),
             Input::Ended(attempt, ended) => self.book(now, attempt, ended, effects),
             Input::Probed(server, ended) => self.book_probe(now, server, &ended, effects),
             Input::Members(members) => self.book_members(now, members, effects),
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use tracing::error;
-use yewroute::interface::{Event, RequestId};
+use yewroute::interface::{Effect as Repeats, Event, RequestId};
 
 use super::{Answer, ClientId, Core, Effect, End, Held, Payload};
 
@@ -13,7 +13,7 @@
         match self {
             Self::Served(_) => End::Succeeded,
             Self::Refused { .. } | Self::OutOfTurn { .. } => End::Declined,
-            Self::Failed | Self::Invalid(_) => End::Aborted,
+            Self::Failed | Self::Cancelled | Self::Invalid(_) => End::Aborted,
         }
     }
 }
@@ -47,6 +47,20 @@
         self.settle_order(id);
     }
 
+    /// A client cancels its request. It is answered at once, and nothing more is sent for it; what is out goes on, as for a
+    /// client that has gone. A value that is being passed on is not cut off.
+    pub(super) fn cancel(&mut self, now: Instant, client: ClientId, effects: &mut Vec<Effect<B>>) {
+        let Some(id) = self.by_client.get(&client).copied() else { return };
+        let Some(held) = self.held.get(&id).filter(|held| !held.passing) else { return };
+        let out = held.out;
+        let repeatable = self.deployment.module.classes[held.class].effect == Repeats::Idempotent;
+        let may_have_effect = !repeatable && (held.reached || out.is_some());
+        let answer = if may_have_effect { Answer::Failed } else { Answer::Cancelled };
+        self.relay(id, answer, effects);
+        effects.extend(out.map(Effect::Withdraw));
+        self.route(now, Event::Gone(id), effects);
+    }
+
     /// Guards against: a request that nobody answers, such as one whose attempt never ends. The module ends
     /// each in time; this is the last line behind it.
     pub(super) fn overdue(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect<B>>) {
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -256,6 +256,26 @@
     assert_eq!(answers(&effects), []);
 }
 
+#[test]
+fn a_client_that_cancels_has_one_answer_at_once_that_tells_whether_its_request_may_have_run() {
+    for (class, answer) in [("order", Answer::Failed), ("view", Answer::Cancelled)] {
+        let (mut b, _) = Bench::new();
+        let effects = b.ask(1, class, 1000);
+        let (attempt, _) = starts(&effects)[0];
+        let expected = [Effect::Answer(ClientId(1), answer), Effect::Withdraw(attempt)];
+        assert_eq!(b.give(Input::Cancel(ClientId(1))), expected);
+        assert_eq!((b.core.bytes, b.core.outstanding()), (0, 0));
+        assert_eq!(b.give(Input::Cancel(ClientId(1))), [], "it has had its answer");
+        let effects = b.end(attempt, Status::Reset);
+        assert!(answers(&effects).is_empty() && starts(&effects).is_empty(), "{effects:?}");
+        assert!(starts(&b.pass(Duration::from_secs(2))).is_empty());
+    }
+    // One that waits for its first attempt, behind those that are out.
+    let (mut b, _) = Bench::new();
+    let waits = (1..50).find(|client| b.ask(*client, "order", 1000).is_empty()).unwrap();
+    assert_eq!(b.give(Input::Cancel(ClientId(waits))), [Effect::Answer(ClientId(waits), Answer::Cancelled)]);
+}
+
 #[test]
 fn a_client_that_leaves_is_owed_nothing_and_its_room_is_free_again() {
     let (mut b, _) = Bench::new();
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -12,7 +12,7 @@
 use crate::core::{Ask, ClientId, Scope};
 use crate::proto::pg::code;
 use crate::proto::pg::frame::LONGEST_QUERY;
-use crate::proto::pg::frontend::{self, Local, Opening};
+use crate::proto::pg::frontend::{self, CancelKey, Local, Opening};
 use crate::proto::pg::request::{Body, Wanted};
 use crate::proto::pg::session::{Session, Terms, Took};
 use crate::proto::pg::table::Table;
@@ -71,6 +71,9 @@
 pub(super) struct Client {
     pub(super) wire: Wire,
     pub(super) phase: Phase,
+    /// What cancels its requests; and whose request it asks to cancel.
+    key: CancelKey,
+    pub(super) cancels: Option<CancelKey>,
     /// What it has prepared and bound.
     pub(super) session: Session,
     /// Something is to be written that must not wait for the next answer.
@@ -101,10 +104,12 @@
 
 impl Client {
     /// One that has just connected.
-    pub(super) fn new(now: Instant, wire: Wire, terms: Terms) -> Self {
+    pub(super) fn new(now: Instant, wire: Wire, terms: Terms, key: CancelKey) -> Self {
         Self {
             wire,
             phase: Phase::Opening,
+            key,
+            cancels: None,
             session: Session::new(terms),
             prompt: false,
             buffer: Vec::new(),
@@ -319,9 +324,9 @@
         let Some((opening, len)) = opening else { return Ok(None) };
         match opening {
             Opening::Encryption => self.wire.out().push(frontend::NO_ENCRYPTION),
-            Opening::Cancel => self.phase = Phase::Closing,
+            Opening::Cancel(key) => (self.cancels, self.phase) = (key, Phase::Closing),
             Opening::Startup { minor } => {
-                frontend::put_welcome(self.wire.out(), minor);
+                frontend::put_welcome(self.wire.out(), minor, self.key);
                 self.phase = Phase::Idle(now);
             }
             Opening::Version(major) => return Err(format!("unsupported protocol version {major}")),
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -9,6 +9,7 @@
 use yewroute_ledger::{Grant, Ledger};
 use yewroute_lifecycle::Leaving;
 
+use super::cancel::CancelKeys;
 use super::client::{Client, Long, Phase, PRESENCE_PROBE_INTERVAL};
 use super::eviction::evict;
 use super::listener;
@@ -17,6 +18,7 @@
 use super::Input;
 use crate::core::{Answer, ClientId};
 use crate::proto::pg::code;
+use crate::proto::pg::frontend::CancelKey;
 use crate::proto::pg::session::{Final, Terms};
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
@@ -52,6 +54,7 @@
     clients: HashMap<u64, Client>,
     timers: Timers<Due>,
     accepted: u64,
+    keys: CancelKeys,
     most: usize,
     /// How long a connection may send no request where there are `most`.
     silent: Duration,
@@ -101,6 +104,7 @@
             clients: HashMap::new(),
             timers,
             accepted: 0,
+            keys: CancelKeys::default(),
             most,
             silent: SILENT,
             most_bytes,
@@ -176,7 +180,7 @@
                     });
                     match wire {
                         Ok(wire) => {
-                            let client = Client::new(now, wire, self.rules.terms);
+                            let client = Client::new(now, wire, self.rules.terms, self.keys.of(number));
                             self.clients.insert(number, client);
                         }
                         Err(error) => warn!(%error, "cannot take a client's connection"),
@@ -404,6 +408,7 @@
             Answer::Served(messages) => Final::Served(messages),
             Answer::Refused { retry_after } => Final::Refused(retry_after),
             Answer::Failed => Final::Failed,
+            Answer::Cancelled => Final::Cancelled,
             Answer::OutOfTurn { full, why, retry_after } => Final::OutOfTurn(full, why, retry_after),
             Answer::Invalid(why) => Final::Invalid(why),
         };
@@ -504,6 +509,10 @@
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return false };
             let stalled = client.take_messages(now, number, self.welcome.yes, &mut self.table, inbox);
+            if let Some(key) = client.cancels.take() {
+                self.cancel(key, inbox);
+                continue;
+            }
             if client.probe_presence() {
                 self.timers.set(now + PRESENCE_PROBE_INTERVAL, Due::Probe(number));
             }
@@ -537,6 +546,15 @@
         }
     }
 
+    /// Cancels the request that is out on the connection with this key, if there is one.
+    fn cancel(&self, key: CancelKey, inbox: &mut VecDeque<Input>) {
+        let number = self.keys.number(key, self.accepted);
+        let waits = |number: &u64| self.clients.get(number).is_some_and(|client| client.phase == Phase::Busy);
+        if let Some(number) = number.filter(waits) {
+            inbox.push_back(Input::Cancel(ClientId(number)));
+        }
+    }
+
     /// Writes, closes if it is time, and asks to be woken for what is next; false if the connection is broken.
     fn settle(&mut self, now: Instant, number: u64, poller: &Poller) -> bool {
         let Some(client) = self.clients.get_mut(&number) else { return true };
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Adapters to sockets and signals, on one thread: epoll wakes it, the core says what is to be done.
 
+mod cancel;
 mod client;
 mod clients;
 mod console;
--- a/gateway/src/proto/tests.rs
+++ b/gateway/src/proto/tests.rs
@@ -72,7 +72,8 @@
     let cases: &[(&str, Vec<u8>)] = &[
         ("startup and a query right behind", [startup.clone(), query(b"SELECT 1\0")].concat()),
         ("encryption asked for first", [untyped(80_877_103, b""), startup.clone()].concat()),
-        ("cancel", untyped(80_877_102, &[0; 8])),
+        ("cancel", untyped(80_877_102, &[0, 0, 0, 7, 0, 0, 1, 0])),
+        ("cancel that names nothing", untyped(80_877_102, &[0; 7])),
         ("a later minor version", untyped(3 << 16 | 2, b"\0")),
         ("version 2", untyped(2 << 16, b"")),
         ("goodbye", [startup.clone(), framed(b'X', b"")].concat()),
@@ -334,8 +335,10 @@
     let cases: [(&str, Put); 10] = [
         ("startup", put_startup),
         ("query", |out| put_query(out, |b| b.extend(b"SHOW load"))),
-        ("welcome", |out| frontend::put_welcome(out, 0)),
-        ("welcome to a later minor version", |out| frontend::put_welcome(out, 2)),
+        ("welcome", |out| frontend::put_welcome(out, 0, frontend::CancelKey::default())),
+        ("welcome to a later minor version", |out| {
+            frontend::put_welcome(out, 2, frontend::CancelKey::default())
+        }),
         ("refusal with a time", |out| {
             frontend::put_refusal(out, Some(std::time::Duration::from_millis(2000)))
         }),
--- a/gateway/tests/clients.rs
+++ b/gateway/tests/clients.rs
@@ -154,3 +154,64 @@
     assert!(used < Duration::from_millis(150), "{used:?} in 300 ms");
     assert_eq!(client.answer().iter().filter(|kind| **kind == b'C').count(), ASKED, "all are answered");
 }
+
+/// A client, and what cancels its requests.
+fn cancellable(gateway: &Gateway) -> (Client, Vec<u8>) {
+    let mut client = Client::raw(gateway.addr);
+    client.write(&startup());
+    let mut key = Vec::new();
+    loop {
+        match read_frame(&mut client.stream).unwrap() {
+            (b'K', body) => key = body,
+            (b'Z', _) => return (client, key),
+            _ => {}
+        }
+    }
+}
+
+/// Asks on a connection of its own to cancel what this key names, and waits for the end of that.
+fn cancel(gateway: &Gateway, key: &[u8]) {
+    let mut asks = Client::raw(gateway.addr);
+    asks.write(&[&16_u32.to_be_bytes(), &80_877_102_u32.to_be_bytes(), key].concat());
+    assert_eq!(asks.answer(), b"", "closed without a word");
+}
+
+#[test]
+fn a_request_that_is_cancelled_just_after_its_send_is_answered_at_once_and_not_sent_again() {
+    let (primary, replica) = (breaking(), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    let (mut client, key) = cancellable(&gateway);
+    client.send(&statement("order", 1_000, ",k=gone"));
+    until(|| copies(&primary, "k=gone") == 1, || gateway.log());
+    // Neither another key nor that of a connection with nothing out cancels it.
+    let (_idle, idle) = cancellable(&gateway);
+    cancel(&gateway, &idle);
+    cancel(&gateway, &[&key[..4], &[key[4] ^ 1], &key[5..]].concat());
+    cancel(&gateway, &[0; 8]);
+    cancel(&gateway, &key);
+    assert_eq!(client.answer(), ERROR);
+    assert!(client.error.contains("|C40003|"), "it may have run: {}", client.error);
+    // The connection goes on. One that is not cancelled gets its further copies: the mark that all is over.
+    client.send(&statement("order", 1_000, ",k=there"));
+    assert_eq!(client.answer(), ERROR);
+    assert!(copies(&primary, "k=there") > 1, "{:?}", primary.asked());
+    assert_eq!(copies(&primary, "k=gone"), 1, "{:?}", primary.asked());
+}
+
+#[test]
+fn a_request_that_is_cancelled_just_before_its_send_is_never_sent_and_the_one_behind_it_is() {
+    let slow = |primary: bool| Host::slow(Duration::from_millis(200), move |query| well(primary, query));
+    let (primary, replica) = (slow(true), slow(false));
+    let gateway = Gateway::operated(&pair(&primary, &replica));
+    let (mut client, key) = cancellable(&gateway);
+    let ask = |more: &str| query(&statement("view", 1_000, more));
+    client.write(&[ask(",k=first"), ask(",k=second")].concat());
+    // Its connection is being made.
+    until(|| gateway.figure("svc_outstanding") == 1, || gateway.log());
+    cancel(&gateway, &key);
+    assert_eq!(client.answer(), ERROR);
+    assert!(client.error.contains("|C57014|"), "it has not run: {}", client.error);
+    assert_eq!(client.answer(), SERVED);
+    let sent = |more| copies(&primary, more) + copies(&replica, more);
+    assert_eq!((sent("k=first"), sent("k=second")), (0, 1), "{}", gateway.log());
+}
