--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -104,6 +104,8 @@
     },
     /// Failed: it may have taken effect.
     Failed,
+    /// Cancelled by its client, without an effect.
+    Cancelled,
     /// Refused by its channel's order, and why: a further try is harmless.
     OutOfTurn {
         /// There is no room, rather than nobody to ask.
@@ -155,6 +157,8 @@
     Ask(ClientId, Ask<B>),
     /// A client is gone.
     ClientGone(ClientId),
+    /// A client cancels its request; it waits for the answer.
+    Cancel(ClientId),
     /// An attempt ended; once for each [`Effect::Start`].
     Ended(AttemptId, Ended),
     /// A probe ended; once for each [`Effect::Probe`].
@@ -298,6 +302,8 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     taken: u128,
+    /// Once the process ends: what is taken in has its answer by then.
+    answers_by: Option<Instant>,
     /// Bytes of held requests, and the most there may be.
     bytes: usize,
     most_bytes: usize,
@@ -346,6 +352,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
             taken: 0,
+            answers_by: None,
             bytes: 0,
             most_bytes,
             tally,
@@ -371,6 +378,7 @@
         match input {
             Input::Ask(client, ask) => self.take_in(now, client, ask, effects),
             Input::ClientGone(client) => self.leave(now, client, effects),
+            Input::Cancel(client) => self.cancel(now, client, effects),
             Input::Ended(attempt, ended) => self.book(now, attempt, ended, effects),
             Input::Probed(server, ended) => self.book_probe(now, server, &ended, effects),
             Input::Members(members) => self.book_members(now, members, effects),
@@ -455,6 +463,11 @@
         loads.say(now, members)
     }
 
+    /// Gives what is taken in from now on no longer than up to then, when the process may be killed.
+    pub fn answer_by(&mut self, by: Option<Instant>) {
+        self.answers_by = by;
+    }
+
     /// Bytes that held requests may take from now on.
     pub fn limit(&mut self, most_bytes: usize) {
         self.most_bytes = most_bytes;
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -9,12 +9,15 @@
 use yewroute_ledger::{Grant, Ledger};
 use yewroute_lifecycle::Leaving;
 
+use super::cancel::CancelKeys;
 use super::client::{Client, Long, Phase, PRESENCE_PROBE_INTERVAL};
+use super::eviction::evict;
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
 use super::Input;
 use crate::core::{Answer, ClientId};
 use crate::proto::pg::code;
+use crate::proto::pg::frontend::CancelKey;
 use crate::proto::pg::session::{Final, Terms};
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
@@ -24,11 +27,12 @@
 const MOST_WINDOW: usize = 128 * 1024;
 /// How often those times are looked after.
 const SWEEP: Duration = Duration::from_millis(200);
-/// Where descriptors are short, connections give way after so long: such as have sent no request, and idle ones.
+/// Where descriptors are short, connections give way that have sent no request for so long.
 const SILENT: Duration = Duration::from_millis(50);
 /// The same beside another process of this gateway, whose idle connections go within 0.4 s and make room.
 const SILENT_BESIDE: Duration = Duration::from_millis(600);
-const IDLE: Duration = Duration::from_secs(2);
+/// How long a listener that is to close stays open for connections that there was no room for.
+const LISTENER_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long accepting rests when it failed for want of descriptors.
 const REST: Duration = Duration::from_millis(20);
 
@@ -36,6 +40,8 @@
 enum Due {
     Sweep,
     Accept,
+    /// The listener is closed, if nobody waits there or that time has come.
+    Close(Instant),
     /// A client that is not read from is asked again whether it is still there.
     Probe(u64),
 }
@@ -47,6 +53,7 @@
     clients: HashMap<u64, Client>,
     timers: Timers<Due>,
     accepted: u64,
+    keys: CancelKeys,
     most: usize,
     /// How long a connection may send no request where there are `most`.
     silent: Duration,
@@ -96,6 +103,7 @@
             clients: HashMap::new(),
             timers,
             accepted: 0,
+            keys: CancelKeys::default(),
             most,
             silent: SILENT,
             most_bytes,
@@ -149,16 +157,23 @@
         self.listener.as_ref().map_or(Err(ErrorKind::NotConnected.into()), TcpListener::local_addr)
     }
 
-    /// Takes the connections that wait.
-    pub fn accept(&mut self, now: Instant, poller: &Poller) {
+    /// Takes the connections that wait, one of which is known of if `awaited`; false if some may be left for want of room.
+    ///
+    /// Guards against: a connection closed to make room for nobody. If more wait than are known of, the poller tells.
+    pub fn accept(&mut self, now: Instant, mut awaited: bool, poller: &Poller) -> bool {
         while let Some(listener) = &self.listener {
-            if self.clients.len() >= self.most && !evict(now, self.silent, &mut self.clients) {
+            let full = self.clients.len() >= self.most;
+            if full && !awaited {
+                return false;
+            }
+            if full && !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
                 warn!(open = self.clients.len(), "out of client connections, all busy");
                 self.rest(now, poller);
-                return;
+                return false;
             }
             match listener.accept() {
                 Ok((stream, _)) => {
+                    awaited = false;
                     let number = self.accepted + 1;
                     self.accepted = number;
                     let wire = Wire::accepted(stream).and_then(|wire| {
@@ -167,24 +182,25 @@
                     });
                     match wire {
                         Ok(wire) => {
-                            let client = Client::new(now, wire, self.rules.terms);
+                            let client = Client::new(now, wire, self.rules.terms, self.keys.of(number));
                             self.clients.insert(number, client);
                         }
                         Err(error) => warn!(%error, "cannot take a client's connection"),
                     }
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
                 Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
                 Err(error) => {
                     // Guards against: a busy loop when descriptors have run out (EMFILE).
                     warn!(%error, "cannot accept");
-                    if !evict(now, self.silent, &mut self.clients) {
+                    if !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
                         self.rest(now, poller);
-                        return;
+                        return false;
                     }
                 }
             }
         }
+        true
     }
 
     /// Stops listening for a moment; what waits stays in the backlog.
@@ -201,11 +217,13 @@
             return;
         }
         let before = std::mem::replace(&mut self.welcome, welcome);
-        if before.accepts && !welcome.listens {
-            self.accept(now, poller);
+        if welcome.leaving > before.leaving {
+            // Those that leave make room for those that wait at the listener.
+            self.send_away(now, poller, inbox);
         }
-        if !welcome.listens {
-            (self.listener, self.listening) = (None, false);
+        if !welcome.listens && before.listens {
+            let by = if before.accepts { now + LISTENER_CLOSE_TIMEOUT } else { now };
+            self.close_listener(now, by, poller);
         } else if let Some(listener) = &self.listener {
             if self.listening && !welcome.accepts {
                 self.listening = poller.remove(listener).is_err();
@@ -213,9 +231,16 @@
                 self.timers.set(now, Due::Accept);
             }
         }
-        if welcome.leaving > before.leaving {
-            self.send_away(now, poller, inbox);
+    }
+
+    /// Closes the listener once nobody waits there, or at last by then. Guards against: connections that are reset for want
+    /// of room, while others are leaving.
+    fn close_listener(&mut self, now: Instant, by: Instant, poller: &Poller) {
+        if now < by && !self.accept(now, false, poller) {
+            self.timers.set(now + REST, Due::Close(by));
+            return;
         }
+        (self.listener, self.listening) = (None, false);
     }
 
     /// Closes the connections that are to leave without waiting for an answer.
@@ -228,6 +253,27 @@
             client.phase = Phase::Closing;
             self.work(now, number, poller, inbox);
         }
+        if leaving == Leaving::Parts {
+            self.read_no_further(now, poller, inbox);
+        }
+    }
+
+    /// Reads no further command of clients that wait for an answer. Guards against: commands that are taken over and over
+    /// while there is no time left to answer them; what has not been read the client sends elsewhere.
+    fn read_no_further(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        let reads_on = |client: &Client| client.phase == Phase::Busy && !client.last_command;
+        let numbers = self.clients.iter().filter(|(_, client)| reads_on(client)).map(|(number, _)| *number);
+        for number in numbers.collect::<Vec<_>>() {
+            if let Some(client) = self.clients.get_mut(&number) {
+                client.last_command = true;
+                self.work(now, number, poller, inbox);
+            }
+        }
+    }
+
+    /// Clients wait for an answer, or for the rest of one.
+    pub fn owes_answers(&self) -> bool {
+        self.clients.values().any(Client::awaits_answer)
     }
 
     /// Connections, those that are closing included.
@@ -246,14 +292,8 @@
                     self.sweep(now, poller, inbox);
                     self.timers.set(now + SWEEP, Due::Sweep);
                 }
-                Due::Accept => {
-                    if let (false, true, Some(listener)) =
-                        (self.listening, self.welcome.accepts, &self.listener)
-                    {
-                        self.listening = poller.add(listener, Token::Listener, Interest::READ).is_ok();
-                        self.accept(now, poller);
-                    }
-                }
+                Due::Accept => self.accept_again(poller),
+                Due::Close(by) => self.close_listener(now, by, poller),
                 Due::Probe(number) => {
                     if let Some(client) = self.clients.get_mut(&number) {
                         client.probed = false;
@@ -264,6 +304,16 @@
         }
     }
 
+    /// Listens again after a rest; what waits is told by the poller.
+    fn accept_again(&mut self, poller: &Poller) {
+        let closes = !self.welcome.listens;
+        if let (false, true, Some(listener)) =
+            (self.listening, self.welcome.accepts || closes, &self.listener)
+        {
+            self.listening = poller.add(listener, Token::Listener, Interest::READ).is_ok();
+        }
+    }
+
     /// Guards against: connections kept open by clients that say nothing, stop within a message, or never
     /// take their answers.
     fn sweep(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
@@ -287,6 +337,8 @@
                     client.turn_out(code::IDLE_IN_PIPELINE, "no Sync came for the pipeline in time");
                     self.work(now, number, poller, inbox);
                 }
+                // Guards against: a request that has come and is not read yet, as when hundreds come at once.
+                Some(client) if client.takes() && client.stuck.is_none() && !client.silent() => {}
                 _ => self.gone(number, inbox),
             }
         }
@@ -301,7 +353,8 @@
         inbox: &mut VecDeque<Input>,
     ) {
         let Some(client) = self.clients.get_mut(&number) else { return };
-        if event.broken {
+        // Both directions of one that lingers may be over while bytes of it are unread: they go first, see `Lingering`.
+        if event.broken && !matches!(client.phase, Phase::Lingering(_)) {
             self.gone(number, inbox);
             return;
         }
@@ -364,6 +417,7 @@
             Answer::Served(messages) => Final::Served(messages),
             Answer::Refused { retry_after } => Final::Refused(retry_after),
             Answer::Failed => Final::Failed,
+            Answer::Cancelled => Final::Cancelled,
             Answer::OutOfTurn { full, why, retry_after } => Final::OutOfTurn(full, why, retry_after),
             Answer::Invalid(why) => Final::Invalid(why),
         };
@@ -464,6 +518,10 @@
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return false };
             let stalled = client.take_messages(now, number, self.welcome.yes, &mut self.table, inbox);
+            if let Some(key) = client.cancels.take() {
+                self.cancel(key, inbox);
+                continue;
+            }
             if client.probe_presence() {
                 self.timers.set(now + PRESENCE_PROBE_INTERVAL, Due::Probe(number));
             }
@@ -497,6 +555,15 @@
         }
     }
 
+    /// Cancels the request that is out on the connection with this key, if there is one.
+    fn cancel(&self, key: CancelKey, inbox: &mut VecDeque<Input>) {
+        let number = self.keys.number(key, self.accepted);
+        let waits = |number: &u64| self.clients.get(number).is_some_and(|client| client.phase == Phase::Busy);
+        if let Some(number) = number.filter(waits) {
+            inbox.push_back(Input::Cancel(ClientId(number)));
+        }
+    }
+
     /// Writes, closes if it is time, and asks to be woken for what is next; false if the connection is broken.
     fn settle(&mut self, now: Instant, number: u64, poller: &Poller) -> bool {
         let Some(client) = self.clients.get_mut(&number) else { return true };
@@ -544,33 +611,3 @@
 fn long_bytes(statement_bytes: usize) -> usize {
     statement_bytes - statement_bytes / 8
 }
-
-/// Closes a connection that nothing is owed on: one that is over, else one that has sent no request and been
-/// silent for longest, else the one idle longest.
-///
-/// Guards against: crowds that connect and say nothing, or no more than an empty query, which would keep usual
-/// clients out. One that has sent something which is not read yet is spared.
-fn evict(now: Instant, silent: Duration, clients: &mut HashMap<u64, Client>) -> bool {
-    let place = |client: &Client| match client.phase {
-        Phase::Lingering(since) => Some((0, since)),
-        Phase::Opening | Phase::Idle(_) if !client.buffer.is_empty() || client.stuck.is_some() => None,
-        Phase::Opening => Some((1, client.accepted)),
-        Phase::Idle(since) if !client.requested => Some((1, since)),
-        Phase::Idle(since) => Some((2, since)),
-        _ => None,
-    };
-    let due = |(rank, since)| match rank {
-        0 => true,
-        1 => now - since >= silent,
-        _ => now - since >= IDLE,
-    };
-    let mut places: Vec<_> = clients
-        .iter()
-        .filter_map(|(number, client)| Some((place(client).filter(|place| due(*place))?, *number)))
-        .collect();
-    places.sort_unstable();
-    let spare = |number: &u64| clients.get(number).is_some_and(|client| client.silent());
-    let Some(number) = places.into_iter().map(|(_, number)| number).find(spare) else { return false };
-    clients.remove(&number);
-    true
-}
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -1,10 +1,12 @@
 //! Adapters to sockets and signals, on one thread: epoll wakes it, the core says what is to be done.
 
 mod arrivals;
+mod cancel;
 mod client;
 mod clients;
 mod console;
 mod discovery;
+mod eviction;
 mod federation;
 mod fleet;
 mod handover;
@@ -180,7 +182,7 @@
     let mut ready = Vec::new();
     let mut now = Instant::now();
     gateway.settle(now);
-    while !gateway.life.done(now, gateway.clients.len()) {
+    while !gateway.life.done(now, gateway.clients.len(), || gateway.clients.owes_answers()) {
         gateway.poller.wait(now, gateway.next(now), &mut ready)?;
         now = Instant::now();
         gateway.all_ready(now, &mut ready);
@@ -365,7 +367,7 @@
 
     fn ready(&mut self, now: Instant, event: Ready) {
         match event.token {
-            Token::Listener => self.clients.accept(now, &self.poller),
+            Token::Listener => drop(self.clients.accept(now, true, &self.poller)),
             Token::Signals => {
                 let came = self.signals.take();
                 if came.reload {
@@ -493,6 +495,7 @@
             accepts: self.life.accepts(now),
             listens: !self.life.closes_listener(now),
         };
+        self.core.answer_by(self.life.answers_by());
         self.clients.welcome(now, welcome, &self.poller, &mut self.inbox);
     }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -122,7 +122,11 @@
 
     /// The gateway with an operator's file.
     pub fn with_edge(known: &str, edge: &str) -> Self {
-        Self::launch(Path::new(PROGRAM), &[], known, include_str!("settings.json"), Some(edge), false)
+        Self::with_edge_and_settings(known, edge, include_str!("settings.json"))
+    }
+
+    pub fn with_edge_and_settings(known: &str, edge: &str, settings: &str) -> Self {
+        Self::launch(Path::new(PROGRAM), &[], known, settings, Some(edge), false)
     }
 
     /// The gateway with a console.
@@ -258,7 +262,7 @@
         self.child.wait().unwrap();
     }
 
-    fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
