--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -21,14 +21,12 @@
 use crate::proto::catalog::Members;
 use link::{Link, Received};
 pub use schedule::Manner;
-use schedule::{Opening, Schedule};
+use schedule::{Opening, Schedule, CHANGE_TOLD_AFTER};
 
 /// As long as nothing changes, an empty line comes this often (protocol page, "Discovery").
 const LINE_INTERVAL: Duration = Duration::from_secs(2);
 /// A line is overdue this much later, and up to twice as much, so that many gateways do not ask in step.
 const LINE_OVERDUE_AFTER: Duration = Duration::from_millis(300);
-/// What a silent watch misses counts as told so long after its last line at the soonest ("One clock for silence").
-const CHANGE_TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
 /// After SIGHUP the list of another discovery counts as told so much later.
 const CHANGE_TOLD_AFTER_MOVE: Duration = Duration::from_secs(4);
 /// Connections open at a time: the silent watch and three calls.
@@ -182,7 +180,7 @@
         if let State::Watching(watch) = &self.state {
             if watch.silent_at <= now {
                 warn!(why = "silent", "watch broken");
-                let deadline = watch.last_line + CHANGE_TOLD_AFTER_SILENCE;
+                let deadline = watch.last_line + CHANGE_TOLD_AFTER;
                 self.state = State::Opening(Schedule::at_once(now, Some(deadline)));
                 self.tell_broken(inbox);
             }
@@ -193,7 +191,7 @@
         }
         if opening.deadline.is_some_and(|deadline| deadline <= now) {
             warn!(why = "no list in time", "watch broken");
-            opening.deadline = None;
+            opening.forget_deadline();
         }
         self.schedule.called(now, opening);
         if let Err(error) = self.call(now, since, poller) {
--- a/gateway/src/net/discovery/schedule.rs
+++ b/gateway/src/net/discovery/schedule.rs
@@ -8,18 +8,22 @@
 use std::ops::Range;
 use std::time::{Duration, Instant};
 
+/// What discovery has counts as told so long after it could be reached.
+pub const CHANGE_TOLD_AFTER: Duration = Duration::from_secs(6);
 /// From a call that still waits for its answer to the next one. Calls that wait too long in discovery's queue fail within
 /// 2 s; another one sooner would only lengthen the queue, for all gateways.
-const WAITING_CALL_INTERVAL: Range<Duration> = Duration::from_millis(2_500)..Duration::from_millis(3_000);
-/// From a call that failed to the next one. With 2 s in the queue the longest stays within the 6 s.
+const WAITING_CALL_INTERVAL: Range<Duration> = Duration::from_millis(2_100)..Duration::from_millis(2_400);
+/// From a call that failed to the next one.
 const FAILED_CALL_INTERVAL: Range<Duration> = Duration::from_millis(1_000)..Duration::from_millis(3_000);
 /// From the end of a watch to the first call.
-const ENDED_WATCH_DELAY: Range<Duration> = Duration::ZERO..Duration::from_millis(1_000);
+const ENDED_WATCH_DELAY: Range<Duration> = Duration::ZERO..Duration::from_millis(600);
 /// Where lists are pushed, what a local agent has counts at once: calls follow sooner.
 const PUSHED_WAITING_CALL_INTERVAL: Range<Duration> = Duration::from_millis(400)..Duration::from_millis(600);
 const PUSHED_FAILED_CALL_DELAY: Range<Duration> = Duration::from_millis(50)..Duration::from_millis(150);
-/// Before a deadline each waiting call is given this part of the time left, and no less than the minimum.
-const DEADLINE_DIVISOR: u32 = 2;
+/// So long before a deadline another call is made beside one that waits, and again after each minimum.
+const LAST_CALLS_BEFORE_DEADLINE: Duration = Duration::from_millis(1_250);
+/// Of what is left before a known deadline, the part from a call that failed to the next one.
+const CALLS_BEFORE_DEADLINE: u32 = 3;
 /// So many calls fit into the time that the settings give for asking.
 const CALLS_WITHIN_MUST_ASK: u32 = 3;
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(500);
@@ -35,10 +39,20 @@
 
 /// Calls made since there was no watch.
 pub struct Opening {
-    /// What is missed counts as told from then on; none once that is over, or if it is counted from the next call.
+    /// What is missed counts as told from then on, as far as is known: discovery may have been reached since the watch
+    /// ended, or since a call failed. None once that is over.
     pub deadline: Option<Instant>,
     /// When the next call is made.
     pub next: Instant,
+    /// The deadline is known and not only supposed: up to then failed calls are repeated sooner.
+    hurried: bool,
+}
+
+impl Opening {
+    /// Nothing more is known of when a change counts as told.
+    pub fn forget_deadline(&mut self) {
+        (self.deadline, self.hurried) = (None, false);
+    }
 }
 
 /// The pace of calls.
@@ -60,7 +74,7 @@
 
     /// Calls from now on, the first one at once.
     pub fn at_once(now: Instant, deadline: Option<Instant>) -> Opening {
-        Opening { deadline, next: now }
+        Opening { deadline, next: now, hurried: deadline.is_some() }
     }
 
     /// Calls after a watch that ended. Guards against: a discovery that ends each watch right away and is called again
@@ -71,7 +85,7 @@
         } else {
             self.after_last_call(now).max(now + self.jittered(ENDED_WATCH_DELAY))
         };
-        Opening { deadline: None, next }
+        Opening { deadline: Some(now + CHANGE_TOLD_AFTER), next, hurried: false }
     }
 
     /// A call is made now: sets when the next one follows if this one brings nothing.
@@ -80,19 +94,27 @@
         let waiting = if self.manner.pushed { PUSHED_WAITING_CALL_INTERVAL } else { WAITING_CALL_INTERVAL };
         let steady = self.jittered(waiting).min(self.longest_interval());
         let left = opening.deadline.map(|deadline| deadline.saturating_duration_since(now));
-        let interval =
-            left.map_or(steady, |left| steady.min((left / DEADLINE_DIVISOR).max(MIN_CALL_INTERVAL)));
+        let longest = left.map_or(steady, |left| left.saturating_sub(LAST_CALLS_BEFORE_DEADLINE));
+        let interval = steady.min(longest.max(MIN_CALL_INTERVAL));
         opening.next = now + interval;
     }
 
     /// A call has failed: the next one follows sooner than after one that waits.
     pub fn failed(&mut self, now: Instant, opening: &mut Opening) {
-        let next = if self.manner.pushed {
-            now + self.jittered(PUSHED_FAILED_CALL_DELAY)
-        } else {
-            self.after_last_call(now).max(now)
-        };
-        opening.next = opening.next.min(next);
+        opening.deadline.get_or_insert(now + CHANGE_TOLD_AFTER);
+        if self.manner.pushed {
+            opening.next = opening.next.min(now + self.jittered(PUSHED_FAILED_CALL_DELAY));
+            return;
+        }
+        // Guards against: the calls of many gateways before a deadline, all of which fail and are made again at once.
+        let shortest = if opening.hurried { MIN_CALL_INTERVAL } else { FAILED_CALL_INTERVAL.start };
+        let earliest = self.last_call.map_or(now, |last| last + shortest);
+        let hurried = opening.deadline.filter(|_| opening.hurried).map(|deadline| {
+            let left = deadline.saturating_duration_since(now);
+            now + left / CALLS_BEFORE_DEADLINE
+        });
+        let next = self.after_last_call(now).min(opening.next);
+        opening.next = hurried.map_or(next, |at| next.min(at)).max(earliest).max(now);
     }
 
     fn after_last_call(&mut self, now: Instant) -> Instant {
--- a/gateway/src/net/discovery/schedule/tests.rs
+++ b/gateway/src/net/discovery/schedule/tests.rs
@@ -40,7 +40,7 @@
         let waiting = calls(&mut schedule, start, Schedule::at_once(start, None), false, hour);
         let (least, most) = between(&waiting);
         assert!(
-            least >= Duration::from_millis(2_500) && most <= Duration::from_secs(3),
+            least >= Duration::from_millis(2_100) && most <= Duration::from_millis(2_400),
             "{least:?} {most:?}"
         );
     }
@@ -56,7 +56,7 @@
         let opening = Schedule::at_once(seen, Some(seen + left));
         let made = calls(&mut schedule, seen, opening, false, left);
         assert!(
-            made[1] <= Duration::from_millis(1_700) && made[2] <= Duration::from_millis(2_600),
+            made[1] <= Duration::from_millis(2_150) && made[2] <= Duration::from_millis(2_700),
             "{made:?}"
         );
         assert!(made.len() <= 6, "{made:?}");
@@ -72,7 +72,7 @@
     };
     let delays: Vec<Duration> = (0..300).map(first).collect();
     for third in 0..3 {
-        let part = Duration::from_millis(333 * third)..Duration::from_millis(333 * (third + 1));
+        let part = Duration::from_millis(200 * third)..Duration::from_millis(200 * (third + 1));
         let count = delays.iter().filter(|delay| part.contains(delay)).count();
         assert!((60..=140).contains(&count), "{count} of 300 in {part:?}");
     }
