--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -84,6 +84,11 @@
         Self { addr, pushed, schedule, links: Vec::new(), state, heard: None, opened: 0 }
     }
 
+    /// Lists are pushed, and none has come yet.
+    pub fn lacks_pushed_list(&self) -> bool {
+        self.pushed && self.heard.is_none()
+    }
+
     /// Opens a watch from a version on. One that is open or being opened already is left as it is.
     pub fn watch(&mut self, now: Instant, since: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
         if matches!(self.state, State::Unasked) {
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -69,6 +69,9 @@
 const RESERVED: usize = 16;
 /// How long a gateway that is run by a console waits for a list before it serves without one.
 const LIST_WAIT: Duration = Duration::from_secs(3);
+/// Where lists are pushed, what the agent has counts from the first moment of a process: how long that waits for it before it
+/// serves with the list that was known.
+const PUSHED_LIST_WAIT: Duration = Duration::from_secs(1);
 /// How long it waits for the listener of the process that it replaces; and if that one is itself still replacing another.
 const LISTENER_WAIT: Duration = Duration::from_millis(500);
 const PREDECESSOR_WAIT: Duration = Duration::from_millis(4_500);
@@ -134,7 +137,7 @@
 
 /// What a process waits for before it serves.
 struct Start {
-    /// A list with a db host that takes requests.
+    /// A list with a db host that takes requests; and the agent's, where lists are pushed.
     list_by: Instant,
     /// The listener of the process before it; then it binds one itself.
     listener_by: Instant,
@@ -267,8 +270,9 @@
         });
         let (verdicts, zones) = (config.edge.verdicts, config.edge.zones.clone());
         let federation = federation.transpose()?.map(|link| link.judging(verdicts, zones));
+        let pushed_wait = if manner.pushed { PUSHED_LIST_WAIT } else { Duration::ZERO };
         let start = Start {
-            list_by: if operated { now + LIST_WAIT } else { now },
+            list_by: if operated { now + LIST_WAIT } else { now + pushed_wait },
             listener_by: if older { now + LISTENER_WAIT } else { now },
             listener: None,
         };
@@ -307,9 +311,8 @@
     /// on its own.
     fn start(&mut self, now: Instant) -> Result<(), RunError> {
         let Some(start) = &mut self.starts else { return Ok(()) };
-        if now < start.list_by && self.core.directory().first_group().is_none()
-            || now < start.listener_by && start.listener.is_none()
-        {
+        let listed = self.core.directory().first_group().is_some() && !self.discovery.lacks_pushed_list();
+        if now < start.list_by && !listed || now < start.listener_by && start.listener.is_none() {
             return Ok(());
         }
         let handed = start.listener.take();
