--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test program uses its own part of this.
 #![allow(dead_code)]
 
+pub mod calls;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::ops::Range;
 use std::process::Command;
@@ -13,6 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use common::calls::{hang, say, Calls};
 use common::*;
 
 const SERVED: &[u8] = b"TDCZ";
@@ -24,54 +25,6 @@
 /// A line comes at least so often as long as a watch is well.
 const LINE_INTERVAL: Duration = Duration::from_secs(2);
 const FAILED: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-/// Longer than any test.
-const FOREVER: Duration = Duration::from_secs(60);
-
-/// Discovery that plays a part for each call, each on a thread of its own. A connection ends with its part.
-struct Calls {
-    addr: SocketAddr,
-    /// When each call came, with its first line.
-    came: Arc<Mutex<Vec<(Instant, String)>>>,
-}
-
-impl Calls {
-    /// Plays a part for each call; the part gets the call's number, from 0 on.
-    fn start(part: impl Fn(usize, &mut TcpStream) + Send + Sync + 'static) -> Self {
-        Self::on(TcpListener::bind("127.0.0.1:0").unwrap(), part)
-    }
-
-    fn on(listener: TcpListener, part: impl Fn(usize, &mut TcpStream) + Send + Sync + 'static) -> Self {
-        let addr = listener.local_addr().unwrap();
-        let came = Arc::new(Mutex::new(Vec::new()));
-        let (kept, part) = (Arc::clone(&came), Arc::new(part));
-        thread::spawn(move || {
-            for mut stream in listener.incoming().map_while(Result::ok) {
-                let mut line = String::new();
-                let _ = BufReader::new(&mut stream).read_line(&mut line);
-                let mut calls = kept.lock().unwrap();
-                calls.push((Instant::now(), line));
-                let (number, part) = (calls.len() - 1, Arc::clone(&part));
-                thread::spawn(move || part(number, &mut stream));
-            }
-        });
-        Self { addr, came }
-    }
-
-    /// When the call of this number came.
-    fn at(&self, number: usize) -> Instant {
-        until(|| self.came.lock().unwrap().len() > number, || format!("no call {number}"));
-        self.came.lock().unwrap()[number].0
-    }
-}
-
-fn say(stream: &mut TcpStream, text: &str) {
-    let _ = stream.write_all(text.as_bytes());
-}
-
-/// Nothing more comes, and the connection stays open.
-fn hang() {
-    thread::sleep(FOREVER);
-}
 
 /// A line of a watch that is open.
 fn line(text: &str) -> String {
