Move the room for long messages out of clients.rs, and test answers left at an exit

The test that an answer which its client has not read when the process ends arrives whole passes either way.

--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -1,12 +1,14 @@
 //! Clients' connections: PostgreSQL's protocol, one request at a time on each.
 
+mod room;
+
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
 use tracing::warn;
-use yewroute_ledger::{Grant, Ledger};
+use yewroute_ledger::Ledger;
 use yewroute_lifecycle::Leaving;
 
 use super::cancel::CancelKeys;
@@ -21,6 +23,7 @@
 use crate::proto::pg::session::{Final, Terms};
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
+use room::long_bytes;
 
 /// Bytes of a long value that may wait for a client, at the least and at the most.
 const LEAST_WINDOW: usize = 16 * 1024;
@@ -478,37 +481,6 @@
         self.let_in(now, poller, inbox);
     }
 
-    /// Sees that bytes are set aside for a client's long message, or no longer; true if it may go on reading.
-    fn settle_room(&mut self, now: Instant, number: u64) -> bool {
-        let Some(client) = self.clients.get_mut(&number).filter(|client| client.long.is_some()) else {
-            self.room.release(number);
-            return false;
-        };
-        let Some(Long::Comes(len)) = client.long else { return false };
-        match self.room.reserve(number, len) {
-            Grant::Given => client.hold(now, len),
-            Grant::Waits => client.long = Some(Long::Waits(len)),
-            Grant::Never => client.turn_out(code::LIMIT, "a statement beyond the memory for statements"),
-        }
-        client.long != Some(Long::Waits(len))
-    }
-
-    /// Lets those in whose turn has come.
-    fn let_in(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        while let Some((number, grant)) = self.room.next_turn() {
-            let Some(client) = self.clients.get_mut(&number) else {
-                self.room.release(number);
-                continue;
-            };
-            match (grant, client.long) {
-                (Grant::Given, Some(Long::Waits(len))) => client.hold(now, len),
-                _ => client.turn_out(code::LIMIT, "a statement beyond the memory for statements"),
-            }
-            self.work_on(now, number, poller, inbox);
-            self.settle_room(now, number);
-        }
-    }
-
     /// Takes the messages that have come, writes what there is and sees what is next; true if a long message comes.
     fn work_on(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) -> bool {
         loop {
@@ -602,8 +574,3 @@
         }
     }
 }
-
-/// Bytes for long messages, of those for all statements: an eighth is left to short ones.
-fn long_bytes(statement_bytes: usize) -> usize {
-    statement_bytes - statement_bytes / 8
-}
--- /dev/null
+++ b/gateway/src/net/clients/room.rs
@@ -0,0 +1,50 @@
+//! Bytes that are set aside for clients' long messages before those are read on.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use yewroute_ledger::Grant;
+
+use super::Clients;
+use crate::net::client::Long;
+use crate::net::poller::Poller;
+use crate::net::Input;
+use crate::proto::pg::code;
+
+impl Clients {
+    /// Sees that bytes are set aside for a client's long message, or no longer; true if it may go on reading.
+    pub(super) fn settle_room(&mut self, now: Instant, number: u64) -> bool {
+        let Some(client) = self.clients.get_mut(&number).filter(|client| client.long.is_some()) else {
+            self.room.release(number);
+            return false;
+        };
+        let Some(Long::Comes(len)) = client.long else { return false };
+        match self.room.reserve(number, len) {
+            Grant::Given => client.hold(now, len),
+            Grant::Waits => client.long = Some(Long::Waits(len)),
+            Grant::Never => client.turn_out(code::LIMIT, "a statement beyond the memory for statements"),
+        }
+        client.long != Some(Long::Waits(len))
+    }
+
+    /// Lets those in whose turn has come.
+    pub(super) fn let_in(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        while let Some((number, grant)) = self.room.next_turn() {
+            let Some(client) = self.clients.get_mut(&number) else {
+                self.room.release(number);
+                continue;
+            };
+            match (grant, client.long) {
+                (Grant::Given, Some(Long::Waits(len))) => client.hold(now, len),
+                _ => client.turn_out(code::LIMIT, "a statement beyond the memory for statements"),
+            }
+            self.work_on(now, number, poller, inbox);
+            self.settle_room(now, number);
+        }
+    }
+}
+
+/// Bytes for long messages, of those for all statements: an eighth is left to short ones.
+pub(super) fn long_bytes(statement_bytes: usize) -> usize {
+    statement_bytes - statement_bytes / 8
+}
--- a/gateway/tests/shutdown.rs
+++ b/gateway/tests/shutdown.rs
@@ -219,6 +219,21 @@
     assert_eq!(asked(&primary, "behind"), 0, "nothing is read behind the end and sent on");
 }
 
+#[test]
+fn an_answer_that_is_still_on_its_way_when_the_process_has_ended_arrives_whole() {
+    let (mut gateway, primary, _replica) = start();
+    let mut clients: Vec<Client> = (0..3).map(|_| gateway.client()).collect();
+    clients.iter_mut().for_each(|client| client.write(&order("long")));
+    until(|| asked(&primary, "long") == 3, || gateway.log());
+    gateway.terminate();
+    assert!(gateway.wait().success(), "{}", gateway.log());
+    for client in &mut clients {
+        assert_eq!(client.answer(), SERVED, "whole");
+        assert_eq!(client.rows[0].len(), LONG_VALUE + 6);
+        assert_eq!(client.answer(), b"");
+    }
+}
+
 #[test]
 fn a_connection_that_makes_room_for_another_is_not_reset_under_its_last_answer() {
     let (primary, replica) = hosts();
