--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -20,7 +20,7 @@
         ask: Ask<B>,
         effects: &mut Vec<Effect<B>>,
     ) {
-        let (class, group) = match self.admit(&ask) {
+        let (class, group) = match self.admit(now, &ask) {
             Ok(placed) => placed,
             Err((class, answer)) => {
                 self.tally.count(class, answer.end());
@@ -46,15 +46,16 @@
         // Guards against: timers and db hosts' work kept for longer than any client of the class waits.
         self.count_demand(class, group);
         let whole_wait = ask.wait.min(self.deployment.module.classes[class].deadline);
-        let waited = ask.waited.min(whole_wait);
-        let wait = whole_wait - waited;
+        let left = whole_wait.saturating_sub(ask.waited);
+        // Guards against: a request that the end of the process finds unanswered.
+        let wait = self.answers_by.map_or(left, |by| left.min(by.saturating_duration_since(now)));
         let id = RequestId(self.taken);
         let request = Request {
             id,
             class,
             group: GroupId(group),
             left: wait,
-            waited,
+            waited: whole_wait - wait,
             resent: ask.resent,
             session: self.deployment.sessions[class].then(|| session(&ask.key)),
             last_write_age: ask.after.map(|after| self.age(now, after)),
