--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,7 +22,6 @@
 use crate::interface::*;
 use crate::measured::{Blame, Commits, Doubt, Latencies, Queue, Tries};
 use crate::pending::{Attempt, Pending};
-use crate::validate;
 
 type Out<'a> = &'a mut Vec<Action>;
 
@@ -148,7 +147,7 @@
     /// # Errors
     /// Names the settings field that is inconsistent.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
-        validate::check(&settings)?;
+        settings.check()?;
         let mut rng = Rng::with_seed(seed);
         Ok(Self {
             taste: rng.u64(..),
