--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -68,6 +68,9 @@
 impl Bench {
     fn new(dialect: Dialect) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        // So that the system does not take all of a long statement.
+        rustix::net::sockopt::set_socket_recv_buffer_size(&listener, 64 * 1024).unwrap();
+        listener.set_nonblocking(true).unwrap();
         let member = Member {
             id: "s-a".to_owned(),
             addr: listener.local_addr().unwrap(),
@@ -112,6 +115,7 @@
             body,
         };
         let mut effects = Vec::new();
+        self.now = Instant::now();
         self.core.handle(self.now, Input::Ask(ClientId(self.clients), ask), &mut effects);
         let started = effects.into_iter().find_map(|effect| match effect {
             Effect::Start { attempt, server, body, begin_by, cut_at, .. } => {
@@ -138,7 +142,14 @@
 
     /// The next connection, up to its startup message.
     fn accept(&mut self) -> TcpStream {
-        let (mut peer, _) = self.listener.accept().unwrap();
+        let start = Instant::now();
+        let mut peer = loop {
+            match self.listener.accept() {
+                Ok((peer, _)) => break peer,
+                Err(_) => assert!(start.elapsed() < Duration::from_secs(5), "no connection comes"),
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        };
         peer.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
         self.wake();
         let mut head = [0; 4];
@@ -156,6 +167,9 @@
     }
 }
 
+/// How long the clients wait for their answers.
+const WAIT: Duration = Duration::from_secs(3);
+
 fn insert(value: &str) -> Body {
     let text = format!("INSERT INTO t VALUES ('{value}') /* id=1,c=order,d=1000,cluster=2 */");
     Wanted::simple(text.into_bytes()).unwrap().body
@@ -174,12 +188,12 @@
 #[test]
 fn an_attempt_whose_time_ended_while_its_connection_came_up_is_not_written() {
     let mut bench = Bench::new(Dialect::Simple);
-    let attempt = bench.ask(insert("a"), Duration::from_millis(600));
+    let attempt = bench.ask(insert("a"), WAIT);
     let mut peer = bench.accept();
     peer.write_all(&welcome()).unwrap();
     bench.wake();
-    // The turn began in time, and time went on in it.
-    std::thread::sleep(Duration::from_millis(600));
+    // The welcome was read in time, and time went on before the attempts' turn.
+    bench.now += WAIT;
     bench.with(Hosts::serve_waiting);
     assert_eq!(bench.ended(), [(attempt, Status::NotSent)]);
     assert!(is_silent(&mut peer));
@@ -189,16 +203,16 @@
 fn the_last_byte_of_an_attempt_is_not_written_once_its_time_is_over() {
     let mut bench = Bench::new(Dialect::Simple);
     let value = "x".repeat(7_000_000);
-    let attempt = bench.ask(insert(&value), Duration::from_millis(600));
+    let attempt = bench.ask(insert(&value), WAIT);
     let mut peer = bench.accept();
     peer.write_all(&welcome()).unwrap();
     bench.wake();
     bench.with(Hosts::serve_waiting);
-    let mut come = vec![0; 1_000_000];
+    let mut come = vec![0; 3_000_000];
     peer.read_exact(&mut come).unwrap();
     // There is room again at the very moment at which it is over.
     bench.wake();
-    bench.now += Duration::from_millis(600);
+    bench.now += WAIT;
     bench.with(Hosts::serve_waiting);
     assert_eq!(bench.ended(), [(attempt, Status::NotSent)]);
     peer.read_to_end(&mut come).unwrap();
@@ -208,9 +222,9 @@
 #[test]
 fn a_connection_that_was_made_for_one_that_has_gone_ends_no_other_attempt() {
     let mut bench = Bench::new(Dialect::Simple);
-    let gone = bench.ask(insert("gone"), Duration::from_secs(3));
+    let gone = bench.ask(insert("gone"), WAIT);
     let first = bench.accept();
-    let there = bench.ask(insert("there"), Duration::from_secs(3));
+    let there = bench.ask(insert("there"), WAIT);
     let mut second = bench.accept();
     bench.with(|hosts, around| hosts.withdraw(gone, around));
     assert_eq!(bench.ended(), [(gone, Status::NotSent)]);
@@ -240,7 +254,7 @@
             let bind = Bind { portal: b"", statement: b"", formats: vec![], values, results: vec![] };
             Body::Execute(Rc::new(Bound::new(statement, bind).unwrap()))
         };
-        let first = bench.ask(execute(), Duration::from_secs(3));
+        let first = bench.ask(execute(), WAIT);
         let mut peer = bench.accept();
         peer.write_all(&welcome()).unwrap();
         bench.wake();
@@ -255,7 +269,7 @@
         bench.wake();
         assert_eq!(bench.ended(), [(first, Status::Good)]);
 
-        let second = bench.ask(execute(), Duration::from_secs(3));
+        let second = bench.ask(execute(), WAIT);
         assert_eq!(kinds(&mut peer, 3), "BES", "it is prepared");
         if leaves {
             bench.with(|hosts, around| hosts.withdraw(second, around));
