--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -354,15 +354,10 @@
         next.into_iter().flatten().min()
     }
 
-    /// Takes what has come: the watch's news first, and in full. Guards against: a first byte for a db host whose drain has
-    /// been read in the same turn, behind the welcome that the send waited for. A turn may come late.
+    /// Takes what has come, the watch's news first: the core is told in this order. Guards against: a decision by an older
+    /// list in the turn in which a newer one was read. Attempts begin only when all has been told.
     fn all_ready(&mut self, now: Instant, ready: &mut Vec<Ready>) {
-        let is_watch = |event: &Ready| matches!(event.token, Token::Watch(_));
-        if ready.iter().any(is_watch) {
-            ready.iter().copied().filter(is_watch).for_each(|event| self.ready(now, event));
-            self.settle(now);
-            ready.retain(|event| !is_watch(event));
-        }
+        ready.sort_by_key(|event| !matches!(event.token, Token::Watch(_)));
         for event in ready.drain(..) {
             self.ready(now, event);
         }
