--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -13,7 +13,9 @@
 mod host_conn;
 mod hosts;
 mod listener;
+mod operations;
 pub(crate) mod poller;
+mod replacement;
 pub(crate) mod signals;
 pub(crate) mod wire;
 
@@ -29,14 +31,13 @@
 use yewroute::interface::SettingsError;
 use yewroute_edge::Edge;
 use yewroute_federation::bridge::{Reader, Wish};
-use yewroute_federation::zones::News as ZoneNews;
-use yewroute_lifecycle::{Lifecycle, Means, Stage};
+use yewroute_lifecycle::{Lifecycle, Means};
 use yewroute_settings::Deployment;
 
 use crate::clock::Clock;
 use crate::config::{against, Budgets, Config};
-use crate::core::{self, Core, Known, Near, Payload, Results};
-use crate::proto::console::{self as calls, Call, Figures};
+use crate::core::{self, Core, Known, Near, Payload};
+use crate::proto::console as calls;
 use crate::proto::pg::exchange::Dialect;
 use crate::proto::pg::request::Body;
 use crate::proto::pg::session::{Limits, Terms};
@@ -45,7 +46,7 @@
 use discovery::{Discovery, Manner};
 use federation::FederationLink;
 use fleet::FleetLink;
-use handover::{Handover, News};
+use handover::Handover;
 use hosts::{Around, Hosts, Leave, Speech};
 use poller::{Interest, Poller, Ready, Token};
 use signals::Signals;
@@ -78,10 +79,6 @@
 /// How long it waits for the listener of the process that it replaces; and if that one is itself still replacing another.
 const LISTENER_WAIT: Duration = Duration::from_millis(500);
 const PREDECESSOR_WAIT: Duration = Duration::from_millis(4_500);
-/// How often two processes look at who needs what.
-const SHARE_EVERY: Duration = Duration::from_millis(100);
-/// The same while clients move from the older to the newer.
-const SHARE_MOVING: Duration = Duration::from_millis(20);
 
 /// Why the gateway cannot run.
 #[derive(Debug, Error)]
@@ -497,193 +494,6 @@
         self.clients.welcome(now, welcome, &self.poller, &mut self.inbox);
     }
 
-    /// Reads the console's callers, those that wait to be taken if `number` is the listener's, and answers calls.
-    fn callers(&mut self, now: Instant, number: u64) {
-        for _ in 0..console::AT_ONCE {
-            let Some(console) = &mut self.console else { return };
-            let caller = if number == 0 { console.accept(now, &self.poller) } else { Some(number) };
-            let Some(caller) = caller else { return };
-            if let Some(call) = console.read(now, caller, &self.poller) {
-                let mut answer = Vec::new();
-                self.call(now, caller, call, &mut answer);
-                let Some(console) = &mut self.console else { return };
-                match answer.is_empty() {
-                    true => console.wait(now, caller),
-                    false => console.answer(now, caller, &self.poller, |out| out.extend(answer)),
-                }
-            }
-            if number != 0 {
-                return;
-            }
-        }
-    }
-
-    /// Takes over the limits that this process has.
-    fn use_means(&mut self, means: Means) {
-        self.means = means;
-        let (mut most_clients, mut most_hosts) = shares(means.sockets, self.console_share);
-        self.clients.beside(means != self.limits);
-        if means != self.limits {
-            // Beside another process clients come all at once, and few connections to db hosts are needed yet.
-            let lent = most_hosts / 2;
-            (most_clients, most_hosts) = (most_clients + lent, most_hosts - lent);
-        }
-        let Budgets { most_bytes, statement_bytes } = Budgets::of(means.kib);
-        let widest = Budgets::of(self.limits.kib).statement_bytes;
-        self.clients.limit(most_clients, most_bytes, statement_bytes, widest);
-        self.hosts.limit(most_hosts, most_bytes);
-        self.core.limit(statement_bytes);
-    }
-
-    /// Shares the limits with a successor: it gets what this process does not need.
-    fn share(&mut self, now: Instant) {
-        let Some(handover) = self.handover.as_mut().filter(|handover| handover.has_successor()) else {
-            return;
-        };
-        let callers = self.console.as_ref().map_or(0, Console::len);
-        let held = Means {
-            sockets: self.clients.len() + self.hosts.len() + RESERVED + callers,
-            kib: (self.clients.held_bytes() + self.core.held_bytes()) / 1024,
-        };
-        let (own, left) = self.limits.divide(held, self.life.is_handed());
-        handover.leave(left);
-        if own != self.means {
-            self.use_means(own);
-        }
-        let moving = self.life.is_handed();
-        self.share_at = Some(now + if moving { SHARE_MOVING } else { SHARE_EVERY });
-    }
-
-    /// Something of another process of this gateway has come.
-    fn replaced(&mut self, now: Instant, number: u64) {
-        let Some(handover) = &mut self.handover else { return };
-        for news in handover.ready(number, &self.poller) {
-            match news {
-                News::Listener(listener) => {
-                    if let Some(start) = &mut self.starts {
-                        start.listener = Some(listener);
-                    }
-                }
-                News::Left(means) => self.use_means(means),
-                News::Later => {
-                    if let Some(start) = &mut self.starts {
-                        start.listener_by = now + PREDECESSOR_WAIT;
-                    }
-                }
-                News::PredecessorGone => {
-                    if let Some(start) = &mut self.starts {
-                        start.listener_by = now;
-                    }
-                    self.use_means(self.limits);
-                    self.hand(now);
-                }
-                News::Asked => self.hand(now),
-                News::Serves => {
-                    info!("a newer process serves: clients are sent there");
-                    self.life.handed(now);
-                    self.fleet.iter_mut().for_each(|fleet| fleet.stand_down(now));
-                    self.share(now);
-                }
-                News::SuccessorGone => self.successor_gone(now),
-            }
-        }
-    }
-
-    /// Hands the listener over to the process that has asked for it, once there are no more than two.
-    fn hand(&mut self, now: Instant) {
-        let Some(handover) = self.handover.as_mut().filter(|handover| handover.has_successor()) else {
-            return;
-        };
-        let listener = self.clients.listener().filter(|_| !handover.has_predecessor());
-        handover.hand(listener, self.limits.divide(self.limits, false).1);
-        self.share(now);
-    }
-
-    /// The newer process has gone before this one.
-    fn successor_gone(&mut self, now: Instant) {
-        let served = self.life.is_handed();
-        self.life.successor_lost();
-        self.share_at = None;
-        self.use_means(self.limits);
-        if let Some(handover) = self.handover.as_mut().filter(|_| served) {
-            warn!("the newer process has gone: this one goes on");
-            self.fleet.iter_mut().for_each(|fleet| fleet.stand_up(now));
-            handover.serve(&self.poller);
-        }
-    }
-
-    /// Answers an operator's call; nothing is put out if the answer comes later.
-    fn call(&mut self, now: Instant, caller: u64, call: Call, out: &mut Vec<u8>) {
-        let stage = |gateway: &Self| match gateway.life.stage(gateway.clients.len()) {
-            Stage::Starting => "starting",
-            Stage::Ready => "ready",
-            Stage::Draining => "draining",
-            Stage::Drained => "drained",
-            Stage::Stopping => "stopping",
-        };
-        match call {
-            Call::Ready => calls::put_word(out, self.life.ready(), stage(self)),
-            Call::Drain => {
-                info!("console: drain");
-                self.life.drain(now);
-                calls::put_word(out, true, stage(self));
-            }
-            Call::Undrain => {
-                info!("console: undrain");
-                match self.life.undrain() {
-                    true => calls::put_word(out, true, stage(self)),
-                    false => calls::put_conflict(out, stage(self)),
-                }
-            }
-            Call::Metrics => calls::put_figures(out, &self.figures(now)),
-            Call::Fleet => {
-                let view = self.fleet.as_ref().and_then(|fleet| fleet.view(now, self.core.directory()));
-                calls::put_fleet(out, view.as_ref());
-            }
-            Call::Table => {
-                let view = self.federation.as_ref().and_then(|federation| federation.view(now));
-                calls::put_table(out, view.as_ref());
-            }
-            Call::Zones => {
-                let view = self.federation.as_ref().and_then(|federation| federation.zones_view(now));
-                calls::put_zones(out, view.as_ref());
-            }
-            Call::Zone(order) => match self.federation.as_ref().filter(|federation| federation.plans()) {
-                None => calls::put_fault(out, calls::Fault::UnknownPath),
-                // It is answered when the steward has said what becomes of it.
-                Some(federation) if federation.zones(ZoneNews::Drain { caller, order }) => {}
-                Some(_) => calls::put_unheard(out),
-            },
-            Call::PutTable(text) => match &self.federation {
-                None => calls::put_fault(out, calls::Fault::UnknownPath),
-                // It is answered when the federation has said what becomes of it.
-                Some(federation) if federation.put(caller, text) => {}
-                Some(_) => calls::put_unheard(out),
-            },
-        }
-        self.attend(now);
-    }
-
-    fn figures(&self, now: Instant) -> Figures<'_> {
-        let names = self.core.deployment().class_names.iter().map(String::as_str);
-        let tally = self.core.tally();
-        let mut results: Vec<_> = names.zip(tally.classes().iter().copied()).collect();
-        if tally.unlisted() != Results::default() {
-            results.push(("", tally.unlisted()));
-        }
-        Figures {
-            results,
-            forwards: self.hosts.forwards(),
-            outstanding: self.core.outstanding(),
-            discovered: self.core.directory().held(),
-            ejected: self.core.ejected(now),
-            fleet: {
-                let fleet = self.fleet.iter().flat_map(|fleet| fleet.figures(now));
-                fleet.chain(self.federation.iter().flat_map(|link| link.figures(now))).collect()
-            },
-        }
-    }
-
     /// Tells the core what has come and does what it says, until there is nothing more to do. All that has
     /// come is told before anything is done, and attempts begin last, so that news of a drain and clients that have gone
     /// come before the next send.
