--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -1,10 +1,12 @@
 //! Adapters to sockets and signals, on one thread: epoll wakes it, the core says what is to be done.
 
 mod arrivals;
+mod cancel;
 mod client;
 mod clients;
 mod console;
 mod discovery;
+mod eviction;
 mod federation;
 mod fleet;
 mod handover;
@@ -70,6 +72,9 @@
 const RESERVED: usize = 16;
 /// How long a gateway that is run by a console waits for a list before it serves without one.
 const LIST_WAIT: Duration = Duration::from_secs(3);
+/// Where lists are pushed, what the agent has counts from the first moment of a process: how long that waits for it before it
+/// serves with the list that was known.
+const PUSHED_LIST_WAIT: Duration = Duration::from_secs(1);
 /// How long it waits for the listener of the process that it replaces; and if that one is itself still replacing another.
 const LISTENER_WAIT: Duration = Duration::from_millis(500);
 const PREDECESSOR_WAIT: Duration = Duration::from_millis(4_500);
@@ -135,7 +140,7 @@
 
 /// What a process waits for before it serves.
 struct Start {
-    /// A list with a db host that takes requests.
+    /// A list with a db host that takes requests; and the agent's, where lists are pushed.
     list_by: Instant,
     /// The listener of the process before it; then it binds one itself.
     listener_by: Instant,
@@ -180,12 +185,10 @@
     let mut ready = Vec::new();
     let mut now = Instant::now();
     gateway.settle(now);
-    while !gateway.life.done(now, gateway.clients.len()) {
+    while !gateway.life.done(now, gateway.clients.len(), || gateway.clients.owes_answers()) {
         gateway.poller.wait(now, gateway.next(now), &mut ready)?;
         now = Instant::now();
-        for event in ready.drain(..) {
-            gateway.ready(now, event);
-        }
+        gateway.all_ready(now, &mut ready);
         gateway.tick(now);
         gateway.settle(now);
         gateway.start(now)?;
@@ -269,8 +272,9 @@
         });
         let (verdicts, zones) = (config.edge.verdicts, config.edge.zones.clone());
         let federation = federation.transpose()?.map(|link| link.judging(verdicts, zones));
+        let pushed_wait = if manner.pushed { PUSHED_LIST_WAIT } else { Duration::ZERO };
         let start = Start {
-            list_by: if operated { now + LIST_WAIT } else { now },
+            list_by: if operated { now + LIST_WAIT } else { now + pushed_wait },
             listener_by: if older { now + LISTENER_WAIT } else { now },
             listener: None,
         };
@@ -309,9 +313,8 @@
     /// on its own.
     fn start(&mut self, now: Instant) -> Result<(), RunError> {
         let Some(start) = &mut self.starts else { return Ok(()) };
-        if now < start.list_by && self.core.directory().first_group().is_none()
-            || now < start.listener_by && start.listener.is_none()
-        {
+        let listed = self.core.directory().first_group().is_some() && !self.discovery.lacks_pushed_list();
+        if now < start.list_by && !listed || now < start.listener_by && start.listener.is_none() {
             return Ok(());
         }
         let handed = start.listener.take();
@@ -351,9 +354,23 @@
         next.into_iter().flatten().min()
     }
 
+    /// Takes what has come: the watch's news first, and in full. Guards against: a first byte for a db host whose drain has
+    /// been read in the same turn, behind the welcome that the send waited for. A turn may come late.
+    fn all_ready(&mut self, now: Instant, ready: &mut Vec<Ready>) {
+        let is_watch = |event: &Ready| matches!(event.token, Token::Watch(_));
+        if ready.iter().any(is_watch) {
+            ready.iter().copied().filter(is_watch).for_each(|event| self.ready(now, event));
+            self.settle(now);
+            ready.retain(|event| !is_watch(event));
+        }
+        for event in ready.drain(..) {
+            self.ready(now, event);
+        }
+    }
+
     fn ready(&mut self, now: Instant, event: Ready) {
         match event.token {
-            Token::Listener => self.clients.accept(now, &self.poller),
+            Token::Listener => drop(self.clients.accept(now, true, &self.poller)),
             Token::Signals => {
                 let came = self.signals.take();
                 if came.reload {
@@ -481,6 +498,7 @@
             accepts: self.life.accepts(now),
             listens: !self.life.closes_listener(now),
         };
+        self.core.answer_by(self.life.answers_by());
         self.clients.welcome(now, welcome, &self.poller, &mut self.inbox);
     }
 
@@ -672,7 +690,8 @@
     }
 
     /// Tells the core what has come and does what it says, until there is nothing more to do. All that has
-    /// come is told before anything is done, so that news of a drain comes before the next send.
+    /// come is told before anything is done, and attempts begin last, so that news of a drain and clients that have gone
+    /// come before the next send.
     fn settle(&mut self, now: Instant) {
         loop {
             while let Some(input) = self.inbox.pop_front() {
@@ -684,7 +703,12 @@
             if let Some(link) = &self.federation {
                 self.core.hand_on_channels(|news| link.channels(news), &mut self.effects);
             }
-            if self.inbox.is_empty() && self.effects.is_empty() {
+            if !self.inbox.is_empty() || !self.effects.is_empty() {
+                continue;
+            }
+            let (hosts, mut around) = self.hosts(now);
+            hosts.serve_waiting(&mut around);
+            if self.inbox.is_empty() {
                 return;
             }
         }
@@ -695,7 +719,7 @@
         match effect {
             Effect::Start { attempt, server, body, begin_by, cut_at, permit, send_by } => {
                 let leave = Leave { permit, send_by };
-                hosts.start(attempt, server, body, (begin_by, cut_at, leave), &mut around);
+                hosts.start(attempt, server, body, (begin_by, cut_at, leave));
             }
             Effect::Pass(client, bytes) => {
                 self.clients.pass(now, client, &bytes, &self.poller, &mut self.inbox);
@@ -707,7 +731,7 @@
             Effect::Resume(attempt) => hosts.pause(attempt, false, &mut around),
             Effect::Abandon(attempt) => hosts.abandon(attempt),
             Effect::Withdraw(attempt) => hosts.withdraw(attempt, &mut around),
-            Effect::Probe(server) => hosts.probe(server, &mut around),
+            Effect::Probe(server) => hosts.probe(now, server),
             Effect::CloseIdle(server) => hosts.close_idle(server),
             Effect::Answer(client, answer) => {
                 self.clients.answer(now, client, answer, &self.poller, &mut self.inbox);
@@ -717,8 +741,7 @@
     }
 
     fn hosts(&mut self, now: Instant) -> (&mut Hosts, Around<'_>) {
-        let around =
-            Around { now, poller: &self.poller, directory: self.core.directory(), inbox: &mut self.inbox };
+        let around = Around { now, poller: &self.poller, core: &self.core, inbox: &mut self.inbox };
         (&mut self.hosts, around)
     }
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -3,6 +3,8 @@
 // Each test program uses its own part of this.
 #![allow(dead_code)]
 
+pub mod calls;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -258,7 +260,7 @@
         self.child.wait().unwrap();
     }
 
-    fn signal(&self, signal: &str) {
+    pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -242,8 +242,8 @@
     pub group: GroupId,
     /// Time left before the client abandons this try.
     pub left: Duration,
-    /// How much of its client's time was over when it arrived, as it lay behind other requests of that client. It comes on
-    /// top of `left` in what the client gave this try, and does not count in how fast it is answered.
+    /// How much of its client's time it cannot use: it lay behind other requests of that client before it arrived, or this
+    /// process ends sooner. With `left` it is what the client gave this try; it does not count in how fast it is answered.
     pub waited: Duration,
     /// The client marked it as a repeat.
     pub resent: bool,
