--- a/gateway/tests/pipelines.rs
+++ b/gateway/tests/pipelines.rs
@@ -10,9 +10,9 @@
 const SETTINGS: &str = include_str!("common/settings.json");
 /// How long a request that its db host never answers holds up those behind it.
 const FIRST_WAIT: Duration = Duration::from_millis(800);
-/// What a client that sent two at once gives the second, and how late an answer may be on a busy machine.
+/// What a client that sent two at once gives the second, and how late its answer may be.
 const SECOND_WAIT: Duration = Duration::from_millis(1_100);
-const SLACK: Duration = Duration::from_millis(250);
+const SLACK: Duration = Duration::from_millis(50);
 
 /// Db hosts that take requests and never answer one.
 fn silent_pair() -> (Host, Host) {
@@ -37,11 +37,10 @@
     let first_after = sent.elapsed();
     assert!(first_after >= FIRST_WAIT / 2, "the first held the second up: {first_after:?}");
     assert_eq!(client.answer(), b"EZ");
-    // Both came together, so their ends lie as far apart as their times; counted from its turn it would be a whole one.
-    let between = sent.elapsed() - first_after;
+    let second_after = sent.elapsed();
     assert!(
-        between <= SECOND_WAIT - FIRST_WAIT + SLACK,
-        "{between:?} after the first, not counted from when it came"
+        second_after <= SECOND_WAIT + SLACK,
+        "{second_after:?}: counted from its turn, not from when it came"
     );
     // What the db host was told of the second is what was left to its client.
     let told = primary.asked().iter().find_map(|asked| {
