Test what is spared when room is made, commands that come too late, and slow answers of an agent

Each forces an order that a guard is for, and fails with the guard taken out: the connection idle for longest has commands and answers to come, or a request that is not read yet (eviction.rs); a command that comes when there is no time left to answer it (clients.rs, read_no_further); an agent that answers each call more slowly than calls follow (discovery.rs, make_room).

--- a/gateway/tests/shutdown.rs
+++ b/gateway/tests/shutdown.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use common::*;
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 
 const SERVED: &[u8] = b"TDCZ";
 const ERROR: &[u8] = b"EZ";
@@ -108,6 +109,26 @@
     assert!(told.iter().all(|left| *left <= 300), "{told:?}");
 }
 
+/// It is sent elsewhere by its client, which has been told by the end of the connection that it was not read.
+#[test]
+fn a_command_that_comes_when_no_time_is_left_to_answer_it_is_not_read() {
+    let (mut gateway, primary, _replica) = start();
+    let mut clients: Vec<Client> = (0..4).map(|_| gateway.client()).collect();
+    let told = terminate(&gateway);
+    // The first is answered at 1.2 s. From 1.1 s on nothing more is read.
+    sleep_until(told + Duration::from_millis(400));
+    clients.iter_mut().for_each(|client| client.write(&order("hang,n=first")));
+    sleep_until(told + Duration::from_millis(1_140));
+    clients.iter_mut().for_each(|client| drop(client.stream.write_all(&order("n=second"))));
+    for client in &mut clients {
+        assert_eq!(client.answer(), ERROR, "{}", gateway.log());
+        assert_eq!(client.answer(), b"", "and the connection ends");
+    }
+    drop(clients);
+    assert!(gateway.wait().success(), "{}", gateway.log());
+    assert!(primary.asked().iter().all(|query| query.contains("n=first")), "{:?}", primary.asked());
+}
+
 #[test]
 fn clients_that_always_have_a_command_out_are_sent_away_with_each_one_answered_that_was_read() {
     let (mut gateway, primary, _replica) = start();
@@ -291,6 +312,44 @@
     drop(clients);
 }
 
+#[test]
+fn a_connection_on_which_something_is_owed_does_not_make_room_for_another() {
+    /// More than the systems on both sides hold for a client that reads nothing.
+    const UNREAD: usize = 150;
+    let (primary, replica) = hosts();
+    let gateway = Gateway::start_with(&pair(&primary, &replica), &settings());
+    gateway.reload(r#""sockets":256"#, r#""sockets":64"#);
+    gateway.logs("SIGHUP: configuration read again");
+    // Of 64 descriptors clients get 24. The two that have been idle for longest: one has answers and commands to come, and
+    // a request of the other comes right behind the connection that wants room.
+    let (mut unread, mut crossing) = (gateway.client(), gateway.client());
+    set_socket_recv_buffer_size(&unread.stream, 16 * 1024).unwrap();
+    unread.write(&(0..UNREAD).flat_map(|_| order("held")).collect::<Vec<u8>>());
+    // Nothing more is sent on for it: it has been idle for longer than the others from now on.
+    let mut sent_on = 0;
+    while asked(&primary, "held") > sent_on || sent_on == 0 {
+        sent_on = asked(&primary, "held");
+        thread::sleep(Duration::from_millis(200));
+    }
+    assert!(sent_on < UNREAD, "all answers were taken");
+    assert_eq!(crossing.ask(&statement("order", 800, ",k=1")), SERVED);
+    let mut resting: Vec<Client> = (0..22).map(|_| gateway.client()).collect();
+    resting.iter_mut().for_each(|client| assert_eq!(client.ask(&statement("order", 800, ",k=1")), SERVED));
+    thread::sleep(Duration::from_millis(2_200));
+    gateway.signal("-STOP");
+    let mut newer = TcpStream::connect(gateway.addr).unwrap();
+    newer.write_all(&startup()).unwrap();
+    crossing.write(&order("crossing"));
+    gateway.signal("-CONT");
+    assert_eq!(read_frame(&mut newer).unwrap().0, b'R', "there is room");
+    assert_eq!(crossing.answer(), SERVED, "{}", gateway.log());
+    for n in 0..UNREAD {
+        assert!(is_whole(&unread.answer()), "answer {n}: {}", gateway.log());
+    }
+    let open = |client: &mut Client| client.stream.write_all(&query("")).is_ok() && client.answer() == b"IZ";
+    assert_eq!(resting.iter_mut().filter_map(|client| open(client).then_some(())).count(), 21);
+}
+
 #[test]
 fn resting_connections_are_not_closed_to_make_room_for_nobody() {
     let (primary, replica) = hosts();
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -385,6 +385,7 @@
     side_by_side(&[
         ("the agent answers late", agent_answers_late),
         ("the agent says nothing", agent_says_nothing),
+        ("the agent answers each call more slowly than calls follow", agent_answers_each_call_slowly),
     ]);
 }
 
@@ -402,6 +403,20 @@
 }
 
 /// It serves with the list that was known.
+/// Further calls are made meanwhile, and do not end the first one.
+fn agent_answers_each_call_slowly() {
+    const SLOWLY: Duration = Duration::from_secs(4);
+    let hosts = Pair::new();
+    let drain = hosts.drain();
+    let discovery = Calls::start(move |_, stream| {
+        thread::sleep(SLOWLY);
+        say(stream, &watch(&[&drain]));
+        hang();
+    });
+    let gateway = hosts.gateway(discovery.addr, &pushed());
+    hosts.none_from(&gateway, discovery.at(0) + SLOWLY + DRAIN);
+}
+
 fn agent_says_nothing() {
     let hosts = Pair::new();
     let discovery = Calls::start(|_, _| hang());
