--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -19,29 +19,29 @@
 use crate::proto::pg::table::Table;
 
 /// Read ahead: a whole message and a little, or while a request is out only a little.
-const MOST_BUFFERED: usize = LONGEST_QUERY + CHUNK;
+const MAX_BUFFERED: usize = LONGEST_QUERY + CHUNK;
 /// Answers that wait to be written, beyond which no further message is taken.
-const MOST_UNWRITTEN: usize = CHUNK;
+const MAX_UNWRITTEN: usize = CHUNK;
 /// A connection on which no query has come is closed after so long without a byte, and so is one that leaves a message
 /// unfinished. A client may spend 2 s on a head.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The longest that a message may take in all, and one for which bytes are set aside; and how long it waits for them.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(8);
 const LONG_TIMEOUT: Duration = Duration::from_secs(30);
-const ROOM_TIMEOUT: Duration = Duration::from_secs(20);
+const RESERVATION_TIMEOUT: Duration = Duration::from_secs(20);
 /// Bytes are set aside for a longer message before it is read on.
-const LONGEST_UNASKED: usize = 64 * 1024;
+const MAX_UNRESERVED_MESSAGE: usize = 64 * 1024;
 /// A client that has taken none of its answers for so long is given up.
 const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Reads of what is thrown away before a connection is closed at once: more than a system keeps for one that is not read.
-const MOST_DISCARDED_READS: usize = 256;
+const MAX_DISCARDED_READS: usize = 256;
 /// How often a client that is not read from is asked whether it is still there, while a request of it is out. Nothing may
 /// be sent for one that has been gone for 0.1 s.
 pub(super) const PRESENCE_PROBE_INTERVAL: Duration = Duration::from_millis(40);
 /// How long a closed connection is given to take its last bytes.
-const LINGER: Duration = Duration::from_secs(1);
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// While clients leave, a connection is given so long to say what it came for.
-const FRESH: Duration = Duration::from_millis(150);
+const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(150);
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -59,13 +59,13 @@
 
 /// A message of so many bytes in all that is longer than is read unasked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Long {
+pub(super) enum LongMessage {
     /// Its head has come; whether there is room is not asked yet.
-    Comes(usize),
+    Announced(usize),
     /// It waits for room, and is not read on.
-    Waits(usize),
+    AwaitsMemory(usize),
     /// All its bytes are set aside, until its request has its answer.
-    Held(usize),
+    Reserved(usize),
 }
 
 /// A client's connection.
@@ -97,7 +97,7 @@
     pub(super) passing: bool,
     pub(super) full: bool,
     /// A message is coming for which bytes must be set aside, or are.
-    pub(super) long: Option<Long>,
+    pub(super) long: Option<LongMessage>,
     /// When bytes came last.
     pub(super) heard: Instant,
     /// Since when a message lies unfinished, and since when the client has taken none of its answers.
@@ -143,7 +143,7 @@
             || match self.phase {
                 Phase::Opening | Phase::Idle(_) => self.stuck.is_none() && (silent || self.late(now)),
                 Phase::Busy | Phase::Closing => false,
-                Phase::Lingering(since) => now - since >= LINGER,
+                Phase::Lingering(since) => now - since >= LINGER_TIMEOUT,
             }
     }
 
@@ -154,7 +154,7 @@
         let past = now.saturating_duration_since(since);
         let stopped = now.saturating_duration_since(self.heard.max(since)) >= MESSAGE_TIMEOUT;
         match self.long {
-            Some(Long::Waits(_)) => past >= ROOM_TIMEOUT,
+            Some(LongMessage::AwaitsMemory(_)) => past >= RESERVATION_TIMEOUT,
             Some(_) => stopped || past >= LONG_TIMEOUT,
             None => stopped || past >= HEAD_TIMEOUT,
         }
@@ -164,7 +164,7 @@
     /// described, in a pipeline whose Sync or Flush is yet to come. PostgreSQL does the same; it spares a write and a
     /// wake-up for each request. A final answer never waits.
     pub(super) fn holds_back(&self) -> bool {
-        let little = self.wire.unwritten() < MOST_UNWRITTEN;
+        let little = self.wire.unwritten() < MAX_UNWRITTEN;
         self.phase == Phase::Busy && self.session.open() && !self.prompt && little && self.stuck.is_none()
     }
 
@@ -186,7 +186,7 @@
     /// It is to go at this stage without waiting for an answer. Guards against: a request that has come and is not
     /// read yet, and a connection that has only just been made.
     pub(super) fn leaves(&self, now: Instant, leaving: Leaving) -> bool {
-        let fresh = now.saturating_duration_since(self.accepted) < FRESH;
+        let fresh = now.saturating_duration_since(self.accepted) < NEW_CONNECTION_GRACE;
         let here = match self.phase {
             Phase::Opening => true,
             Phase::Idle(_) => !self.session.open() || leaving == Leaving::Parts,
@@ -207,14 +207,14 @@
 
     /// Bytes are set aside for its long message. The buffer gets them at once, so that growing never takes twice as much.
     pub(super) fn hold(&mut self, now: Instant, len: usize) {
-        (self.long, self.heard) = (Some(Long::Held(len)), now);
+        (self.long, self.heard) = (Some(LongMessage::Reserved(len)), now);
         self.unfinished = Some(now);
         // A read may bring what lies behind it as well.
         self.buffer.reserve_exact((len + CHUNK).saturating_sub(self.buffer.len()));
     }
 
     /// Says why, and closes once that is written.
-    pub(super) fn turn_out(&mut self, sqlstate: &str, why: &str) {
+    pub(super) fn close_with_error(&mut self, sqlstate: &str, why: &str) {
         frontend::put_error(self.wire.out(), "FATAL", sqlstate, why, None);
         self.buffer = Vec::new();
         (self.unfinished, self.long) = (None, None);
@@ -229,7 +229,7 @@
     /// Throws away what has come and is not read. Guards against: the last answer lost to the reset that closing over
     /// unread bytes would cause.
     pub(super) fn discard_unread(&mut self, scratch: &mut [u8]) {
-        for _ in 0..MOST_DISCARDED_READS {
+        for _ in 0..MAX_DISCARDED_READS {
             if !matches!(self.wire.read(scratch, &mut self.buffer), Ok(Taken::Some)) {
                 return;
             }
@@ -270,9 +270,9 @@
         let most = match (self.phase, self.long) {
             (Phase::Busy, _) if self.last_command => 0,
             (Phase::Busy, _) => CHUNK,
-            (_, Some(Long::Comes(_) | Long::Waits(_))) => 0,
-            (_, Some(Long::Held(len))) => len,
-            _ => MOST_BUFFERED,
+            (_, Some(LongMessage::Announced(_) | LongMessage::AwaitsMemory(_))) => 0,
+            (_, Some(LongMessage::Reserved(len))) => len,
+            _ => MAX_BUFFERED,
         };
         !self.ended && self.buffer.len() < most
     }
@@ -294,7 +294,7 @@
         let (mut used, mut stalled) = (0, false);
         while self.takes() {
             // Guards against: answers piling up for a client that sends and never reads.
-            stalled = self.wire.unwritten() >= MOST_UNWRITTEN;
+            stalled = self.wire.unwritten() >= MAX_UNWRITTEN;
             if stalled {
                 break;
             }
@@ -308,7 +308,7 @@
                 Ok(None) => break,
                 Err(why) => {
                     warn!(why, "closed a client's connection");
-                    self.turn_out(code::PROTOCOL_VIOLATION, &why);
+                    self.close_with_error(code::PROTOCOL_VIOLATION, &why);
                     used = 0;
                 }
             }
@@ -351,11 +351,11 @@
     ) -> Result<Option<usize>, String> {
         let stated = frontend::stated(&self.buffer[from..]).map_err(|e| e.to_string())?;
         let Some(len) = stated else { return Ok(None) };
-        if len > LONGEST_UNASKED && !matches!(self.long, Some(Long::Held(_))) {
-            self.long = Some(Long::Comes(len));
+        if len > MAX_UNRESERVED_MESSAGE && !matches!(self.long, Some(LongMessage::Reserved(_))) {
+            self.long = Some(LongMessage::Announced(len));
             return Ok(None);
         }
-        if len > LONGEST_UNASKED && self.buffer[from] == b'Q' {
+        if len > MAX_UNRESERVED_MESSAGE && self.buffer[from] == b'Q' {
             return self.take_long(now, number, from, len, inbox);
         }
         let message = frontend::message(&self.buffer[from..]).map_err(|e| e.to_string())?;
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -12,7 +12,7 @@
 use yewroute_lifecycle::Leaving;
 
 use super::cancel::CancelKeys;
-use super::client::{Client, Long, Phase, PRESENCE_PROBE_INTERVAL};
+use super::client::{Client, LongMessage, Phase, PRESENCE_PROBE_INTERVAL};
 use super::eviction::evict;
 use super::poller::{Interest, Poller, Ready, Token};
 use super::wire::{Taken, Wire, CHUNK};
@@ -26,21 +26,21 @@
 use room::long_bytes;
 
 /// Bytes of a long value that may wait for a client, at the least and at the most.
-const LEAST_WINDOW: usize = 16 * 1024;
-const MOST_WINDOW: usize = 128 * 1024;
+const MIN_VALUE_WINDOW: usize = 16 * 1024;
+const MAX_VALUE_WINDOW: usize = 128 * 1024;
 /// How often those times are looked after.
-const SWEEP: Duration = Duration::from_millis(200);
+const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Where descriptors are short, connections give way that have sent no request for so long.
-const SILENT: Duration = Duration::from_millis(50);
+const UNUSED_CONNECTION_TIMEOUT: Duration = Duration::from_millis(50);
 /// The same beside another process of this gateway, whose idle connections go within 0.4 s and make room.
-const SILENT_BESIDE: Duration = Duration::from_millis(600);
+const UNUSED_CONNECTION_TIMEOUT_BESIDE_ANOTHER_PROCESS: Duration = Duration::from_millis(600);
 /// How long a listener that is to close stays open for connections that there was no room for.
 const LISTENER_CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// How long accepting rests when it failed for want of descriptors.
-const REST: Duration = Duration::from_millis(20);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 #[derive(Clone, Copy)]
-enum Due {
+enum TimerEvent {
     Sweep,
     Accept,
     /// The listener is closed, if nobody waits there or that time has come.
@@ -54,7 +54,7 @@
     listener: Option<TcpListener>,
     listening: bool,
     clients: HashMap<u64, Client>,
-    timers: Timers<Due>,
+    timers: Timers<TimerEvent>,
     accepted: u64,
     keys: CancelKeys,
     most: usize,
@@ -63,16 +63,16 @@
     most_bytes: usize,
     /// Bytes set aside for long messages, from their heads to their answers.
     room: Ledger,
-    welcome: Welcome,
+    admission: Admission,
     scratch: Vec<u8>,
     /// The statements of all clients.
     table: Table,
-    rules: Rules,
+    protocol: ClientProtocol,
 }
 
 /// What clients are told of this gateway's stage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Welcome {
+pub struct Admission {
     /// Which connections leave.
     pub leaving: Leaving,
     /// What an empty query is answered.
@@ -85,7 +85,7 @@
 
 /// How clients are served beyond simple queries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Rules {
+pub struct ClientProtocol {
     /// How extended queries are carried.
     pub terms: Terms,
     /// Bytes of all prepared statements.
@@ -97,9 +97,15 @@
 impl Clients {
     /// At most `most` connections that have read at most `most_bytes` ahead together, and hold at most
     /// `statement_bytes` of long statements.
-    pub fn new(now: Instant, most: usize, most_bytes: usize, statement_bytes: usize, rules: Rules) -> Self {
+    pub fn new(
+        now: Instant,
+        most: usize,
+        most_bytes: usize,
+        statement_bytes: usize,
+        protocol: ClientProtocol,
+    ) -> Self {
         let mut timers = Timers::new();
-        timers.set(now + SWEEP, Due::Sweep);
+        timers.set(now + SWEEP_INTERVAL, TimerEvent::Sweep);
         Self {
             listener: None,
             listening: false,
@@ -108,13 +114,13 @@
             accepted: 0,
             keys: CancelKeys::default(),
             most,
-            silent: SILENT,
+            silent: UNUSED_CONNECTION_TIMEOUT,
             most_bytes,
             room: Ledger::new(long_bytes(statement_bytes)),
-            welcome: Welcome { leaving: Leaving::None, yes: true, accepts: true, listens: true },
+            admission: Admission { leaving: Leaving::None, yes: true, accepts: true, listens: true },
             scratch: vec![0; CHUNK],
-            table: Table::new(rules.table_bytes),
-            rules,
+            table: Table::new(protocol.table_bytes),
+            protocol,
         }
     }
 
@@ -135,13 +141,17 @@
     /// Whether another process of this gateway holds a part of its descriptors for the moment. Guards against: closing,
     /// for want of what is about to be free, connections that clients have opened ahead and are about to use.
     pub fn beside(&mut self, another: bool) {
-        self.silent = if another { SILENT_BESIDE } else { SILENT };
+        self.silent = if another {
+            UNUSED_CONNECTION_TIMEOUT_BESIDE_ANOTHER_PROCESS
+        } else {
+            UNUSED_CONNECTION_TIMEOUT
+        };
     }
 
     /// How clients are served from now on. Those that are connected keep the terms that they were welcomed with.
-    pub fn rule(&mut self, rules: Rules) {
-        self.table.limit(rules.table_bytes);
-        self.rules = rules;
+    pub fn set_protocol(&mut self, protocol: ClientProtocol) {
+        self.table.limit(protocol.table_bytes);
+        self.protocol = protocol;
     }
 
     /// The listener, if it is open.
@@ -185,7 +195,7 @@
                     });
                     match wire {
                         Ok(wire) => {
-                            let client = Client::new(now, wire, self.rules.terms, self.keys.of(number));
+                            let client = Client::new(now, wire, self.protocol.terms, self.keys.of(number));
                             self.clients.insert(number, client);
                         }
                         Err(error) => warn!(%error, "cannot take a client's connection"),
@@ -210,28 +220,34 @@
     fn rest(&mut self, now: Instant, poller: &Poller) {
         if let (true, Some(listener)) = (self.listening, &self.listener) {
             self.listening = poller.remove(listener).is_err();
-            self.timers.set(now + REST, Due::Accept);
+            self.timers.set(now + ACCEPT_RETRY_DELAY, TimerEvent::Accept);
         }
     }
 
     /// Takes over what clients are told from now on. A listener that nobody will accept on again is emptied and closed.
-    pub fn welcome(&mut self, now: Instant, welcome: Welcome, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        if self.welcome == welcome {
+    pub fn set_admission(
+        &mut self,
+        now: Instant,
+        admission: Admission,
+        poller: &Poller,
+        inbox: &mut VecDeque<Input>,
+    ) {
+        if self.admission == admission {
             return;
         }
-        let before = std::mem::replace(&mut self.welcome, welcome);
-        if welcome.leaving > before.leaving {
+        let before = std::mem::replace(&mut self.admission, admission);
+        if admission.leaving > before.leaving {
             // Those that leave make room for those that wait at the listener.
             self.send_away(now, poller, inbox);
         }
-        if !welcome.listens && before.listens {
+        if !admission.listens && before.listens {
             let by = if before.accepts { now + LISTENER_CLOSE_TIMEOUT } else { now };
             self.close_listener(now, by, poller);
         } else if let Some(listener) = &self.listener {
-            if self.listening && !welcome.accepts {
+            if self.listening && !admission.accepts {
                 self.listening = poller.remove(listener).is_err();
-            } else if !self.listening && welcome.accepts {
-                self.timers.set(now, Due::Accept);
+            } else if !self.listening && admission.accepts {
+                self.timers.set(now, TimerEvent::Accept);
             }
         }
     }
@@ -240,7 +256,7 @@
     /// of room, while others are leaving.
     fn close_listener(&mut self, now: Instant, by: Instant, poller: &Poller) {
         if now < by && !self.accept(now, false, poller) {
-            self.timers.set(now + REST, Due::Close(by));
+            self.timers.set(now + ACCEPT_RETRY_DELAY, TimerEvent::Close(by));
             return;
         }
         (self.listener, self.listening) = (None, false);
@@ -248,7 +264,7 @@
 
     /// Closes the connections that are to leave without waiting for an answer.
     fn send_away(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        let leaving = self.welcome.leaving;
+        let leaving = self.admission.leaving;
         let leaves = |client: &Client| client.leaves(now, leaving);
         let numbers = self.clients.iter().filter(|(_, client)| leaves(client)).map(|(number, _)| *number);
         for number in numbers.collect::<Vec<_>>() {
@@ -291,13 +307,13 @@
     pub fn tick(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
         while let Some(due) = self.timers.due(now) {
             match due {
-                Due::Sweep => {
+                TimerEvent::Sweep => {
                     self.sweep(now, poller, inbox);
-                    self.timers.set(now + SWEEP, Due::Sweep);
+                    self.timers.set(now + SWEEP_INTERVAL, TimerEvent::Sweep);
                 }
-                Due::Accept => self.accept_again(poller),
-                Due::Close(by) => self.close_listener(now, by, poller),
-                Due::Probe(number) => {
+                TimerEvent::Accept => self.accept_again(poller),
+                TimerEvent::Close(by) => self.close_listener(now, by, poller),
+                TimerEvent::Probe(number) => {
                     if let Some(client) = self.clients.get_mut(&number) {
                         client.probed = false;
                         self.work(now, number, poller, inbox);
@@ -309,9 +325,9 @@
 
     /// Listens again after a rest; what waits is told by the poller.
     fn accept_again(&mut self, poller: &Poller) {
-        let closes = !self.welcome.listens;
+        let closes = !self.admission.listens;
         if let (false, true, Some(listener)) =
-            (self.listening, self.welcome.accepts || closes, &self.listener)
+            (self.listening, self.admission.accepts || closes, &self.listener)
         {
             self.listening = poller.add(listener, Token::Listener, Interest::READ).is_ok();
         }
@@ -320,29 +336,31 @@
     /// Guards against: connections kept open by clients that say nothing, stop within a message, or never
     /// take their answers.
     fn sweep(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        if self.welcome.leaving >= Leaving::Idle {
+        if self.admission.leaving >= Leaving::Idle {
             self.send_away(now, poller, inbox);
         }
-        let pipeline_idle = self.rules.pipeline_idle;
+        let pipeline_idle = self.protocol.pipeline_idle;
         let overdue = |client: &Client| client.overdue(now) || client.stalled(now, pipeline_idle);
         let numbers = self.clients.iter().filter(|(_, client)| overdue(client)).map(|(number, _)| *number);
         for number in numbers.collect::<Vec<_>>() {
             match self.clients.get_mut(&number) {
                 Some(client) if client.unfinished.is_some() && client.takes() && client.stuck.is_none() => {
                     let (sqlstate, why) = match client.long {
-                        Some(Long::Waits(_)) => (code::TOO_MANY, "no room for so long a statement"),
+                        Some(LongMessage::AwaitsMemory(_)) => {
+                            (code::TOO_MANY, "no room for so long a statement")
+                        }
                         _ => (code::PROTOCOL_VIOLATION, "a message was not finished in time"),
                     };
-                    client.turn_out(sqlstate, why);
+                    client.close_with_error(sqlstate, why);
                     self.work(now, number, poller, inbox);
                 }
                 Some(client) if client.stalled(now, pipeline_idle) => {
-                    client.turn_out(code::IDLE_IN_PIPELINE, "no Sync came for the pipeline in time");
+                    client.close_with_error(code::IDLE_IN_PIPELINE, "no Sync came for the pipeline in time");
                     self.work(now, number, poller, inbox);
                 }
                 // Guards against: a request that has come and is not read yet, as when hundreds come at once.
                 Some(client) if client.takes() && client.stuck.is_none() && !client.silent() => {}
-                _ => self.gone(number, inbox),
+                _ => self.remove(number, inbox),
             }
         }
     }
@@ -358,7 +376,7 @@
         let Some(client) = self.clients.get_mut(&number) else { return };
         // Both directions of one that lingers may be over while bytes of it are unread: they go first, see `Lingering`.
         if event.broken && !matches!(client.phase, Phase::Lingering(_)) {
-            self.gone(number, inbox);
+            self.remove(number, inbox);
             return;
         }
         if client.reads() {
@@ -373,7 +391,7 @@
                 // then the answer to these bytes is a reset.
                 Ok(Taken::End) => client.ended = true,
                 Err(_) => {
-                    self.gone(number, inbox);
+                    self.remove(number, inbox);
                     return;
                 }
             }
@@ -384,7 +402,7 @@
         if long && self.clients.values().map(unasked).sum::<usize>() > self.most_bytes {
             if let Some(client) = self.clients.get_mut(&number) {
                 warn!("out of memory for clients: one connection closed");
-                client.turn_out(code::OUT_OF_MEMORY, "too many bytes of clients");
+                client.close_with_error(code::OUT_OF_MEMORY, "too many bytes of clients");
             }
         }
         self.work(now, number, poller, inbox);
@@ -445,7 +463,7 @@
         client.wire.out().extend(bytes);
         self.work(now, number, poller, inbox);
         let waits = self.clients.get(&number).map_or(0, |client| client.wire.unwritten());
-        if waits > LEAST_WINDOW && waits > self.window() {
+        if waits > MIN_VALUE_WINDOW && waits > self.window() {
             if let Some(client) = self.clients.get_mut(&number).filter(|client| !client.full) {
                 client.full = true;
                 inbox.push_back(Input::Full(ClientId(number)));
@@ -456,7 +474,7 @@
     /// Bytes of a value that may wait for a client: a share of the memory, of as many as there are.
     fn window(&self) -> usize {
         let passing = self.clients.values().filter(|client| client.passing).count();
-        (self.most_bytes / passing.max(1)).clamp(LEAST_WINDOW, MOST_WINDOW)
+        (self.most_bytes / passing.max(1)).clamp(MIN_VALUE_WINDOW, MAX_VALUE_WINDOW)
     }
 
     /// A value has broken off: the end of its connection within a message tells the client.
@@ -478,36 +496,36 @@
         if !long && self.room.is_unused() {
             return;
         }
-        if self.settle_room(now, number) {
+        if self.settle_reservation(now, number) {
             // Its message was let in at once.
             self.work_on(now, number, poller, inbox);
         }
-        self.let_in(now, poller, inbox);
+        self.admit_waiting_messages(now, poller, inbox);
     }
 
     /// Takes the messages that have come, writes what there is and sees what is next; true if a long message comes.
     fn work_on(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) -> bool {
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return false };
-            let stalled = client.take_messages(now, number, self.welcome.yes, &mut self.table, inbox);
+            let stalled = client.take_messages(now, number, self.admission.yes, &mut self.table, inbox);
             if let Some(key) = client.cancels.take() {
                 self.cancel(key, inbox);
                 continue;
             }
             if client.probe_presence() {
-                self.timers.set(now + PRESENCE_PROBE_INTERVAL, Due::Probe(number));
+                self.timers.set(now + PRESENCE_PROBE_INTERVAL, TimerEvent::Probe(number));
             }
             let idle = client.takes() && !stalled;
-            let leaves = self.welcome.leaving >= Leaving::Answered && client.answered_last();
+            let leaves = self.admission.leaving >= Leaving::Answered && client.answered_last();
             if (client.ended || leaves) && idle {
                 client.phase = Phase::Closing;
-                if leaves && self.welcome.leaving == Leaving::Answered {
+                if leaves && self.admission.leaving == Leaving::Answered {
                     client.wire.end_with_last();
                 }
             }
             let (full, long) = (client.full, client.long.is_some());
             if !self.settle(now, number, poller) {
-                self.gone(number, inbox);
+                self.remove(number, inbox);
                 return false;
             }
             if !stalled && !full {
@@ -515,7 +533,7 @@
             }
             let Some(client) = self.clients.get_mut(&number) else { return long };
             let waits = client.wire.unwritten();
-            if full && waits <= LEAST_WINDOW / 2 {
+            if full && waits <= MIN_VALUE_WINDOW / 2 {
                 client.full = false;
                 inbox.push_back(Input::Room(ClientId(number)));
             }
@@ -571,7 +589,7 @@
         client.listen(number, !written, poller)
     }
 
-    fn gone(&mut self, number: u64, inbox: &mut VecDeque<Input>) {
+    fn remove(&mut self, number: u64, inbox: &mut VecDeque<Input>) {
         self.room.release(number);
         if self.clients.remove(&number).is_some_and(|client| client.phase == Phase::Busy) {
             inbox.push_back(Input::ClientGone(ClientId(number)));
--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -20,7 +20,7 @@
 use super::Input;
 use crate::proto::catalog::Members;
 use link::{Link, Received};
-pub use schedule::Manner;
+pub use schedule::DiscoveryMode;
 use schedule::{Opening, Schedule, CHANGE_TOLD_AFTER};
 
 /// As long as nothing changes, an empty line comes this often (protocol page, "Discovery").
@@ -71,7 +71,7 @@
 }
 
 impl Discovery {
-    pub fn new(now: Instant, addr: SocketAddr, manner: Manner, seed: u64) -> Self {
+    pub fn new(now: Instant, addr: SocketAddr, manner: DiscoveryMode, seed: u64) -> Self {
         // Where lists are pushed nobody asks for the first one.
         let state = match manner.pushed {
             true => State::Opening(Schedule::at_once(now, None)),
--- a/gateway/src/net/discovery/schedule.rs
+++ b/gateway/src/net/discovery/schedule.rs
@@ -30,7 +30,7 @@
 
 /// How discovery is to be asked, as the settings say.
 #[derive(Clone, Copy)]
-pub struct Manner {
+pub struct DiscoveryMode {
     /// Lists come from an agent unasked, and the module never asks for them.
     pub pushed: bool,
     /// Without a watch, what was in the list so long after a call counts as told.
@@ -57,13 +57,13 @@
 
 /// The pace of calls.
 pub struct Schedule {
-    manner: Manner,
+    manner: DiscoveryMode,
     rng: fastrand::Rng,
     last_call: Option<Instant>,
 }
 
 impl Schedule {
-    pub fn new(manner: Manner, seed: u64) -> Self {
+    pub fn new(manner: DiscoveryMode, seed: u64) -> Self {
         Self { manner, rng: fastrand::Rng::with_seed(seed), last_call: None }
     }
 
--- a/gateway/src/net/discovery/schedule/tests.rs
+++ b/gateway/src/net/discovery/schedule/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 
-const ASKED: Manner = Manner { pushed: false, must_ask_in: Duration::from_secs(10) };
+const ASKED: DiscoveryMode = DiscoveryMode { pushed: false, must_ask_in: Duration::from_secs(10) };
 
 /// When calls are made in the time given, all of which wait or all of which fail at once.
 fn calls(
@@ -81,7 +81,7 @@
 #[test]
 fn a_short_time_for_asking_holds_several_calls() {
     let start = Instant::now();
-    let manner = Manner { pushed: false, must_ask_in: Duration::from_secs(3) };
+    let manner = DiscoveryMode { pushed: false, must_ask_in: Duration::from_secs(3) };
     let mut schedule = Schedule::new(manner, 1);
     let made = calls(&mut schedule, start, Schedule::at_once(start, None), false, Duration::from_secs(30));
     assert_eq!(between(&made).1, Duration::from_secs(1));
--- a/gateway/src/net/eviction.rs
+++ b/gateway/src/net/eviction.rs
@@ -6,7 +6,7 @@
 use super::client::{Client, Phase};
 
 /// Idle connections give way after so long.
-const IDLE: Duration = Duration::from_secs(2);
+const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Closes a connection that nothing is owed on: one that is over, else one that has sent no request and been
 /// silent for longest, else the one idle longest.
@@ -30,7 +30,7 @@
     let due = |(rank, since)| match rank {
         0 => true,
         1 => now - since >= silent,
-        _ => now - since >= IDLE,
+        _ => now - since >= IDLE_CONNECTION_TIMEOUT,
     };
     let mut places: Vec<_> = clients
         .iter()
--- a/gateway/src/net/host_conn.rs
+++ b/gateway/src/net/host_conn.rs
@@ -5,7 +5,7 @@
 
 use yewroute::interface::{Role, ServerId, Status};
 
-use super::hosts::Around;
+use super::hosts::HostsContext;
 use super::poller::{Interest, Token};
 use super::wire::Wire;
 use crate::core::{AttemptId, Ended, HostNote};
@@ -29,7 +29,7 @@
 }
 
 /// A connection.
-pub(super) struct Conn {
+pub(super) struct HostConnection {
     pub(super) server: ServerId,
     pub(super) addr: SocketAddr,
     pub(super) wire: Wire,
@@ -50,7 +50,7 @@
     pub(super) writable: bool,
 }
 
-impl Conn {
+impl HostConnection {
     /// One that is being dialled.
     pub(super) fn new(now: Instant, server: ServerId, addr: SocketAddr, wire: Wire) -> Self {
         Self {
@@ -77,7 +77,12 @@
     }
 
     /// Writes what there is room for, and asks to be woken for the rest.
-    pub(super) fn flush(&mut self, number: u64, forwards: &mut u64, a: &mut Around) -> std::io::Result<()> {
+    pub(super) fn flush(
+        &mut self,
+        number: u64,
+        forwards: &mut u64,
+        a: &mut HostsContext,
+    ) -> std::io::Result<()> {
         let writable = !self.wire.flush()?;
         if self.forwarding && !writable {
             self.forwarding = false;
@@ -91,13 +96,13 @@
     }
 
     /// Asks to be woken for what is wanted.
-    fn listen(&self, number: u64, a: &Around) -> std::io::Result<()> {
+    fn listen(&self, number: u64, a: &HostsContext) -> std::io::Result<()> {
         let interest = Interest { read: !self.paused, write: self.writable };
         a.poller.change(&self.wire, Token::Host(number), interest)
     }
 
     /// Stops reading, or goes on.
-    pub(super) fn pause(&mut self, number: u64, paused: bool, a: &Around) -> std::io::Result<()> {
+    pub(super) fn pause(&mut self, number: u64, paused: bool, a: &HostsContext) -> std::io::Result<()> {
         if self.paused == paused {
             return Ok(());
         }
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -9,7 +9,7 @@
 use tracing::warn;
 use yewroute::interface::{ServerId, Status};
 
-use super::host_conn::{ended, Conn, JobId, State};
+use super::host_conn::{ended, HostConnection, JobId, State};
 use super::poller::{Poller, Ready};
 use super::wire::{Taken, CHUNK};
 use super::Input;
@@ -21,23 +21,23 @@
 use yewroute_federation::permit::Permit;
 
 /// Idle connections are retired after this share of the time that a db host leaves them open.
-const RETIRE_AFTER: f64 = 0.6;
+const RETIRE_AT_KEEPALIVE_SHARE: f64 = 0.6;
 /// An answer of which a part has come goes on within this time, or is spoilt; and so does a value that is passed on.
-const ANSWER_GAP: Duration = Duration::from_millis(250);
-const VALUE_GAP: Duration = Duration::from_secs(5);
+const ANSWER_STALL_TIMEOUT: Duration = Duration::from_millis(250);
+const VALUE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// How often that is looked after.
-const SWEEP: Duration = Duration::from_secs(1);
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Until when a first byte may go out.
 #[derive(Default)]
-pub struct Leave {
+pub struct FirstByteLimit {
     /// While this runs, if there is one.
     pub permit: Option<Permit>,
     /// Before then, if it is limited.
     pub send_by: Option<Instant>,
 }
 
-impl Leave {
+impl FirstByteLimit {
     /// Guards against: a first byte by a gateway whose lease has ended since the send was asked for, as when it was stopped in
     /// between. The clock is read again: the turn of the loop may have begun long ago.
     fn over(&self) -> bool {
@@ -51,7 +51,7 @@
 
 struct Job {
     server: ServerId,
-    leave: Leave,
+    leave: FirstByteLimit,
     /// None for a probe.
     body: Option<Rc<Body>>,
     cut_at: Instant,
@@ -72,7 +72,7 @@
 }
 
 #[derive(Clone, Copy)]
-enum Due {
+enum TimerEvent {
     /// Connecting has taken too long.
     Connect(u64),
     /// A job's time is over.
@@ -94,7 +94,7 @@
 
 /// All connections to db hosts.
 pub struct Hosts {
-    conns: HashMap<u64, Conn>,
+    conns: HashMap<u64, HostConnection>,
     pools: BTreeMap<ServerId, Pool>,
     jobs: HashMap<JobId, Job>,
     /// Db hosts whose waiting jobs may have a connection now, and connections with room for the rest of an attempt: both
@@ -103,7 +103,7 @@
     writable: BTreeSet<u64>,
     /// How often the list had changed when waiting jobs were last compared with it.
     list_changes: u64,
-    timers: Timers<Due>,
+    timers: Timers<TimerEvent>,
     opened: u64,
     started: u64,
     /// Attempts written whole.
@@ -111,7 +111,7 @@
     most: usize,
     /// Bytes that answers under way may take.
     most_bytes: usize,
-    speech: Speech,
+    protocol: HostProtocol,
     connect_timeout: Duration,
     retire_after: Duration,
     scratch: Vec<u8>,
@@ -119,7 +119,7 @@
 
 /// How db hosts are spoken to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Speech {
+pub struct HostProtocol {
     /// What they understand.
     pub dialect: Dialect,
     /// Statements that a connection may have prepared.
@@ -127,7 +127,7 @@
 }
 
 /// What the pool needs of its surroundings for a moment.
-pub struct Around<'a> {
+pub struct HostsContext<'a> {
     pub now: Instant,
     pub poller: &'a Poller,
     pub core: &'a Core<Body>,
@@ -140,12 +140,12 @@
         now: Instant,
         most: usize,
         most_bytes: usize,
-        speech: Speech,
+        protocol: HostProtocol,
         connect_timeout: Duration,
         keepalive: Duration,
     ) -> Self {
         let mut timers = Timers::new();
-        timers.set(now + SWEEP, Due::Sweep);
+        timers.set(now + SWEEP_INTERVAL, TimerEvent::Sweep);
         Self {
             conns: HashMap::new(),
             pools: BTreeMap::new(),
@@ -159,9 +159,9 @@
             forwards: 0,
             most,
             most_bytes,
-            speech,
+            protocol,
             connect_timeout,
-            retire_after: keepalive.mul_f64(RETIRE_AFTER),
+            retire_after: keepalive.mul_f64(RETIRE_AT_KEEPALIVE_SHARE),
             scratch: vec![0; CHUNK],
         }
     }
@@ -172,8 +172,8 @@
     }
 
     /// How db hosts are spoken to from now on.
-    pub fn speak(&mut self, speech: Speech) {
-        self.speech = speech;
+    pub fn set_protocol(&mut self, protocol: HostProtocol) {
+        self.protocol = protocol;
     }
 
     /// Connections.
@@ -192,11 +192,11 @@
         attempt: AttemptId,
         server: ServerId,
         body: Rc<Body>,
-        (begin_by, cut_at, leave): (Option<Instant>, Instant, Leave),
+        (begin_by, cut_at, leave): (Option<Instant>, Instant, FirstByteLimit),
     ) {
         let id = JobId::Attempt(attempt);
         if let Some(by) = begin_by {
-            self.timers.set(by, Due::Begin(id));
+            self.timers.set(by, TimerEvent::Begin(id));
         }
         self.take(id, server, Some(body), (cut_at, leave));
     }
@@ -206,7 +206,12 @@
         if self.jobs.contains_key(&JobId::Probe(server)) {
             return;
         }
-        self.take(JobId::Probe(server), server, None, (now + self.connect_timeout, Leave::default()));
+        self.take(
+            JobId::Probe(server),
+            server,
+            None,
+            (now + self.connect_timeout, FirstByteLimit::default()),
+        );
     }
 
     fn take(
@@ -214,11 +219,11 @@
         id: JobId,
         server: ServerId,
         body: Option<Rc<Body>>,
-        (cut_at, leave): (Instant, Leave),
+        (cut_at, leave): (Instant, FirstByteLimit),
     ) {
         self.started += 1;
         let number = self.started;
-        self.timers.set(cut_at, Due::Cut(id, number));
+        self.timers.set(cut_at, TimerEvent::Cut(id, number));
         let (conn, again, withdrawn) = (None, false, false);
         self.jobs.insert(id, Job { server, leave, body, cut_at, conn, again, withdrawn, number });
         self.pools.entry(server).or_default().waiting.push_back(id);
@@ -226,7 +231,7 @@
     }
 
     /// Drops an attempt that nobody waits for, if it cannot have run.
-    pub fn withdraw(&mut self, attempt: AttemptId, a: &mut Around) {
+    pub fn withdraw(&mut self, attempt: AttemptId, a: &mut HostsContext) {
         let id = JobId::Attempt(attempt);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.withdrawn = true;
@@ -253,44 +258,44 @@
         self.timers.next()
     }
 
-    pub fn tick(&mut self, a: &mut Around) {
+    pub fn tick(&mut self, a: &mut HostsContext) {
         while let Some(due) = self.timers.due(a.now) {
             match due {
-                Due::Connect(number) => {
+                TimerEvent::Connect(number) => {
                     let state = self.conns.get(&number).map(|conn| conn.state);
                     if matches!(state, Some(State::Connecting | State::Starting)) {
                         self.fail_dial(number, Status::ConnectFailed, "timed out", a);
                     }
                 }
-                Due::Cut(id, number) => self.cut(id, number, a),
-                Due::Begin(id) => {
+                TimerEvent::Cut(id, number) => self.cut(id, number, a),
+                TimerEvent::Begin(id) => {
                     // The connection being made goes on: others may use it.
                     if self.jobs.get(&id).is_some_and(|job| job.conn.is_none()) {
                         self.end(id, Ended::silent(Status::NotSent), a);
                     }
                 }
-                Due::Answer(number, id) => self.answer_due(number, id, a),
-                Due::Sweep => {
+                TimerEvent::Answer(number, id) => self.answer_due(number, id, a),
+                TimerEvent::Sweep => {
                     self.sweep(a);
-                    self.timers.set(a.now + SWEEP, Due::Sweep);
+                    self.timers.set(a.now + SWEEP_INTERVAL, TimerEvent::Sweep);
                 }
             }
         }
     }
 
     /// Guards against: waiting for the rest of an answer that stopped.
-    fn answer_due(&mut self, number: u64, id: JobId, a: &mut Around) {
+    fn answer_due(&mut self, number: u64, id: JobId, a: &mut HostsContext) {
         let conn = self.conns.get(&number).filter(|conn| conn.state == State::Busy(id) && !conn.passing);
-        let Some(at) = conn.map(|conn| conn.moved + ANSWER_GAP) else { return };
+        let Some(at) = conn.map(|conn| conn.moved + ANSWER_STALL_TIMEOUT) else { return };
         if at <= a.now {
             self.malformed(number, "not whole in time", a);
         } else {
-            self.timers.set(at, Due::Answer(number, id));
+            self.timers.set(at, TimerEvent::Answer(number, id));
         }
     }
 
     /// Stops reading the value of an attempt for now, or goes on.
-    pub fn pause(&mut self, attempt: AttemptId, paused: bool, a: &mut Around) {
+    pub fn pause(&mut self, attempt: AttemptId, paused: bool, a: &mut HostsContext) {
         let number = self.jobs.get(&JobId::Attempt(attempt)).and_then(|job| job.conn);
         let Some((number, conn)) = number.and_then(|n| Some((n, self.conns.get_mut(&n)?))) else { return };
         if conn.passing && conn.pause(number, paused, a).is_err() {
@@ -308,7 +313,7 @@
 
     /// Guards against: a second copy. The connection of an attempt that is given up is closed before anything
     /// else can be sent for the request, and never used again.
-    fn cut(&mut self, id: JobId, number: u64, a: &mut Around) {
+    fn cut(&mut self, id: JobId, number: u64, a: &mut HostsContext) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.number == number) else { return };
         // What is timed of a value that is passed on is its first byte.
         if job.conn.and_then(|conn| self.conns.get(&conn)).is_some_and(|conn| conn.passing) {
@@ -325,8 +330,9 @@
 
     /// Closes connections that have been idle for long, before the db host does, and those to db hosts that
     /// are to get nothing more.
-    fn sweep(&mut self, a: &mut Around) {
-        let stopped = |conn: &Conn| conn.passing && !conn.paused && a.now - conn.moved >= VALUE_GAP;
+    fn sweep(&mut self, a: &mut HostsContext) {
+        let stopped =
+            |conn: &HostConnection| conn.passing && !conn.paused && a.now - conn.moved >= VALUE_STALL_TIMEOUT;
         let stopped = self.conns.iter().filter(|(_, conn)| stopped(conn)).map(|(number, _)| *number);
         for number in stopped.collect::<Vec<_>>() {
             self.malformed(number, "a value that stopped", a);
@@ -356,7 +362,7 @@
         }
     }
 
-    pub fn ready(&mut self, number: u64, event: Ready, a: &mut Around) {
+    pub fn ready(&mut self, number: u64, event: Ready, a: &mut HostsContext) {
         let Some(conn) = self.conns.get_mut(&number) else { return };
         if conn.state == State::Connecting {
             if let Err(error) = conn.wire.dialled() {
@@ -394,7 +400,7 @@
     }
 
     /// Takes the messages that have come.
-    fn gather(&mut self, number: u64, a: &mut Around) {
+    fn gather(&mut self, number: u64, a: &mut HostsContext) {
         // Bytes that have been taken, and those of them that belong to answers that are whole.
         let (mut used, mut whole) = (0, 0);
         loop {
@@ -445,7 +451,7 @@
                     }
                     if let (State::Busy(id), false, false) = (conn.state, conn.begun, conn.passing) {
                         conn.begun = true;
-                        self.timers.set(a.now + ANSWER_GAP, Due::Answer(number, id));
+                        self.timers.set(a.now + ANSWER_STALL_TIMEOUT, TimerEvent::Answer(number, id));
                     }
                     return;
                 }
@@ -458,7 +464,7 @@
     }
 
     /// ReadyForQuery has come.
-    fn answered(&mut self, number: u64, reply: Reply, a: &mut Around) {
+    fn answered(&mut self, number: u64, reply: Reply, a: &mut HostsContext) {
         let Some(conn) = self.conns.get_mut(&number) else { return };
         if let State::Busy(id) = conn.state {
             // The statement was not there, so nothing ran. It is the same attempt that waits for a connection once more,
@@ -485,7 +491,7 @@
     }
 
     /// A connection has ended or broken.
-    fn lose(&mut self, number: u64, a: &mut Around) {
+    fn lose(&mut self, number: u64, a: &mut HostsContext) {
         let Some(conn) = self.conns.get_mut(&number) else { return };
         let cut_short = conn.gather.cut_short();
         match conn.state {
@@ -511,7 +517,7 @@
 
     /// Guards against: anything spoilt being passed on, and the connection being used again. The request may
     /// have run; its db host goes on being judged by what it serves.
-    fn malformed(&mut self, number: u64, why: &str, a: &mut Around) {
+    fn malformed(&mut self, number: u64, why: &str, a: &mut HostsContext) {
         warn!(why, "spoilt answer from a db host");
         match self.conns.get(&number).map(|conn| conn.state) {
             Some(State::Busy(id)) => {
@@ -525,7 +531,7 @@
     }
 
     /// A job is over.
-    fn end(&mut self, id: JobId, ended: Ended, a: &mut Around) {
+    fn end(&mut self, id: JobId, ended: Ended, a: &mut HostsContext) {
         let Some(job) = self.jobs.remove(&id) else { return };
         if job.conn.is_none() {
             self.pools.entry(job.server).or_default().waiting.retain(|waiting| *waiting != id);
--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -6,7 +6,7 @@
 use tracing::warn;
 use yewroute::interface::{ServerId, Status};
 
-use super::{Around, Conn, Due, Hosts, JobId, Speech, State};
+use super::{HostConnection, HostProtocol, Hosts, HostsContext, JobId, State, TimerEvent};
 use crate::core::Ended;
 use crate::net::poller::{Interest, Token};
 use crate::net::wire::{Shared, Wire, CHUNK};
@@ -19,7 +19,7 @@
     ///
     /// Guards against: bytes of an attempt that go out when its end, its client's leaving or its db host's drain has
     /// come already, in the same wake-up, and is not told yet. Called when nothing is left to be told.
-    pub fn serve_waiting(&mut self, a: &mut Around) {
+    pub fn serve_waiting(&mut self, a: &mut HostsContext) {
         for number in std::mem::take(&mut self.writable) {
             self.write_rest(number, a);
         }
@@ -33,7 +33,7 @@
     }
 
     /// Guards against: jobs that wait on for a db host that drains, or at an address that it has left.
-    fn drop_outdated_dials(&mut self, a: &Around) {
+    fn drop_outdated_dials(&mut self, a: &HostsContext) {
         let (conns, pools) = (&mut self.conns, &mut self.pools);
         conns.retain(|_, conn| {
             let dialling = matches!(conn.state, State::Connecting | State::Starting);
@@ -48,7 +48,7 @@
     }
 
     /// Goes on writing an attempt. Guards against: its last byte going out when its time is over.
-    fn write_rest(&mut self, number: u64, a: &mut Around) {
+    fn write_rest(&mut self, number: u64, a: &mut HostsContext) {
         let Some(conn) = self.conns.get_mut(&number) else { return };
         let State::Busy(id) = conn.state else { return };
         let over = self.jobs.get(&id).filter(|job| job.is_over(a.now)).map(|job| job.number);
@@ -60,7 +60,7 @@
     }
 
     /// Gives waiting jobs connections: idle ones first, then new ones.
-    fn pump(&mut self, server: ServerId, a: &mut Around) {
+    fn pump(&mut self, server: ServerId, a: &mut HostsContext) {
         loop {
             let pool = self.pools.entry(server).or_default();
             let Some(id) = pool.waiting.front().copied() else { return };
@@ -70,7 +70,7 @@
                 self.end(id, Ended::silent(Status::NotSent), a);
                 continue;
             };
-            if !self.may_begin(id, a) {
+            if !self.may_write(id, a) {
                 self.end(id, Ended::silent(Status::NotSent), a);
                 continue;
             }
@@ -102,8 +102,8 @@
                 .and_then(|wire| a.poller.add(&wire, Token::Host(number), Interest::WRITE).map(|()| wire));
             match dialled {
                 Ok(wire) => {
-                    self.timers.set(a.now + self.connect_timeout, Due::Connect(number));
-                    let conn = Conn::new(a.now, server, addr, wire);
+                    self.timers.set(a.now + self.connect_timeout, TimerEvent::Connect(number));
+                    let conn = HostConnection::new(a.now, server, addr, wire);
                     self.conns.insert(number, conn);
                     self.pools.entry(server).or_default().dialing += 1;
                 }
@@ -116,7 +116,7 @@
     }
 
     /// Whether a job's first byte may go out now, however long it has waited.
-    fn may_begin(&self, id: JobId, a: &Around) -> bool {
+    fn may_write(&self, id: JobId, a: &HostsContext) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
         let fits = match id {
             JobId::Attempt(attempt) => a.core.may_begin(a.now, attempt),
@@ -137,7 +137,7 @@
     }
 
     /// Writes a job's query on a connection that is free.
-    fn write(&mut self, number: u64, id: JobId, a: &mut Around) {
+    fn write(&mut self, number: u64, id: JobId, a: &mut HostsContext) {
         let (Some(conn), Some(job)) = (self.conns.get_mut(&number), self.jobs.get_mut(&id)) else { return };
         job.conn = Some(number);
         conn.state = State::Busy(id);
@@ -157,7 +157,7 @@
                 }
             }
             Some(body) => {
-                let Speech { dialect, statements } = self.speech;
+                let HostProtocol { dialect, statements } = self.protocol;
                 let (out, gather) = (conn.wire.out(), &mut conn.gather);
                 conn.sent = conn.prepared.put(out, gather, body, wait, dialect, statements);
             }
@@ -170,7 +170,7 @@
 
     /// A new connection did not come up; the job that has waited longest pays for it, unless each still has one that is
     /// being made. Guards against: a job that ends by the connection of one that was given up.
-    pub(super) fn fail_dial(&mut self, number: u64, status: Status, why: &str, a: &mut Around) {
+    pub(super) fn fail_dial(&mut self, number: u64, status: Status, why: &str, a: &mut HostsContext) {
         let Some(conn) = self.conns.remove(&number) else { return };
         match a.core.directory().open(conn.server) {
             Some(addr) => warn!(%addr, why, "no connection to a db host"),
--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -18,13 +18,14 @@
 use crate::proto::pg::table::Table;
 
 /// A connection whose system buffer for what it sends is as small as the system allows, and its other end.
-fn narrow() -> (Conn, TcpStream) {
+fn narrow() -> (HostConnection, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     rustix::net::sockopt::set_socket_recv_buffer_size(&listener, 1).unwrap();
     let addr = listener.local_addr().unwrap();
     let stream = TcpStream::connect(addr).unwrap();
     rustix::net::sockopt::set_socket_send_buffer_size(&stream, 1).unwrap();
-    let conn = Conn::new(std::time::Instant::now(), ServerId(0), addr, Wire::accepted(stream).unwrap());
+    let conn =
+        HostConnection::new(std::time::Instant::now(), ServerId(0), addr, Wire::accepted(stream).unwrap());
     (conn, listener.accept().unwrap().0)
 }
 
@@ -37,7 +38,7 @@
     let bind = Bind { portal: b"", statement: b"", formats: vec![], values, results: vec![] };
     let body = Body::Execute(Rc::new(Bound::new(statement, bind).unwrap()));
     let (mut conn, mut peer) = narrow();
-    let Conn { wire, gather, prepared, .. } = &mut conn;
+    let HostConnection { wire, gather, prepared, .. } = &mut conn;
     conn.sent = prepared.put(wire.out(), gather, &body, Duration::ZERO, Dialect::Extended, 8);
     let all = conn.wire.unwritten();
     assert!(!conn.wire.flush().unwrap() && !conn.may_have_run(), "{} of {all} left", conn.wire.unwritten());
@@ -86,16 +87,16 @@
         let (now, known) = (Instant::now(), Known { members, near: None });
         let (clock, most_bytes) = (Clock::start(), 1 << 24);
         let core = Core::new(now, clock, deployment, 7, most_bytes, known, &mut Vec::new()).unwrap();
-        let speech = Speech { dialect, statements: 8 };
+        let protocol = HostProtocol { dialect, statements: 8 };
         let timeout = Duration::from_secs(5);
-        let hosts = Hosts::new(now, 16, most_bytes, speech, timeout, Duration::from_secs(30));
+        let hosts = Hosts::new(now, 16, most_bytes, protocol, timeout, Duration::from_secs(30));
         let (poller, inbox) = (Poller::new().unwrap(), VecDeque::new());
         Self { poller, core, hosts, listener, now, inbox, clients: 0 }
     }
 
-    fn with<T>(&mut self, act: impl FnOnce(&mut Hosts, &mut Around) -> T) -> T {
+    fn with<T>(&mut self, act: impl FnOnce(&mut Hosts, &mut HostsContext) -> T) -> T {
         let Self { poller, core, hosts, now, inbox, .. } = self;
-        act(hosts, &mut Around { now: *now, poller, core, inbox })
+        act(hosts, &mut HostsContext { now: *now, poller, core, inbox })
     }
 
     /// A write asks, and waits for its connection from then on.
@@ -119,7 +120,7 @@
         self.core.handle(self.now, Input::Ask(ClientId(self.clients), ask), &mut effects);
         let started = effects.into_iter().find_map(|effect| match effect {
             Effect::Start { attempt, server, body, begin_by, cut_at, .. } => {
-                Some((attempt, server, body, (begin_by, cut_at, Leave::default())))
+                Some((attempt, server, body, (begin_by, cut_at, FirstByteLimit::default())))
             }
             _ => None,
         });
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -41,13 +41,13 @@
 use crate::proto::pg::exchange::Dialect;
 use crate::proto::pg::request::Body;
 use crate::proto::pg::session::{Limits, Terms};
-use clients::{Clients, Rules, Welcome};
+use clients::{Admission, ClientProtocol, Clients};
 use console::Console;
-use discovery::{Discovery, Manner};
+use discovery::{Discovery, DiscoveryMode};
 use federation::FederationLink;
 use fleet::FleetLink;
 use handover::Handover;
-use hosts::{Around, Hosts, Leave, Speech};
+use hosts::{FirstByteLimit, HostProtocol, Hosts, HostsContext};
 use poller::{Interest, Poller, Ready, Token};
 use signals::Signals;
 
@@ -70,15 +70,15 @@
 }
 
 /// Descriptors kept for the listener, the poller, the watch, signals and the standard streams.
-const RESERVED: usize = 16;
+const RESERVED_DESCRIPTORS: usize = 16;
 /// How long a gateway that is run by a console waits for a list before it serves without one.
-const LIST_WAIT: Duration = Duration::from_secs(3);
+const FIRST_LIST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Where lists are pushed, what the agent has counts from the first moment of a process: how long that waits for it before it
 /// serves with the list that was known.
-const PUSHED_LIST_WAIT: Duration = Duration::from_secs(1);
+const FIRST_PUSHED_LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// How long it waits for the listener of the process that it replaces; and if that one is itself still replacing another.
-const LISTENER_WAIT: Duration = Duration::from_millis(500);
-const PREDECESSOR_WAIT: Duration = Duration::from_millis(4_500);
+const LISTENER_HANDOVER_TIMEOUT: Duration = Duration::from_millis(500);
+const PREDECESSOR_BUSY_TIMEOUT: Duration = Duration::from_millis(4_500);
 
 /// Why the gateway cannot run.
 #[derive(Debug, Error)]
@@ -101,19 +101,19 @@
 }
 
 /// How clients and db hosts are spoken to, as the operator's file says.
-fn manners(edge: &Edge) -> (Rules, Speech) {
+fn protocol_settings(edge: &Edge) -> (ClientProtocol, HostProtocol) {
     let dialect = if edge.hosts.extended { Dialect::Extended } else { Dialect::Simple };
     let limits = Limits {
         statements: edge.postgres.statements_per_client,
         portals: edge.postgres.portals_per_client,
         bytes: edge.postgres.client_bytes,
     };
-    let rules = Rules {
+    let clients = ClientProtocol {
         terms: Terms { extended: edge.postgres.extended, hosts: dialect, limits },
         table_bytes: edge.postgres.statement_table_bytes,
         pipeline_idle: edge.postgres.pipeline_idle,
     };
-    (rules, Speech { dialect, statements: edge.hosts.statements_per_connection })
+    (clients, HostProtocol { dialect, statements: edge.hosts.statements_per_connection })
 }
 
 /// Reads tables as an operator puts them, checked against this gateway's own settings and the groups of its list.
@@ -131,7 +131,7 @@
 fn shares(sockets: usize, console: usize) -> (usize, usize) {
     /// While two processes share a small limit.
     const LEAST: usize = 8;
-    let usable = sockets.saturating_sub(RESERVED + console).max(LEAST);
+    let usable = sockets.saturating_sub(RESERVED_DESCRIPTORS + console).max(LEAST);
     (usable - usable / 2, usable / 2)
 }
 
@@ -205,23 +205,29 @@
         let (most_clients, most_hosts) = shares(limits.sockets, console_share);
         let Budgets { most_bytes, statement_bytes } = Budgets::of(limits.kib);
         let listen = config.listen;
-        let (rules, speech) = manners(&config.edge);
+        let (client_protocol, host_protocol) = protocol_settings(&config.edge);
         let operated = config.console.is_some();
-        let clients = Clients::new(now, most_clients, most_bytes, statement_bytes, rules);
+        let clients = Clients::new(now, most_clients, most_bytes, statement_bytes, client_protocol);
         let console = config.console.map(|addr| {
             let console = Console::listen(now, addr, console_share, &poller);
             console.map_err(|error| RunError::Console(addr, error))
         });
         let console = console.transpose()?;
         let deployment = config.deployment;
-        let manner = Manner {
+        let manner = DiscoveryMode {
             pushed: deployment.module.discovery == yewroute::interface::Discovery::Automatic,
             must_ask_in: deployment.module.rules.must_ask_in,
         };
         let longest_deadline = deployment.module.classes.iter().map(|class| class.deadline).max();
         let longest_deadline = longest_deadline.unwrap_or_default();
-        let hosts =
-            Hosts::new(now, most_hosts, most_bytes, speech, deployment.connect_timeout, deployment.keepalive);
+        let hosts = Hosts::new(
+            now,
+            most_hosts,
+            most_bytes,
+            host_protocol,
+            deployment.connect_timeout,
+            deployment.keepalive,
+        );
         let near = config
             .edge
             .fleet
@@ -269,10 +275,10 @@
         });
         let (verdicts, zones) = (config.edge.verdicts, config.edge.zones.clone());
         let federation = federation.transpose()?.map(|link| link.judging(verdicts, zones));
-        let pushed_wait = if manner.pushed { PUSHED_LIST_WAIT } else { Duration::ZERO };
+        let pushed_wait = if manner.pushed { FIRST_PUSHED_LIST_TIMEOUT } else { Duration::ZERO };
         let start = Start {
-            list_by: if operated { now + LIST_WAIT } else { now + pushed_wait },
-            listener_by: if older { now + LISTENER_WAIT } else { now },
+            list_by: if operated { now + FIRST_LIST_TIMEOUT } else { now + pushed_wait },
+            listener_by: if older { now + LISTENER_HANDOVER_TIMEOUT } else { now },
             listener: None,
         };
         let mut gateway = Self {
@@ -408,9 +414,9 @@
             self.use_means(self.limits);
         }
         self.share(now);
-        let (rules, speech) = manners(&config.edge);
-        self.clients.rule(rules);
-        self.hosts.speak(speech);
+        let (client_protocol, host_protocol) = protocol_settings(&config.edge);
+        self.clients.set_protocol(client_protocol);
+        self.hosts.set_protocol(host_protocol);
         if (&config.name, config.listen, &config.deployment)
             != (&self.name, self.listen, self.core.deployment())
         {
@@ -484,15 +490,15 @@
 
     /// Lets the stage that it is at have its way with the clients.
     fn attend(&mut self, now: Instant) {
-        let welcome = Welcome {
+        let admission = Admission {
             leaving: self.life.leaving(now),
             yes: self.life.says_yes(),
             accepts: self.life.accepts(now),
             listens: !self.life.closes_listener(now),
         };
         self.core.answer_by(self.life.answers_by());
-        self.clients.welcome(now, welcome, &self.poller, &mut self.inbox);
-        self.clients.let_in(now, &self.poller, &mut self.inbox);
+        self.clients.set_admission(now, admission, &self.poller, &mut self.inbox);
+        self.clients.admit_waiting_messages(now, &self.poller, &mut self.inbox);
     }
 
     /// Tells the core what has come and does what it says, until there is nothing more to do. All that has
@@ -524,7 +530,7 @@
         let (hosts, mut around) = self.hosts(now);
         match effect {
             Effect::Start { attempt, server, body, begin_by, cut_at, permit, send_by } => {
-                let leave = Leave { permit, send_by };
+                let leave = FirstByteLimit { permit, send_by };
                 hosts.start(attempt, server, body, (begin_by, cut_at, leave));
             }
             Effect::Pass(client, bytes) => {
@@ -546,8 +552,8 @@
         }
     }
 
-    fn hosts(&mut self, now: Instant) -> (&mut Hosts, Around<'_>) {
-        let around = Around { now, poller: &self.poller, core: &self.core, inbox: &mut self.inbox };
+    fn hosts(&mut self, now: Instant) -> (&mut Hosts, HostsContext<'_>) {
+        let around = HostsContext { now, poller: &self.poller, core: &self.core, inbox: &mut self.inbox };
         (&mut self.hosts, around)
     }
 }
--- a/gateway/src/net/replacement.rs
+++ b/gateway/src/net/replacement.rs
@@ -7,7 +7,7 @@
 
 use super::console::Console;
 use super::handover::News;
-use super::{shares, Gateway, PREDECESSOR_WAIT, RESERVED};
+use super::{shares, Gateway, PREDECESSOR_BUSY_TIMEOUT, RESERVED_DESCRIPTORS};
 use crate::config::Budgets;
 
 /// How often two processes look at who needs what.
@@ -40,7 +40,7 @@
         };
         let callers = self.console.as_ref().map_or(0, Console::len);
         let held = Means {
-            sockets: self.clients.len() + self.hosts.len() + RESERVED + callers,
+            sockets: self.clients.len() + self.hosts.len() + RESERVED_DESCRIPTORS + callers,
             kib: (self.clients.held_bytes() + self.core.held_bytes()) / 1024,
         };
         let (own, left) = self.limits.divide(held, self.life.is_handed());
@@ -65,7 +65,7 @@
                 News::Left(means) => self.use_means(means),
                 News::Later => {
                     if let Some(start) = &mut self.starts {
-                        start.listener_by = now + PREDECESSOR_WAIT;
+                        start.listener_by = now + PREDECESSOR_BUSY_TIMEOUT;
                     }
                 }
                 News::PredecessorGone => {
