--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -1,10 +1,12 @@
 //! Clients' connections: PostgreSQL's protocol, one request at a time on each.
 
+mod answers;
+mod leaving;
+mod listener;
 mod room;
 
 use std::collections::{HashMap, VecDeque};
-use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 use tracing::warn;
@@ -13,14 +15,13 @@
 
 use super::cancel::CancelKeys;
 use super::client::{Client, LongMessage, Phase, PRESENCE_PROBE_INTERVAL};
-use super::eviction::evict;
-use super::poller::{Interest, Poller, Ready, Token};
-use super::wire::{Taken, Wire, CHUNK};
+use super::poller::{Poller, Ready};
+use super::wire::{Taken, CHUNK};
 use super::Input;
-use crate::core::{Answer, ClientId};
+use crate::core::ClientId;
 use crate::proto::pg::code;
 use crate::proto::pg::frontend::CancelKey;
-use crate::proto::pg::session::{Final, Terms};
+use crate::proto::pg::session::Terms;
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
 use room::long_bytes;
@@ -124,13 +125,6 @@
         }
     }
 
-    /// Takes connections from this listener.
-    pub fn listen(&mut self, listener: TcpListener, poller: &Poller) -> io::Result<()> {
-        poller.add(&listener, Token::Listener, Interest::READ)?;
-        (self.listener, self.listening) = (Some(listener), true);
-        Ok(())
-    }
-
     /// Connections that may be open, bytes read ahead, and bytes of statements from now on; and the most bytes of
     /// statements that there may be again.
     pub fn limit(&mut self, most: usize, most_bytes: usize, statement_bytes: usize, widest: usize) {
@@ -154,142 +148,12 @@
         self.protocol = protocol;
     }
 
-    /// The listener, if it is open.
-    pub fn listener(&self) -> Option<&TcpListener> {
-        self.listener.as_ref()
-    }
-
     /// Bytes that are held for clients: set aside for long messages, come ahead, or not taken yet.
     pub fn held_bytes(&self) -> usize {
         let ahead = |client: &Client| if client.long.is_none() { client.buffer.len() } else { 0 };
         self.room.held() + self.unwritten() + self.clients.values().map(ahead).sum::<usize>()
     }
 
-    /// Where clients connect.
-    pub fn addr(&self) -> io::Result<SocketAddr> {
-        self.listener.as_ref().map_or(Err(ErrorKind::NotConnected.into()), TcpListener::local_addr)
-    }
-
-    /// Takes the connections that wait, one of which is known of if `awaited`; false if some may be left for want of room.
-    ///
-    /// Guards against: a connection closed to make room for nobody. If more wait than are known of, the poller tells.
-    pub fn accept(&mut self, now: Instant, mut awaited: bool, poller: &Poller) -> bool {
-        while let Some(listener) = &self.listener {
-            let full = self.clients.len() >= self.most;
-            if full && !awaited {
-                return false;
-            }
-            if full && !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
-                warn!(open = self.clients.len(), "out of client connections, all busy");
-                self.rest(now, poller);
-                return false;
-            }
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    awaited = false;
-                    let number = self.accepted + 1;
-                    self.accepted = number;
-                    let wire = Wire::accepted(stream).and_then(|wire| {
-                        poller.add(&wire, Token::Client(number), Interest::READ)?;
-                        Ok(wire)
-                    });
-                    match wire {
-                        Ok(wire) => {
-                            let client = Client::new(now, wire, self.protocol.terms, self.keys.of(number));
-                            self.clients.insert(number, client);
-                        }
-                        Err(error) => warn!(%error, "cannot take a client's connection"),
-                    }
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
-                Err(error) => {
-                    // Guards against: a busy loop when descriptors have run out (EMFILE).
-                    warn!(%error, "cannot accept");
-                    if !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
-                        self.rest(now, poller);
-                        return false;
-                    }
-                }
-            }
-        }
-        true
-    }
-
-    /// Stops listening for a moment; what waits stays in the backlog.
-    fn rest(&mut self, now: Instant, poller: &Poller) {
-        if let (true, Some(listener)) = (self.listening, &self.listener) {
-            self.listening = poller.remove(listener).is_err();
-            self.timers.set(now + ACCEPT_RETRY_DELAY, TimerEvent::Accept);
-        }
-    }
-
-    /// Takes over what clients are told from now on. A listener that nobody will accept on again is emptied and closed.
-    pub fn set_admission(
-        &mut self,
-        now: Instant,
-        admission: Admission,
-        poller: &Poller,
-        inbox: &mut VecDeque<Input>,
-    ) {
-        if self.admission == admission {
-            return;
-        }
-        let before = std::mem::replace(&mut self.admission, admission);
-        if admission.leaving > before.leaving {
-            // Those that leave make room for those that wait at the listener.
-            self.send_away(now, poller, inbox);
-        }
-        if !admission.listens && before.listens {
-            let by = if before.accepts { now + LISTENER_CLOSE_TIMEOUT } else { now };
-            self.close_listener(now, by, poller);
-        } else if let Some(listener) = &self.listener {
-            if self.listening && !admission.accepts {
-                self.listening = poller.remove(listener).is_err();
-            } else if !self.listening && admission.accepts {
-                self.timers.set(now, TimerEvent::Accept);
-            }
-        }
-    }
-
-    /// Closes the listener once nobody waits there, or at last by then. Guards against: connections that are reset for want
-    /// of room, while others are leaving.
-    fn close_listener(&mut self, now: Instant, by: Instant, poller: &Poller) {
-        if now < by && !self.accept(now, false, poller) {
-            self.timers.set(now + ACCEPT_RETRY_DELAY, TimerEvent::Close(by));
-            return;
-        }
-        (self.listener, self.listening) = (None, false);
-    }
-
-    /// Closes the connections that are to leave without waiting for an answer.
-    fn send_away(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        let leaving = self.admission.leaving;
-        let leaves = |client: &Client| client.leaves(now, leaving);
-        let numbers = self.clients.iter().filter(|(_, client)| leaves(client)).map(|(number, _)| *number);
-        for number in numbers.collect::<Vec<_>>() {
-            let Some(client) = self.clients.get_mut(&number) else { continue };
-            client.phase = Phase::Closing;
-            self.work(now, number, poller, inbox);
-        }
-        if leaving == Leaving::Parts {
-            self.read_no_further(now, poller, inbox);
-        }
-    }
-
-    /// Reads no further command of clients that wait for an answer. Guards against: commands that are taken over and over
-    /// while there is no time left to answer them; what has not been read the client sends elsewhere.
-    fn read_no_further(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        let reads_on = |client: &Client| client.phase == Phase::Busy && !client.last_command;
-        let numbers = self.clients.iter().filter(|(_, client)| reads_on(client)).map(|(number, _)| *number);
-        for number in numbers.collect::<Vec<_>>() {
-            if let Some(client) = self.clients.get_mut(&number) {
-                client.last_command = true;
-                self.work(now, number, poller, inbox);
-            }
-        }
-    }
-
     /// Clients wait for an answer, or for the rest of one.
     pub fn owes_answers(&self) -> bool {
         self.clients.values().any(Client::awaits_answer)
@@ -323,16 +187,6 @@
         }
     }
 
-    /// Listens again after a rest; what waits is told by the poller.
-    fn accept_again(&mut self, poller: &Poller) {
-        let closes = !self.admission.listens;
-        if let (false, true, Some(listener)) =
-            (self.listening, self.admission.accepts || closes, &self.listener)
-        {
-            self.listening = poller.add(listener, Token::Listener, Interest::READ).is_ok();
-        }
-    }
-
     /// Guards against: connections kept open by clients that say nothing, stop within a message, or never
     /// take their answers.
     fn sweep(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
@@ -408,88 +262,6 @@
         self.work(now, number, poller, inbox);
     }
 
-    /// Bytes of answers that clients have not taken yet.
-    fn unwritten(&self) -> usize {
-        self.clients.values().map(|client| client.wire.unwritten()).sum()
-    }
-
-    /// Hands a client its answer.
-    pub fn answer(
-        &mut self,
-        now: Instant,
-        ClientId(number): ClientId,
-        answer: Answer,
-        poller: &Poller,
-        inbox: &mut VecDeque<Input>,
-    ) {
-        // Guards against: long answers to clients that do not read them, which together fill the memory. Such
-        // a request has failed; whether it took effect, only its value would tell.
-        let answer = match answer {
-            Answer::Served(value)
-                if value.len() > CHUNK && self.unwritten() + value.len() > self.most_bytes =>
-            {
-                warn!("out of memory for answers: one request failed");
-                Answer::Failed
-            }
-            answer => answer,
-        };
-        let Some(client) = self.clients.get_mut(&number) else { return };
-        let answer = match answer {
-            Answer::Served(messages) => Final::Served(messages),
-            Answer::Refused { retry_after } => Final::Refused(retry_after),
-            Answer::Failed => Final::Failed,
-            Answer::Cancelled => Final::Cancelled,
-            Answer::OutOfTurn { full, why, retry_after } => Final::OutOfTurn(full, why, retry_after),
-            Answer::Invalid(why) => Final::Invalid(why),
-        };
-        client.session.answered(answer, &mut self.table, client.wire.out());
-        client.prompt = true;
-        client.phase = Phase::Idle(now);
-        (client.passing, client.full, client.long) = (false, false, None);
-        self.work(now, number, poller, inbox);
-    }
-
-    /// Passes bytes of a long value on to a client, and asks for a pause when its share of the memory waits there.
-    pub fn pass(
-        &mut self,
-        now: Instant,
-        ClientId(number): ClientId,
-        bytes: &[u8],
-        poller: &Poller,
-        inbox: &mut VecDeque<Input>,
-    ) {
-        let Some(client) = self.clients.get_mut(&number) else { return };
-        (client.passing, client.prompt) = (true, true);
-        client.wire.out().extend(bytes);
-        self.work(now, number, poller, inbox);
-        let waits = self.clients.get(&number).map_or(0, |client| client.wire.unwritten());
-        if waits > MIN_VALUE_WINDOW && waits > self.window() {
-            if let Some(client) = self.clients.get_mut(&number).filter(|client| !client.full) {
-                client.full = true;
-                inbox.push_back(Input::Full(ClientId(number)));
-            }
-        }
-    }
-
-    /// Bytes of a value that may wait for a client: a share of the memory, of as many as there are.
-    fn window(&self) -> usize {
-        let passing = self.clients.values().filter(|client| client.passing).count();
-        (self.most_bytes / passing.max(1)).clamp(MIN_VALUE_WINDOW, MAX_VALUE_WINDOW)
-    }
-
-    /// A value has broken off: the end of its connection within a message tells the client.
-    pub fn break_off(
-        &mut self,
-        now: Instant,
-        ClientId(number): ClientId,
-        poller: &Poller,
-        inbox: &mut VecDeque<Input>,
-    ) {
-        let Some(client) = self.clients.get_mut(&number) else { return };
-        (client.phase, client.passing, client.buffer) = (Phase::Closing, false, Vec::new());
-        self.work(now, number, poller, inbox);
-    }
-
     /// Does what there is to do for a client, and for those whose turn comes by that.
     fn work(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
         let long = self.work_on(now, number, poller, inbox);
--- /dev/null
+++ b/gateway/src/net/clients/listener.rs
@@ -0,0 +1,106 @@
+//! The listener, and the connections that wait there.
+
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpListener};
+use std::time::Instant;
+
+use tracing::warn;
+
+use super::{Clients, TimerEvent, ACCEPT_RETRY_DELAY};
+use crate::net::client::Client;
+use crate::net::eviction::evict;
+use crate::net::poller::{Interest, Poller, Token};
+use crate::net::wire::Wire;
+
+impl Clients {
+    /// Takes connections from this listener.
+    pub fn listen(&mut self, listener: TcpListener, poller: &Poller) -> io::Result<()> {
+        poller.add(&listener, Token::Listener, Interest::READ)?;
+        (self.listener, self.listening) = (Some(listener), true);
+        Ok(())
+    }
+
+    /// The listener, if it is open.
+    pub fn listener(&self) -> Option<&TcpListener> {
+        self.listener.as_ref()
+    }
+
+    /// Where clients connect.
+    pub fn addr(&self) -> io::Result<SocketAddr> {
+        self.listener.as_ref().map_or(Err(ErrorKind::NotConnected.into()), TcpListener::local_addr)
+    }
+
+    /// Takes the connections that wait, one of which is known of if `awaited`; false if some may be left for want of room.
+    ///
+    /// Guards against: a connection closed to make room for nobody. If more wait than are known of, the poller tells.
+    pub fn accept(&mut self, now: Instant, mut awaited: bool, poller: &Poller) -> bool {
+        while let Some(listener) = &self.listener {
+            let full = self.clients.len() >= self.most;
+            if full && !awaited {
+                return false;
+            }
+            if full && !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
+                warn!(open = self.clients.len(), "out of client connections, all busy");
+                self.rest(now, poller);
+                return false;
+            }
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    awaited = false;
+                    let number = self.accepted + 1;
+                    self.accepted = number;
+                    let wire = Wire::accepted(stream).and_then(|wire| {
+                        poller.add(&wire, Token::Client(number), Interest::READ)?;
+                        Ok(wire)
+                    });
+                    match wire {
+                        Ok(wire) => {
+                            let client = Client::new(now, wire, self.protocol.terms, self.keys.of(number));
+                            self.clients.insert(number, client);
+                        }
+                        Err(error) => warn!(%error, "cannot take a client's connection"),
+                    }
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {}
+                Err(error) => {
+                    // Guards against: a busy loop when descriptors have run out (EMFILE).
+                    warn!(%error, "cannot accept");
+                    if !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
+                        self.rest(now, poller);
+                        return false;
+                    }
+                }
+            }
+        }
+        true
+    }
+
+    /// Stops listening for a moment; what waits stays in the backlog.
+    pub(super) fn rest(&mut self, now: Instant, poller: &Poller) {
+        if let (true, Some(listener)) = (self.listening, &self.listener) {
+            self.listening = poller.remove(listener).is_err();
+            self.timers.set(now + ACCEPT_RETRY_DELAY, TimerEvent::Accept);
+        }
+    }
+
+    /// Closes the listener once nobody waits there, or at last by then. Guards against: connections that are reset for want
+    /// of room, while others are leaving.
+    pub(super) fn close_listener(&mut self, now: Instant, by: Instant, poller: &Poller) {
+        if now < by && !self.accept(now, false, poller) {
+            self.timers.set(now + ACCEPT_RETRY_DELAY, TimerEvent::Close(by));
+            return;
+        }
+        (self.listener, self.listening) = (None, false);
+    }
+
+    /// Listens again after a rest; what waits is told by the poller.
+    pub(super) fn accept_again(&mut self, poller: &Poller) {
+        let closes = !self.admission.listens;
+        if let (false, true, Some(listener)) =
+            (self.listening, self.admission.accepts || closes, &self.listener)
+        {
+            self.listening = poller.add(listener, Token::Listener, Interest::READ).is_ok();
+        }
+    }
+}
--- a/gateway/src/net/host_conn.rs
+++ b/gateway/src/net/hosts/connection.rs
@@ -5,10 +5,10 @@
 
 use yewroute::interface::{Role, ServerId, Status};
 
-use super::hosts::HostsContext;
-use super::poller::{Interest, Token};
-use super::wire::Wire;
+use super::HostsContext;
 use crate::core::{AttemptId, Ended, HostNote};
+use crate::net::poller::{Interest, Token};
+use crate::net::wire::Wire;
 use crate::proto::pg::backend::{self, Gather, Reply, Verdict};
 use crate::proto::pg::exchange::{Prepared, Sent};
 
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -10,46 +10,42 @@
 mod federation;
 mod fleet;
 mod handover;
-mod host_conn;
 mod hosts;
 mod listener;
 mod operations;
 pub(crate) mod poller;
+mod reload;
 mod replacement;
 pub(crate) mod signals;
+mod startup;
 pub(crate) mod wire;
 
 use std::collections::VecDeque;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use thiserror::Error;
-use tracing::{error, info, warn};
+use tracing::info;
 use yewroute::interface::SettingsError;
-use yewroute_edge::Edge;
-use yewroute_federation::bridge::{Reader, Wish};
+use yewroute_federation::bridge::Wish;
 use yewroute_lifecycle::{Lifecycle, Means};
-use yewroute_settings::Deployment;
 
-use crate::clock::Clock;
-use crate::config::{against, Budgets, Config};
-use crate::core::{self, Core, Known, Near, Payload};
+use crate::config::Config;
+use crate::core::{self, Core, Payload};
 use crate::proto::console as calls;
-use crate::proto::pg::exchange::Dialect;
 use crate::proto::pg::request::Body;
-use crate::proto::pg::session::{Limits, Terms};
-use clients::{Admission, ClientProtocol, Clients};
+use clients::{Admission, Clients};
 use console::Console;
-use discovery::{Discovery, DiscoveryMode};
+use discovery::Discovery;
 use federation::FederationLink;
 use fleet::FleetLink;
 use handover::Handover;
-use hosts::{FirstByteLimit, HostProtocol, Hosts, HostsContext};
-use poller::{Interest, Poller, Ready, Token};
+use hosts::{FirstByteLimit, Hosts, HostsContext};
+use poller::{Poller, Ready, Token};
 use signals::Signals;
+use startup::StartConditions;
 
 type Input = core::Input<Body>;
 type Effect = core::Effect<Body>;
@@ -71,14 +67,6 @@
 
 /// Descriptors kept for the listener, the poller, the watch, signals and the standard streams.
 const RESERVED_DESCRIPTORS: usize = 16;
-/// How long a gateway that is run by a console waits for a list before it serves without one.
-const FIRST_LIST_TIMEOUT: Duration = Duration::from_secs(3);
-/// Where lists are pushed, what the agent has counts from the first moment of a process: how long that waits for it before it
-/// serves with the list that was known.
-const FIRST_PUSHED_LIST_TIMEOUT: Duration = Duration::from_secs(1);
-/// How long it waits for the listener of the process that it replaces; and if that one is itself still replacing another.
-const LISTENER_HANDOVER_TIMEOUT: Duration = Duration::from_millis(500);
-const PREDECESSOR_BUSY_TIMEOUT: Duration = Duration::from_millis(4_500);
 
 /// Why the gateway cannot run.
 #[derive(Debug, Error)]
@@ -100,50 +88,6 @@
     Io(#[from] io::Error),
 }
 
-/// How clients and db hosts are spoken to, as the operator's file says.
-fn protocol_settings(edge: &Edge) -> (ClientProtocol, HostProtocol) {
-    let dialect = if edge.hosts.extended { Dialect::Extended } else { Dialect::Simple };
-    let limits = Limits {
-        statements: edge.postgres.statements_per_client,
-        portals: edge.postgres.portals_per_client,
-        bytes: edge.postgres.client_bytes,
-    };
-    let clients = ClientProtocol {
-        terms: Terms { extended: edge.postgres.extended, hosts: dialect, limits },
-        table_bytes: edge.postgres.statement_table_bytes,
-        pipeline_idle: edge.postgres.pipeline_idle,
-    };
-    (clients, HostProtocol { dialect, statements: edge.hosts.statements_per_connection })
-}
-
-/// Reads tables as an operator puts them, checked against this gateway's own settings and the groups of its list.
-fn reader(edge: Edge, deployment: Deployment) -> Reader {
-    Arc::new(move |text, groups| {
-        let table = yewroute_edge::table("table", text)?;
-        match table.faults(&against(&deployment, &edge, groups)) {
-            faults if faults.is_empty() => Ok(table),
-            faults => Err(faults),
-        }
-    })
-}
-
-/// How many connections clients and db hosts may have, of so many descriptors.
-fn shares(sockets: usize, console: usize) -> (usize, usize) {
-    /// While two processes share a small limit.
-    const LEAST: usize = 8;
-    let usable = sockets.saturating_sub(RESERVED_DESCRIPTORS + console).max(LEAST);
-    (usable - usable / 2, usable / 2)
-}
-
-/// What a process waits for before it serves.
-struct Start {
-    /// A list with a db host that takes requests; and the agent's, where lists are pushed.
-    list_by: Instant,
-    /// The listener of the process before it; then it binds one itself.
-    listener_by: Instant,
-    listener: Option<TcpListener>,
-}
-
 struct Gateway {
     poller: Poller,
     clients: Clients,
@@ -160,7 +104,7 @@
     /// The older and the newer process of this gateway, where it can be replaced.
     handover: Option<Handover>,
     /// While it does not serve yet: what it waits for, and until when.
-    starts: Option<Start>,
+    awaiting: Option<StartConditions>,
     /// The limits, and what this process may use of them while there is another one.
     limits: Means,
     means: Means,
@@ -196,150 +140,6 @@
 }
 
 impl Gateway {
-    fn new(config: Config, signals: Signals) -> Result<Self, RunError> {
-        let now = Instant::now();
-        let poller = Poller::new()?;
-        poller.add(&signals, Token::Signals, Interest::READ)?;
-        let console_share = config.console.map_or(0, |_| console::share(config.sockets));
-        let limits = Means { sockets: config.sockets, kib: config.memory_kib };
-        let (most_clients, most_hosts) = shares(limits.sockets, console_share);
-        let Budgets { most_bytes, statement_bytes } = Budgets::of(limits.kib);
-        let listen = config.listen;
-        let (client_protocol, host_protocol) = protocol_settings(&config.edge);
-        let operated = config.console.is_some();
-        let clients = Clients::new(now, most_clients, most_bytes, statement_bytes, client_protocol);
-        let console = config.console.map(|addr| {
-            let console = Console::listen(now, addr, console_share, &poller);
-            console.map_err(|error| RunError::Console(addr, error))
-        });
-        let console = console.transpose()?;
-        let deployment = config.deployment;
-        let manner = DiscoveryMode {
-            pushed: deployment.module.discovery == yewroute::interface::Discovery::Automatic,
-            must_ask_in: deployment.module.rules.must_ask_in,
-        };
-        let longest_deadline = deployment.module.classes.iter().map(|class| class.deadline).max();
-        let longest_deadline = longest_deadline.unwrap_or_default();
-        let hosts = Hosts::new(
-            now,
-            most_hosts,
-            most_bytes,
-            host_protocol,
-            deployment.connect_timeout,
-            deployment.keepalive,
-        );
-        let near = config
-            .edge
-            .fleet
-            .as_ref()
-            .filter(|_| config.edge.zones.is_some() || config.edge.federation.is_some());
-        let near = near.map(|fleet| {
-            let of = |(region, zones): (&String, &Vec<String>)| {
-                zones.iter().map(|zone| (zone.clone(), region.clone())).collect::<Vec<_>>()
-            };
-            Near {
-                zone: fleet.zone.clone(),
-                zones: fleet.regions.iter().flat_map(of).collect(),
-                first: config.edge.zones.is_some(),
-            }
-        });
-        let mut effects = Vec::new();
-        let mut core = Core::new(
-            now,
-            Clock::start(),
-            deployment,
-            config.seed,
-            statement_bytes,
-            Known { members: config.known, near },
-            &mut effects,
-        )?;
-        if let Some(console) = &console {
-            info!(addr = %console.addr()?, "console listening");
-        }
-        let folder = std::env::var_os("TMPDIR").filter(|_| operated).map(PathBuf::from);
-        let handover = folder.map(|folder| Handover::begin(folder, listen, &poller));
-        let older = handover.as_ref().is_some_and(Handover::has_predecessor);
-        let fleet = config.edge.fleet.clone().map(|settled| {
-            let place = settled.listen;
-            let link = FleetLink::begin(now, settled, &config.name, config.seed, operated, &poller);
-            link.map_err(|error| RunError::Fleet(place, error))
-        });
-        let fleet = fleet.transpose()?;
-        if fleet.is_some() {
-            core.count_loads(now);
-        }
-        let federation = config.edge.federation.clone().map(|settled| {
-            let first = config.edge.first.to_string();
-            let reader = reader(config.edge.clone(), core.deployment().clone());
-            FederationLink::new(now, (settled, first), &config.name, reader, &poller)
-        });
-        let (verdicts, zones) = (config.edge.verdicts, config.edge.zones.clone());
-        let federation = federation.transpose()?.map(|link| link.judging(verdicts, zones));
-        let pushed_wait = if manner.pushed { FIRST_PUSHED_LIST_TIMEOUT } else { Duration::ZERO };
-        let start = Start {
-            list_by: if operated { now + FIRST_LIST_TIMEOUT } else { now + pushed_wait },
-            listener_by: if older { now + LISTENER_HANDOVER_TIMEOUT } else { now },
-            listener: None,
-        };
-        let mut gateway = Self {
-            poller,
-            clients,
-            hosts,
-            discovery: Discovery::new(now, config.discovery, manner, config.seed),
-            signals,
-            console,
-            fleet,
-            federation,
-            core,
-            life: Lifecycle::new(longest_deadline),
-            handover,
-            starts: Some(start),
-            limits,
-            means: limits,
-            share_at: None,
-            console_share,
-            name: config.name,
-            listen,
-            edge_file: config.edge_file,
-            inbox: VecDeque::new(),
-            effects,
-        };
-        if older {
-            // Until it is told more.
-            gateway.use_means(limits.divide(limits, false).1);
-        }
-        gateway.start(now)?;
-        Ok(gateway)
-    }
-
-    /// Serves once it can: with a list, or without one after a while; on the listener of the process before it, or
-    /// on its own.
-    fn start(&mut self, now: Instant) -> Result<(), RunError> {
-        let Some(start) = &mut self.starts else { return Ok(()) };
-        let listed = self.core.directory().first_group().is_some() && !self.discovery.lacks_pushed_list();
-        if now < start.list_by && !listed || now < start.listener_by && start.listener.is_none() {
-            return Ok(());
-        }
-        let handed = start.listener.take();
-        let (wrong, replaced) = (|error| RunError::Listen(self.listen, error), handed.is_some());
-        let listener = match handed {
-            Some(listener) => listener,
-            None => {
-                // Guards against: a predecessor that does not answer being told to leave its queue to this one.
-                self.handover.iter_mut().for_each(Handover::forget_predecessor);
-                listener::bind(self.listen, self.console.is_some()).map_err(wrong)?
-            }
-        };
-        self.clients.listen(listener, &self.poller).map_err(wrong)?;
-        info!(name = self.name, handed = replaced, addr = %self.clients.addr()?, "listening");
-        self.starts = None;
-        self.life.serves();
-        if let Some(handover) = &mut self.handover {
-            handover.serve(&self.poller);
-        }
-        Ok(())
-    }
-
     fn next(&self, now: Instant) -> Option<Instant> {
         let next = [
             self.core.next(),
@@ -351,8 +151,8 @@
             self.share_at,
             self.fleet.as_ref().and_then(FleetLink::next),
             self.federation.as_ref().and_then(FederationLink::next),
-            self.starts.as_ref().map(|start| start.list_by).filter(|by| *by > now),
-            self.starts.as_ref().map(|start| start.listener_by).filter(|by| *by > now),
+            self.awaiting.as_ref().map(|awaiting| awaiting.list_by).filter(|by| *by > now),
+            self.awaiting.as_ref().map(|awaiting| awaiting.listener_by).filter(|by| *by > now),
         ];
         next.into_iter().flatten().min()
     }
@@ -398,45 +198,6 @@
         }
     }
 
-    /// Reads the configuration again and takes what can change under way: where discovery is, and the limits.
-    /// The list held and all that is out go on. Guards against: a faulty file, which changes nothing.
-    fn reload(&mut self, now: Instant) {
-        let config = match Config::read_again(self.edge_file.clone()) {
-            Ok(config) => config,
-            Err(error) => {
-                error!(%error, "SIGHUP: the configuration in force stays");
-                return;
-            }
-        };
-        info!(discovery = %config.discovery, "SIGHUP: configuration read again");
-        self.limits = Means { sockets: config.sockets, kib: config.memory_kib };
-        if !self.handover.as_ref().is_some_and(Handover::has_predecessor) {
-            self.use_means(self.limits);
-        }
-        self.share(now);
-        let (client_protocol, host_protocol) = protocol_settings(&config.edge);
-        self.clients.set_protocol(client_protocol);
-        self.hosts.set_protocol(host_protocol);
-        if (&config.name, config.listen, &config.deployment)
-            != (&self.name, self.listen, self.core.deployment())
-        {
-            warn!("SIGHUP: a new name, listen or settings count from the next start");
-        }
-        let fleet = config.edge.fleet.as_ref();
-        let same = self.fleet.as_ref().map_or(fleet.is_none(), |link| link.is_settled_by(fleet));
-        let federation = config.edge.federation.as_ref();
-        let first = config.edge.first.to_string();
-        let same = same
-            && self.federation.as_ref().map_or(federation.is_none(), |link| {
-                link.is_settled_by(federation, &first, config.edge.verdicts, config.edge.zones.as_ref())
-            });
-        if !same {
-            warn!("SIGHUP: what the operator's file says of the fleet and of its first table counts from the next start");
-        }
-        let since = self.core.directory().version();
-        self.discovery.move_to(now, config.discovery, since, &self.poller, &mut self.inbox);
-    }
-
     fn tick(&mut self, now: Instant) {
         let (hosts, mut around) = self.hosts(now);
         hosts.tick(&mut around);
--- a/gateway/src/net/replacement.rs
+++ b/gateway/src/net/replacement.rs
@@ -7,9 +7,12 @@
 
 use super::console::Console;
 use super::handover::News;
-use super::{shares, Gateway, PREDECESSOR_BUSY_TIMEOUT, RESERVED_DESCRIPTORS};
+use super::startup::descriptor_shares;
+use super::{Gateway, RESERVED_DESCRIPTORS};
 use crate::config::Budgets;
 
+/// How long a new process waits for the listener while the one that it replaces is itself still replacing another.
+const PREDECESSOR_BUSY_TIMEOUT: Duration = Duration::from_millis(4_500);
 /// How often two processes look at who needs what.
 const SHARE_INTERVAL: Duration = Duration::from_millis(100);
 /// The same while clients move from the older to the newer.
@@ -19,7 +22,7 @@
     /// Takes over the limits that this process has.
     pub(super) fn use_means(&mut self, means: Means) {
         self.means = means;
-        let (mut most_clients, mut most_hosts) = shares(means.sockets, self.console_share);
+        let (mut most_clients, mut most_hosts) = descriptor_shares(means.sockets, self.console_share);
         self.clients.beside(means != self.limits);
         if means != self.limits {
             // Beside another process clients come all at once, and few connections to db hosts are needed yet.
@@ -58,19 +61,19 @@
         for news in handover.ready(number, &self.poller) {
             match news {
                 News::Listener(listener) => {
-                    if let Some(start) = &mut self.starts {
-                        start.listener = Some(listener);
+                    if let Some(awaiting) = &mut self.awaiting {
+                        awaiting.listener = Some(listener);
                     }
                 }
                 News::Left(means) => self.use_means(means),
                 News::Later => {
-                    if let Some(start) = &mut self.starts {
-                        start.listener_by = now + PREDECESSOR_BUSY_TIMEOUT;
+                    if let Some(awaiting) = &mut self.awaiting {
+                        awaiting.listener_by = now + PREDECESSOR_BUSY_TIMEOUT;
                     }
                 }
                 News::PredecessorGone => {
-                    if let Some(start) = &mut self.starts {
-                        start.listener_by = now;
+                    if let Some(awaiting) = &mut self.awaiting {
+                        awaiting.listener_by = now;
                     }
                     self.use_means(self.limits);
                     self.hand(now);
--- a/gateway/src/proto/catalog.rs
+++ b/gateway/src/proto/catalog.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 
 /// The whole list, or what has changed.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 pub struct Members {
     /// Its version.
     pub version: u64,
