--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -170,3 +170,37 @@
     g.play(Event::Gone(read));
     assert!(!g.router.may_begin(g.now, read, replica), "nobody wants it");
 }
+
+#[test]
+fn a_request_is_sent_no_more_often_than_the_settings_allow() {
+    let mut s = settings();
+    s.limits.max_attempts = 2;
+    let mut g = Gateway::start(s, 4);
+    let (id, out) = g.request(ANY);
+    let first = sends(&out)[0].1;
+    let second = sends(&g.outcome(id, 0, first, Status::Reset))[0].1;
+    let out = g.outcome(id, 1, second, Status::Reset);
+    assert!(sends(&out).is_empty(), "{out:?}");
+    assert_eq!(finals(&out).len(), 1, "and it has its answer at once");
+}
+
+/// It may have restarted, whatever the list says yet.
+#[test]
+fn a_server_back_from_silence_is_paced_as_a_cold_one() {
+    let mut g = Gateway::start(settings(), 3);
+    let probed =
+        |status| Event::Probed { server: ServerId(3), status, report: Report { role: None, position: None } };
+    g.play(probed(Status::Timeout));
+    g.tick(ms(3_000));
+    g.play(probed(Status::Good));
+    let mut count = [0; 4];
+    for _ in 0..300 {
+        let (id, out) = g.request(ANY);
+        if let [(_, server)] = sends(&out)[..] {
+            count[server as usize] += 1;
+            g.now += ms(10);
+            g.outcome(id, 0, server, Status::Good);
+        }
+    }
+    assert!(count[3] > 0 && count[3] * 2 < count[1], "{count:?}");
+}
