--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,10 +8,14 @@
 #![forbid(unsafe_code)]
 
 mod body;
+mod compare;
+mod doubt;
 pub mod facts;
 pub mod load;
 mod member;
+mod membership;
 mod outlet;
+mod receive;
 pub mod seal;
 mod view;
 
@@ -311,141 +315,6 @@
         self.timers.clear();
     }
 
-    /// Takes a datagram.
-    pub fn receive(&mut self, now: Instant, datagram: &[u8]) {
-        if self.left || self.superseded {
-            return;
-        }
-        self.counts.received.0 += 1;
-        self.counts.received.1 += datagram.len() as u64;
-        let body = self.seal.open(datagram);
-        let taken = body.and_then(read);
-        if let Err(why) = taken.and_then(|body| self.on_body(now, body)) {
-            *self.counts.dropped.entry(why).or_default() += 1;
-        }
-    }
-
-    fn on_body(&mut self, now: Instant, body: Body<'_>) -> Result<(), Dropped> {
-        match body {
-            Body::Swim(bytes) => {
-                // Guards against: members without number, by one that has the key.
-                if self.swim.iter_membership_state().len() >= MOST_MEMBERS {
-                    return Err(Dropped::Full);
-                }
-                let mut outlet = Outlet::default();
-                let taken = self.swim.handle_data(bytes, &mut outlet);
-                self.take(now, outlet);
-                taken.map_err(|_| Dropped::Malformed)
-            }
-            Body::Rows { from, rows } => {
-                let (own, tells) = (self.owner, self.tells());
-                let told = rows.len();
-                let rows: Vec<Row> =
-                    rows.into_iter().filter_map(|row| postcard::from_bytes(row).ok()).collect();
-                if rows.len() < told {
-                    *self.counts.dropped.entry(Dropped::Newer).or_default() += 1;
-                }
-                let mut strange = Vec::new();
-                let decided = rows.iter().filter_map(|row| match row.subject {
-                    Subject::Decision(key) => Some(key),
-                    _ => None,
-                });
-                if let (Some((after, at)), Some(last)) = (&mut self.missed, decided.max()) {
-                    (*after, *at) = (last.saturating_add(1), now);
-                }
-                for row in rows.into_iter().filter(|row| row.owner != own) {
-                    if row.subject == Subject::Owner && !self.known.contains_key(&row.owner) {
-                        strange.push(row.owner);
-                    }
-                    let group = (row.owner == GROUP).then(|| row.clone());
-                    if self.facts.merge(now, row, tells) {
-                        self.events.extend(group.map(Event::Group));
-                    }
-                }
-                // What was told of a member passed this gateway by; its row did not.
-                strange.truncate(WHO);
-                if !strange.is_empty() {
-                    let owners = strange;
-                    self.put(from, &Body::Who { from: self.me().addr, owners });
-                }
-                Ok(())
-            }
-            Body::Who { from, owners } => {
-                let mut ids = Vec::new();
-                for owner in owners.iter().take(WHO) {
-                    let known = self.known.get(owner).into_iter().flat_map(|addrs| addrs.iter());
-                    ids.extend(known.cloned());
-                }
-                ids.truncate(WHO);
-                self.put(from, &Body::Here(ids));
-                Ok(())
-            }
-            Body::Here(ids) => {
-                let own = self.me().addr;
-                let fits = |id: &Id| id.addr != own && member::bounded(id).is_ok();
-                let alive = ids.into_iter().take(WHO).filter(fits).map(foca::Member::alive);
-                let mut outlet = Outlet::default();
-                let taken = self.swim.apply_many(alive, false, &mut outlet);
-                self.take(now, outlet);
-                taken.map_err(|_| Dropped::Malformed)
-            }
-            Body::Decided { from, after } => {
-                let word = self.facts.row(now, GROUP, Subject::Group).filter(|_| after == 0);
-                let mut rows = self.facts.decided(now, after, seal::ROOM - ROWS_HEAD - GROUP_ROW);
-                rows.extend(word);
-                // None is the answer that there are no more.
-                self.put_rows(from, &rows);
-                Ok(())
-            }
-            Body::Carried(message) => {
-                self.events.push_back(Event::Carried(message.to_vec()));
-                Ok(())
-            }
-            Body::Suspected { id, count, from } => {
-                if id == *self.me() {
-                    let suspicion = foca::Member::new(id.clone(), count, State::Suspect);
-                    self.apply(now, suspicion)?;
-                    self.refuted_to = self.refuted_to.max(count.saturating_add(1));
-                    self.put(from, &Body::Lives { id, count: self.refuted_to });
-                }
-                Ok(())
-            }
-            Body::Whom { from, parts } => {
-                let own = self.parts();
-                if parts.len() != PARTS {
-                    return Err(Dropped::Malformed);
-                }
-                let differs = |number: u64| own[part_of(number)] != parts[part_of(number)];
-                let known = self.known.iter().filter(|(number, _)| differs(**number));
-                let me = Some(self.me()).filter(|_| differs(self.owner));
-                let ids: Vec<Id> = known.flat_map(|(_, ids)| ids).chain(me).cloned().collect();
-                for some in ids.chunks(WHO).take(ANSWERS) {
-                    self.put(from, &Body::Here(some.to_vec()));
-                }
-                Ok(())
-            }
-            Body::Lives { id, count } => {
-                member::bounded(&id).map_err(|_| Dropped::Malformed)?;
-                let known = self.swim.iter_members().any(|member| *member.id() == id);
-                if known && id != *self.me() {
-                    self.apply(now, foca::Member::new(id, count, State::Alive))?;
-                }
-                Ok(())
-            }
-            Body::Ask { me, nonce } => {
-                let known = self.swim.iter_members().any(|member| *member.id() == me);
-                self.put(me.addr, &Body::Seen { nonce, alive: known });
-                Ok(())
-            }
-            Body::Seen { nonce, alive } => {
-                if alive && self.doubt.as_ref().is_some_and(|doubt| doubt.nonce == nonce) {
-                    self.doubt = None;
-                }
-                Ok(())
-            }
-        }
-    }
-
     /// Does what is due.
     pub fn tick(&mut self, now: Instant) {
         if self.left || self.superseded {
@@ -501,16 +370,6 @@
         }
     }
 
-    /// The end of a suspicion that is over already. Guards against: the library, which at that end tells the member that it
-    /// was declared dead even if it has refuted the suspicion; it then takes a new incarnation for nothing.
-    fn refuted(&self, timer: &Timer<Id>) -> bool {
-        let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
-        let suspect = |member: &foca::Member<Id>| {
-            member.state() == State::Suspect && member.incarnation() == *incarnation
-        };
-        !self.swim.iter_members().any(|member| member.id() == member_id && suspect(member))
-    }
-
     /// When it is to be called again at the latest.
     #[must_use]
     pub fn next(&self) -> Option<Instant> {
@@ -532,109 +391,6 @@
         self.events.pop_front()
     }
 
-    /// This process did not run for a while: what others seem to have missed is its own doing. All it waits for is waited
-    /// for anew, and after a longer stop others are asked how they see it.
-    fn on_stop(&mut self, now: Instant, late: Duration) {
-        let timers = std::mem::take(&mut self.timers);
-        self.timers = timers.into_iter().map(|((at, n), timer)| ((at + late, n), timer)).collect();
-        self.suspects.values_mut().for_each(|(_, since)| *since += late);
-        if late >= STOPPED {
-            self.events.push_back(Event::Stopped(late));
-            if self.swim.iter_members().next().is_some() {
-                self.doubt = Some(Doubt { nonce: self.rng.random(), ask_at: now });
-            }
-        }
-    }
-
-    fn ask(&mut self, now: Instant) {
-        let Some(doubt) = &mut self.doubt else { return };
-        doubt.ask_at = now + ASK_EVERY;
-        let nonce = doubt.nonce;
-        let others = self.swim.iter_members().map(|member| member.id().addr);
-        for addr in others.choose_multiple(&mut self.rng, ASK) {
-            let me = self.me().clone();
-            self.put(addr, &Body::Ask { me, nonce });
-        }
-    }
-
-    /// Announces itself to a seed that is no member, as at the start, or after a cut so long that all are forgotten.
-    fn ask_seeds(&mut self, now: Instant) {
-        let known = |addr: &SocketAddr| self.swim.iter_members().any(|member| member.id().addr == *addr);
-        let alone = self.swim.iter_members().next().is_none();
-        let me = self.swim.identity().addr;
-        let strange = self.terms.seeds.iter().copied().filter(|addr| *addr != me && !known(addr));
-        let chosen = strange.choose_multiple(&mut self.rng, if alone { ASK } else { 1 });
-        for addr in chosen {
-            let mut outlet = Outlet::default();
-            let seed = Id { name: "".into(), zone: "".into(), addr, incarnation: 0 };
-            let _ = self.swim.announce(seed, &mut outlet);
-            self.take(now, outlet);
-        }
-    }
-
-    /// Takes those for dead whose suspicion nobody has refuted. Guards against: one that has heard of the suspicion and
-    /// not of its end, as only who raised it keeps its time.
-    fn judge(&mut self, now: Instant) {
-        let held = std::mem::take(&mut self.suspects);
-        let suspects = self.swim.iter_members().filter(|member| member.state() == State::Suspect);
-        let since = |member: &foca::Member<Id>| {
-            let known = held.get(&member.id().addr).filter(|(count, _)| *count == member.incarnation());
-            known.map_or(now, |(_, since)| *since)
-        };
-        let suspects: Vec<_> = suspects.map(|member| (member.clone(), since(member))).collect();
-        let due = |since: Instant| now.saturating_duration_since(since) >= SUSPICION + SUSPICION / 2;
-        let dead = suspects.iter().filter(|(_, since)| due(*since) && self.doubt.is_none());
-        let dead: Vec<_> = dead
-            .map(|(member, _)| foca::Member::new(member.id().clone(), member.incarnation(), State::Down))
-            .collect();
-        self.suspects = suspects.iter().map(|(m, since)| (m.id().addr, (m.incarnation(), *since))).collect();
-        // Each is told so by some directly, at every beat. Guards against: a refutation that is lost on its way through others.
-        let from = self.me().addr;
-        for (member, _) in suspects.iter().choose_multiple(&mut self.rng, ASK) {
-            let (id, count) = (member.id().clone(), member.incarnation());
-            self.put(id.addr, &Body::Suspected { id: id.clone(), count, from });
-        }
-        if !dead.is_empty() {
-            let mut outlet = Outlet::default();
-            let _ = self.swim.apply_many(dead.into_iter(), true, &mut outlet);
-            self.take(now, outlet);
-        }
-    }
-
-    /// Asks one member for others: many come at once, and what is told of each reaches some too late.
-    fn ask_member(&mut self, now: Instant) {
-        let ids = self.swim.iter_members().map(|member| member.id());
-        let Some(id) = ids.choose(&mut self.rng).cloned() else { return };
-        let mut outlet = Outlet::default();
-        let _ = self.swim.announce(id, &mut outlet);
-        self.take(now, outlet);
-    }
-
-    /// Hashes of those that live, itself among them.
-    fn parts(&self) -> Vec<u16> {
-        let mut parts = vec![0_u16; PARTS];
-        let mut add = |number: u64, incarnation: u64| {
-            // Any mixture will do: what differs by chance alone is compared again with the next.
-            let mixed = (number ^ incarnation.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            parts[part_of(number)] ^= (mixed >> 48) as u16;
-        };
-        add(self.owner, self.me().incarnation);
-        for (number, ids) in &self.known {
-            ids.iter().for_each(|id| add(*number, id.incarnation));
-        }
-        parts
-    }
-
-    /// Has one member say whom this gateway has missed. Guards against: waiting for the rows of those whose coming was told
-    /// too seldom to reach this one; hundreds that start together would take a quarter of a minute.
-    fn compare(&mut self) {
-        let others = self.swim.iter_members().map(|member| member.id().addr);
-        if let Some(addr) = others.choose(&mut self.rng) {
-            let (from, parts) = (self.me().addr, self.parts());
-            self.put(addr, &Body::Whom { from, parts });
-        }
-    }
-
     /// Passes rows on within the budget.
     fn tell(&mut self, now: Instant) {
         let earned =
@@ -653,28 +409,6 @@
         }
     }
 
-    /// Asks one member after another for decisions that were missed: the group's hash of all of them is another.
-    fn catch_up(&mut self, now: Instant) {
-        let said = match self.facts.get(now, GROUP, Subject::Group) {
-            Some((Value::Group(word), _)) => Some(word.digest),
-            _ => None,
-        };
-        let lacks = self.newcomer > 0 || said.is_some_and(|said| said != self.facts.digest());
-        let Some((after, at)) = self.missed.filter(|_| lacks) else {
-            self.missed = lacks.then_some((0, now + DECIDED_ASKED));
-            return;
-        };
-        let others = self.swim.iter_members().map(|member| member.id().addr);
-        let other = others.choose(&mut self.rng).filter(|_| now >= at);
-        if let Some(addr) = other {
-            self.newcomer = self.newcomer.saturating_sub(u32::from(after == 0));
-            let from = self.me().addr;
-            self.put(addr, &Body::Decided { from, after });
-            // The answer moves it on; without one all is asked for again.
-            self.missed = Some((0, now + DECIDED_ASKED));
-        }
-    }
-
     /// The first beat from then on.
     fn beat(&self, at: Instant) -> Instant {
         let beats = at.saturating_duration_since(self.origin).div_duration_f64(GOSSIP_EVERY).ceil();
@@ -701,94 +435,6 @@
         let rows = rows.iter().map(Vec::as_slice).collect();
         self.put(to, &Body::Rows { from: self.me().addr, rows });
     }
-
-    fn apply(&mut self, now: Instant, member: foca::Member<Id>) -> Result<(), Dropped> {
-        let mut outlet = Outlet::default();
-        let taken = self.swim.apply_many(std::iter::once(member), true, &mut outlet);
-        self.take(now, outlet);
-        taken.map_err(|_| Dropped::Malformed)
-    }
-
-    fn remember(&mut self, id: &Id) {
-        let ids = self.known.entry(name_number(&id.name)).or_default();
-        if !ids.contains(id) {
-            ids.push(id.clone());
-        }
-    }
-
-    fn forget_id(&mut self, id: &Id) {
-        let owner = name_number(&id.name);
-        if let Some(ids) = self.known.get_mut(&owner) {
-            ids.retain(|known| known != id);
-            if ids.is_empty() {
-                self.known.remove(&owner);
-            }
-        }
-    }
-
-    /// Takes over what the library gave out.
-    fn take(&mut self, now: Instant, outlet: Outlet) {
-        for (to, data) in outlet.send {
-            self.put(to.addr, &Body::Swim(&data));
-        }
-        for (timer, after) in outlet.timers {
-            self.made += 1;
-            self.timers.insert((self.beat(now + after), self.made), timer);
-        }
-        if outlet.rejoined {
-            self.counts.returned += 1;
-            self.refuted_to = 0;
-            self.doubt = None;
-            self.events.push_back(Event::Returned(self.me().incarnation));
-            let stage = self.facts.get(now, self.owner, Subject::Owner);
-            if let Some(value) = stage.map(|(value, _)| value.clone()) {
-                self.write(now, Subject::Owner, value);
-            }
-        }
-        let changed = !outlet.up.is_empty() || !outlet.down.is_empty();
-        for (old, new) in outlet.renamed {
-            self.forget_id(&old);
-            if self.swim.iter_members().any(|member| *member.id() == new) {
-                self.remember(&new);
-            }
-        }
-        if !outlet.up.is_empty() {
-            self.grew_at = now;
-        }
-        for id in outlet.up {
-            self.remember(&id);
-            self.fading.remove(&name_number(&id.name));
-            let me = self.me();
-            if id.name == me.name && (id.incarnation, id.addr) > (me.incarnation, me.addr) {
-                self.superseded = true;
-                self.events.push_back(Event::Superseded(id));
-                continue;
-            }
-            self.facts.tell_again(self.owner, 4);
-            self.events.push_back(Event::Up(id));
-        }
-        for id in outlet.down {
-            self.forget_id(&id);
-            let owner = name_number(&id.name);
-            if self.known.contains_key(&owner) || id.name == self.me().name {
-                continue;
-            }
-            self.fading.insert(owner, now + facts::FADE);
-            let left =
-                matches!(self.facts.get(now, owner, Subject::Owner), Some((Value::Stage(Stage::Left), _)));
-            self.counts.deaths += u64::from(!left);
-            let health = if left { Health::Left } else { Health::Down };
-            self.events.push_back(Event::Gone(id, health));
-        }
-        if changed {
-            let size = self.swim.num_members() + 1;
-            if size.ilog2() != self.size.ilog2() {
-                // It refuses only changes of the probe's times.
-                let _ = self.swim.set_config(config(size));
-            }
-            self.size = size;
-        }
-    }
 }
 
 #[cfg(test)]
