--- a/gateway/tests/clients.rs
+++ b/gateway/tests/clients.rs
@@ -232,40 +232,46 @@
     patient.replace("\"deduplicated\"", "\"at_most_once\"")
 }
 
-/// The message of an order with a value of [`LONG_VALUE`] bytes.
-fn long_order(key: &str) -> Vec<u8> {
+/// The message of an order in a group, with a value of [`LONG_VALUE`] bytes.
+fn long_order(group: u32, key: &str) -> Vec<u8> {
     let order = statement("order", HELD_FOR_MS, &format!(",k={key}"));
+    let order = order.replace("cluster=2", &format!("cluster={group}"));
     query(&order.replace("9f03", &"9f".repeat(LONG_VALUE)))
 }
 
 /// One client that holds the memory for long statements, and another whose statement waits for that.
 struct Waiting {
     primary: Host,
-    _replica: Host,
+    _others: [Host; 2],
     gateway: Gateway,
     holds: Client,
     waits: thread::JoinHandle<Vec<u8>>,
 }
 
 impl Waiting {
-    /// The first client has sent its statement, or a part of it; the db host never answers that one.
+    /// The first client has sent its statement, or a part of it, for a group whose primary never answers.
     fn start(whole: bool) -> Self {
-        let primary = Host::start(|query| match query.contains("k=holds") {
+        let (primary, replica) = (Host::well(true), Host::well(false));
+        let hangs = Host::start(|query| match query.contains("k=holds") {
             true => Do::Nothing,
             false => well(true, query),
         });
-        let replica = Host::well(false);
-        let gateway = Gateway::start_with(&pair(&primary, &replica), &patient_settings());
+        let entries = [
+            entry("s-a", &primary, "primary", "Ready", 0),
+            entry("s-b", &replica, "replica", "Ready", 0),
+            entry("s-c", &hangs, "primary", "Ready", 0).replace("\"cell\":2", "\"cell\":3"),
+        ];
+        let gateway = Gateway::start_with(&list(41, true, &entries), &patient_settings());
         gateway.reload(r#""memory_mb":192"#, r#""memory_mb":32"#);
         gateway.logs("SIGHUP: configuration read again");
         let (mut holds, mut waits, mut mark) = (gateway.client(), gateway.client(), gateway.client());
         // What is answered tells that what was written before it has been read as far as it is read.
         let mut is_read = || assert_eq!(mark.ask(&statement("view", 1_200, "")), SERVED);
-        let message = long_order("holds");
+        let message = long_order(3, "holds");
         holds.write(if whole { &message } else { &message[..200_000] });
-        until(|| !whole || copies(&primary, "k=holds") == 1, || "it is not sent on".to_owned());
+        until(|| !whole || copies(&hangs, "k=holds") == 1, || "it is not sent on".to_owned());
         is_read();
-        let message = long_order("waits");
+        let message = long_order(2, "waits");
         waits.write(&message[..100_000]);
         is_read();
         let waits = thread::spawn(move || {
@@ -276,7 +282,7 @@
         });
         thread::sleep(Duration::from_millis(200));
         assert!(!waits.is_finished() && copies(&primary, "k=waits") == 0, "there is no room for both");
-        Self { primary, _replica: replica, gateway, holds, waits }
+        Self { primary, _others: [replica, hangs], gateway, holds, waits }
     }
 
     /// The one that waits is read on soon.
@@ -290,7 +296,7 @@
 
 #[test]
 fn a_long_statement_that_waits_for_memory_is_read_on_at_once_when_the_one_before_it_is_reset() {
-    let Waiting { primary, _replica, gateway, holds, waits } = Waiting::start(false);
+    let Waiting { primary, _others, gateway, holds, waits } = Waiting::start(false);
     set_socket_linger(&holds.stream, Some(Duration::ZERO)).unwrap();
     drop(holds);
     Waiting::is_served(waits, &primary, &gateway);
@@ -298,7 +304,7 @@
 
 #[test]
 fn a_long_statement_that_waits_for_memory_is_read_on_at_once_when_a_reload_gives_more() {
-    let Waiting { primary, _replica, gateway, holds, waits } = Waiting::start(true);
+    let Waiting { primary, _others, gateway, holds, waits } = Waiting::start(true);
     // As it was at the start.
     gateway.reload_text(gateway.config().as_bytes());
     Waiting::is_served(waits, &primary, &gateway);
