Close idle connections beyond a limit on descriptors that a reload has lowered

Found in the review of reloads: limits.sockets changed at once for what was accepted or dialled from then on, while connections that were open already stayed for as long as their clients rested: 128 descriptors of 64 allowed 10 s after SIGHUP in the new test.

--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -193,6 +193,7 @@
         if self.admission.leaving >= Leaving::Idle {
             self.send_away(now, poller, inbox);
         }
+        self.close_surplus(now);
         let pipeline_idle = self.protocol.pipeline_idle;
         let overdue = |client: &Client| client.overdue(now) || client.stalled(now, pipeline_idle);
         let numbers = self.clients.iter().filter(|(_, client)| overdue(client)).map(|(number, _)| *number);
--- a/gateway/src/net/clients/listener.rs
+++ b/gateway/src/net/clients/listener.rs
@@ -94,6 +94,15 @@
         (self.listener, self.listening) = (None, false);
     }
 
+    /// Guards against: connections beyond a limit that a reload has lowered, which would stay for as long as their clients rest.
+    pub(super) fn close_surplus(&mut self, now: Instant) {
+        while self.clients.len() > self.most {
+            if !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
+                return;
+            }
+        }
+    }
+
     /// Listens again after a rest; what waits is told by the poller.
     pub(super) fn accept_again(&mut self, poller: &Poller) {
         let closes = !self.admission.listens;
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -349,6 +349,8 @@
                 keep
             });
         }
+        // Guards against: connections beyond a limit that a reload has lowered.
+        while self.conns.len() > self.most && self.evict() {}
         // Guards against: a pool for every db host there ever was.
         self.pools.retain(|server, pool| {
             let used = !pool.idle.is_empty() || !pool.waiting.is_empty() || pool.dialing > 0;
--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -126,7 +126,7 @@
     }
 
     /// Closes the idle connection that was used longest ago.
-    fn evict(&mut self) -> bool {
+    pub(super) fn evict(&mut self) -> bool {
         let idle = self.conns.iter().filter_map(|(number, conn)| match conn.state {
             State::Idle(since) => Some((since, *number)),
             _ => None,
--- a/gateway/tests/descriptors.rs
+++ b/gateway/tests/descriptors.rs
@@ -74,3 +74,19 @@
     assert!(descriptors(gateway.pid()) <= LIMIT, "{} of {LIMIT}", descriptors(gateway.pid()));
     drop(idle);
 }
+
+#[test]
+fn a_limit_that_a_reload_lowers_holds_for_connections_that_rest() {
+    const CLIENTS: usize = 100;
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    let mut resting: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
+    // All at once, so that db hosts have many connections as well.
+    resting.iter_mut().for_each(|client| client.send(&statement("view", 1_200, "")));
+    resting.iter_mut().for_each(|client| assert_eq!(client.answer().last(), Some(&b'Z')));
+    assert!(descriptors(gateway.pid()) > CLIENTS);
+    gateway.reload(r#""sockets":256"#, &format!(r#""sockets":{LIMIT}"#));
+    gateway.logs("SIGHUP: configuration read again");
+    until(|| descriptors(gateway.pid()) <= LIMIT, || format!("{} held", descriptors(gateway.pid())));
+    assert_eq!(gateway.client().ask(&statement("view", 1_200, "")), SERVED);
+}
