--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -184,15 +184,19 @@
     assert_eq!(finals(&out).len(), 1, "and it has its answer at once");
 }
 
-/// It may have restarted, whatever the list says yet.
-#[test]
-fn a_server_back_from_silence_is_paced_as_a_cold_one() {
+/// A server that did not answer, and does again, of three replicas.
+fn back_from_silence() -> Gateway {
     let mut g = Gateway::start(settings(), 3);
     let probed =
         |status| Event::Probed { server: ServerId(3), status, report: Report { role: None, position: None } };
     g.play(probed(Status::Timeout));
     g.tick(ms(3_000));
     g.play(probed(Status::Good));
+    g
+}
+
+/// Reads that are served 10 ms apart send the third replica something, but well less than the first.
+fn paces_the_third(g: &mut Gateway) {
     let mut count = [0; 4];
     for _ in 0..300 {
         let (id, out) = g.request(ANY);
@@ -204,3 +208,42 @@
     }
     assert!(count[3] > 0 && count[3] * 2 < count[1], "{count:?}");
 }
+
+/// It may have restarted, whatever the list says yet.
+#[test]
+fn a_server_back_from_silence_is_paced_as_a_cold_one() {
+    paces_the_third(&mut back_from_silence());
+}
+
+#[test]
+fn a_listed_start_that_is_older_than_the_one_known_makes_a_server_no_warmer() {
+    let mut g = back_from_silence();
+    let long_ago = Entry { started: Some(g.now - ms(60_000)), ..entry(3, false) };
+    g.play(Event::List { kind: ListKind::Patch, entries: vec![long_ago] });
+    paces_the_third(&mut g);
+}
+
+#[test]
+fn a_repeat_of_a_keyed_request_is_given_up_by_the_end_of_its_window() {
+    let mut g = Gateway::start(settings(), 1);
+    let (id, _) = g.request(WRITE);
+    let window_ends = g.now + ms(1_000);
+    g.now += ms(300);
+    let out = g.outcome(id, 0, 0, Status::Error);
+    let cut = out.iter().find_map(|action| match action {
+        Action::Send { request, cut_at, .. } if *request == id => Some(*cut_at),
+        _ => None,
+    });
+    assert!(cut.expect("sent once more") < window_ends);
+}
+
+#[test]
+fn a_report_that_is_older_than_an_answer_does_not_change_the_primary() {
+    let mut g = Gateway::start(settings(), 2);
+    let (id, _) = g.request(WRITE);
+    g.answer(id, 0, 0, Status::Good, note(Role::Primary, g.now));
+    g.now += ms(100);
+    g.position(0, Role::Replica, g.now);
+    let (id, out) = g.request(WRITE);
+    assert_eq!(sends(&out), [(id, 0)]);
+}
