--- a/gateway/tests/shutdown.rs
+++ b/gateway/tests/shutdown.rs
@@ -108,6 +108,28 @@
     assert!(told.iter().all(|left| *left <= 300), "{told:?}");
 }
 
+/// The second one's time runs from its arrival too, and is over when the first has had its answer.
+#[test]
+fn two_commands_that_come_together_while_a_db_host_hangs_are_both_answered_before_the_process_can_be_killed()
+{
+    let (mut gateway, primary, _replica) = start();
+    let mut clients: Vec<Client> = (0..4).map(|_| gateway.client()).collect();
+    let told = terminate(&gateway);
+    sleep_until(told + Duration::from_millis(300));
+    clients.iter_mut().for_each(|client| client.write(&[order("hang"), order("hang")].concat()));
+    for client in &mut clients {
+        assert_eq!([client.answer(), client.answer()], [ERROR, ERROR], "{}", gateway.log());
+        assert_eq!(client.answer(), b"", "and the connection ends");
+    }
+    drop(clients);
+    assert!(gateway.wait().success(), "{}", gateway.log());
+    let told = |query: &String| {
+        query.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse::<u32>().unwrap()
+    };
+    let told: Vec<u32> = primary.asked().iter().map(told).collect();
+    assert!(told.len() >= 4 && told[4..].iter().all(|left| *left <= 300), "{told:?}");
+}
+
 /// It is sent elsewhere by its client, which has been told by the end of the connection that it was not read.
 #[test]
 fn a_command_that_comes_when_no_time_is_left_to_answer_it_is_not_read() {
