Log each call to discovery with its end, and tell the version and age of the list

The incident's logs had a line for a watch that ended and its reason, and nothing of which call it was, where it went, how long it had waited, how much of an answer had come and how old the list was by then. Each call, each list and each end is a line now, with the call's number; at most 30 of a kind in 10 s, as all of them count when a list comes too late. Four figures: version and age of the list, calls, calls ended. The reasons are a typed error with the same texts.

--- a/gateway/src/log.rs
+++ b/gateway/src/log.rs
@@ -18,6 +18,9 @@
 
 /// Lines a call site may write within a window, and how long that is.
 const BURST: u32 = 5;
+/// The same for calls to discovery: at most two a second, and each of them counts when a list comes too late.
+const DISCOVERY_BURST: u32 = 30;
+const DISCOVERY_TARGET: &str = "yewroute::net::discovery";
 const WINDOW: Duration = Duration::from_secs(10);
 
 /// The account of one call site.
@@ -30,12 +33,12 @@
 
 impl Account {
     /// Whether a line may be written now; if not, it is counted.
-    fn admit(&mut self, now: Instant) -> bool {
+    fn admit(&mut self, now: Instant, burst: u32) -> bool {
         if self.since.is_none_or(|since| now.saturating_duration_since(since) >= WINDOW) {
             self.since = Some(now);
             self.written = 0;
         }
-        let admitted = self.written < BURST;
+        let admitted = self.written < burst;
         self.written += u32::from(admitted);
         self.suppressed += u64::from(!admitted);
         admitted
@@ -65,7 +68,9 @@
 
     fn event_enabled(&self, event: &Event<'_>, _: &Context<'_, S>) -> bool {
         let mut accounts = self.0 .0.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        accounts.entry(event.metadata().callsite()).or_default().admit(Instant::now())
+        let metadata = event.metadata();
+        let burst = if metadata.target() == DISCOVERY_TARGET { DISCOVERY_BURST } else { BURST };
+        accounts.entry(metadata.callsite()).or_default().admit(Instant::now(), burst)
     }
 }
 
@@ -207,11 +212,11 @@
         let mut account = Account::default();
         let start = Instant::now();
         for _ in 0..BURST {
-            assert!(account.admit(start));
+            assert!(account.admit(start, BURST));
         }
-        assert!(!account.admit(start) && !account.admit(start + WINDOW / 2));
+        assert!(!account.admit(start, BURST) && !account.admit(start + WINDOW / 2, BURST));
         assert_eq!(std::mem::take(&mut account.suppressed), 2);
-        assert!(account.admit(start + WINDOW));
+        assert!(account.admit(start + WINDOW, BURST));
         assert_eq!(account.suppressed, 0);
     }
 
--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -14,12 +14,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use tracing::warn;
+use tracing::{info, warn};
 
 use super::poller::{Poller, Ready};
 use super::Input;
-use crate::proto::catalog::Members;
-use link::{Link, Received};
+use crate::proto::catalog::{Members, State};
+use crate::proto::console::ListFigures;
+use link::{CallEnd, Link, Received};
 pub use schedule::DiscoveryMode;
 use schedule::{Opening, Schedule, CHANGE_TOLD_AFTER};
 
@@ -42,14 +43,17 @@
     schedule: Schedule,
     /// The oldest first.
     links: Vec<Link>,
-    state: State,
+    state: WatchState,
     /// The last list that came.
     heard: Option<Heard>,
+    /// When a list or a whole line of a watch came last; before that, when it began.
+    last_line: Instant,
     opened: u64,
+    ended: u64,
 }
 
 /// What there is of a watch.
-enum State {
+enum WatchState {
     /// The module has not asked for one yet.
     Unasked,
     /// None; calls are made.
@@ -74,12 +78,13 @@
     pub fn new(now: Instant, addr: SocketAddr, manner: DiscoveryMode, seed: u64) -> Self {
         // Where lists are pushed nobody asks for the first one.
         let state = match manner.pushed {
-            true => State::Opening(Schedule::at_once(now, None)),
-            false => State::Unasked,
+            true => WatchState::Opening(Schedule::at_once(now, None)),
+            false => WatchState::Unasked,
         };
         let schedule = Schedule::new(manner, seed);
         let pushed = manner.pushed;
-        Self { addr, pushed, schedule, links: Vec::new(), state, heard: None, opened: 0 }
+        let links = Vec::new();
+        Self { addr, pushed, schedule, links, state, heard: None, last_line: now, opened: 0, ended: 0 }
     }
 
     /// Lists are pushed, and none has come yet.
@@ -87,10 +92,16 @@
         self.pushed && self.heard.is_none()
     }
 
+    /// How the list stands, and the calls for it.
+    pub fn figures(&self, now: Instant, version: u64) -> ListFigures {
+        let age_ms = millis(now, self.last_line);
+        ListFigures { version, age_ms, calls: self.opened, calls_ended: self.ended }
+    }
+
     /// Opens a watch from a version on. One that is open or being opened already is left as it is.
     pub fn watch(&mut self, now: Instant, since: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        if matches!(self.state, State::Unasked) {
-            self.state = State::Opening(Schedule::at_once(now, None));
+        if matches!(self.state, WatchState::Unasked) {
+            self.state = WatchState::Opening(Schedule::at_once(now, None));
             self.tick(now, since, poller, inbox);
         }
     }
@@ -114,7 +125,7 @@
         self.addr = addr;
         self.links.clear();
         self.heard = None;
-        self.state = State::Opening(Schedule::at_once(now, Some(now + CHANGE_TOLD_AFTER_MOVE)));
+        self.state = WatchState::Opening(Schedule::at_once(now, Some(now + CHANGE_TOLD_AFTER_MOVE)));
         self.tick(now, since, poller, inbox);
     }
 
@@ -130,16 +141,16 @@
         let Received { lists, alive, mut end } = self.links[at].ready(event, poller);
         match self.outdated(at, &lists) {
             // The next call is answered with what counts.
-            true => end = Some("an older list than has come since the call".to_owned()),
+            true => end = Some(CallEnd::Outdated),
             false => {
-                self.take(now, lists, inbox);
+                self.take(now, at, lists, inbox);
                 if alive {
                     self.watch_on(now, number);
                 }
             }
         }
         if let Some(why) = end {
-            warn!(why, "watch broken");
+            self.log_end(now, at, &why);
             self.links.retain(|link| link.number != number);
             self.lost(now, number, inbox);
         }
@@ -149,48 +160,80 @@
     fn outdated(&self, at: usize, lists: &[Members]) -> bool {
         let (Some(first), Some(heard)) = (lists.first(), self.heard) else { return false };
         let overtaken = heard.at > self.links[at].called;
-        let is_watch = matches!(&self.state, State::Watching(watch) if watch.number == self.links[at].number);
+        let is_watch =
+            matches!(&self.state, WatchState::Watching(watch) if watch.number == self.links[at].number);
         overtaken
             && !is_watch
             && self.links[..at].iter().any(|link| link.listed)
             && first.version < heard.version
     }
 
-    fn take(&mut self, now: Instant, lists: Vec<Members>, inbox: &mut VecDeque<Input>) {
+    fn take(&mut self, now: Instant, at: usize, lists: Vec<Members>, inbox: &mut VecDeque<Input>) {
         for members in lists {
+            self.log_list(now, &self.links[at], &members);
             self.heard = Some(Heard { at: now, version: members.version });
             inbox.push_back(Input::Members(members));
         }
     }
 
+    fn log_list(&self, now: Instant, link: &Link, members: &Members) {
+        let held = self.heard.map_or(0, |heard| heard.version);
+        info!(
+            call = link.number,
+            version = members.version,
+            held,
+            full = members.full,
+            entries = members.servers.len(),
+            not_ready = members.servers.iter().filter(|member| member.state != State::Ready).count(),
+            after_ms = millis(now, link.called),
+            "list received"
+        );
+    }
+
+    fn log_end(&self, now: Instant, at: usize, why: &CallEnd) {
+        let link = &self.links[at];
+        let list_age_ms = self.heard.map(|heard| millis(now, heard.at));
+        warn!(
+            %why,
+            call = link.number,
+            addr = %link.addr,
+            after_ms = millis(now, link.called),
+            bytes = link.received,
+            listed = link.listed,
+            list_age_ms,
+            "watch broken"
+        );
+    }
+
     /// A connection has brought a line: it is the watch, and those before it are not needed any more.
     fn watch_on(&mut self, now: Instant, number: u64) {
+        self.last_line = now;
         self.links.retain(|link| link.number >= number);
         let overdue = self.schedule.jittered(LINE_OVERDUE_AFTER..2 * LINE_OVERDUE_AFTER);
         let silent_at = now + LINE_INTERVAL + overdue;
-        self.state = State::Watching(Watch { number, last_line: now, silent_at });
+        self.state = WatchState::Watching(Watch { number, last_line: now, silent_at });
     }
 
     /// When [`Discovery::tick`] is due.
     pub fn next(&self) -> Option<Instant> {
         match &self.state {
-            State::Unasked => None,
-            State::Opening(opening) => Some(opening.next),
-            State::Watching(watch) => Some(watch.silent_at),
+            WatchState::Unasked => None,
+            WatchState::Opening(opening) => Some(opening.next),
+            WatchState::Watching(watch) => Some(watch.silent_at),
         }
     }
 
     /// Guards against: a discovery that vanished and says nothing, on a connection that stays open.
     pub fn tick(&mut self, now: Instant, since: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        if let State::Watching(watch) = &self.state {
+        if let WatchState::Watching(watch) = &self.state {
             if watch.silent_at <= now {
                 warn!(why = "silent", "watch broken");
                 let deadline = watch.last_line + CHANGE_TOLD_AFTER;
-                self.state = State::Opening(Schedule::at_once(now, Some(deadline)));
+                self.state = WatchState::Opening(Schedule::at_once(now, Some(deadline)));
                 self.tell_broken(inbox);
             }
         }
-        let State::Opening(opening) = &mut self.state else { return };
+        let WatchState::Opening(opening) = &mut self.state else { return };
         if opening.next > now {
             return;
         }
@@ -210,6 +253,7 @@
             self.make_room(now);
         }
         self.opened += 1;
+        info!(call = self.opened, addr = %self.addr, since, "calling discovery");
         self.links.push(Link::open(now, self.opened, self.addr, since, poller)?);
         Ok(())
     }
@@ -226,13 +270,14 @@
 
     /// A connection has ended, and is no longer among the others.
     fn lost(&mut self, now: Instant, number: u64, inbox: &mut VecDeque<Input>) {
+        self.ended += 1;
         match &mut self.state {
-            State::Watching(watch) if watch.number == number => {
-                self.state = State::Opening(self.schedule.after_end(now));
+            WatchState::Watching(watch) if watch.number == number => {
+                self.state = WatchState::Opening(self.schedule.after_end(now));
                 self.tell_broken(inbox);
             }
-            State::Opening(opening) => self.schedule.failed(now, opening),
-            State::Watching(_) | State::Unasked => {}
+            WatchState::Opening(opening) => self.schedule.failed(now, opening),
+            WatchState::Watching(_) | WatchState::Unasked => {}
         }
     }
 
@@ -243,3 +288,8 @@
         }
     }
 }
+
+/// Whole milliseconds from `earlier` to `now`, for the log.
+fn millis(now: Instant, earlier: Instant) -> u64 {
+    u64::try_from(now.saturating_duration_since(earlier).as_millis()).unwrap_or(u64::MAX)
+}
--- a/gateway/src/net/discovery/link.rs
+++ b/gateway/src/net/discovery/link.rs
@@ -4,11 +4,36 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use thiserror::Error;
+
 use super::super::poller::{Interest, Poller, Ready, Token};
 use super::super::wire::{Taken, Wire, CHUNK};
 use crate::proto::catalog::{Lists, Members, News};
 use crate::proto::http::{self, Lines};
 
+/// Why a call is of no more use. The texts are what operators see as `why`.
+#[derive(Debug, Error)]
+pub enum CallEnd {
+    /// No connection came up.
+    #[error("{0}")]
+    Connect(io::Error),
+    /// The connection broke.
+    #[error("{0}")]
+    Broken(io::Error),
+    /// The answer is no watch: another status, or malformed.
+    #[error(transparent)]
+    Answer(#[from] http::Malformed),
+    /// A line of it is no list.
+    #[error("malformed list: {0}")]
+    List(String),
+    /// Discovery closed the connection.
+    #[error("ended by discovery")]
+    Closed,
+    /// A connection made earlier has brought a newer list meanwhile.
+    #[error("an older list than has come since the call")]
+    Outdated,
+}
+
 /// A connection.
 pub struct Link {
     /// Its number, higher than that of each earlier one.
@@ -19,6 +44,10 @@
     pub listed: bool,
     /// Bytes since its last whole line.
     pub begun: usize,
+    /// Bytes in all.
+    pub received: usize,
+    /// Whom the call was made to.
+    pub addr: SocketAddr,
     wire: Wire,
     lines: Lines,
     lists: Lists,
@@ -33,7 +62,7 @@
     /// A whole line was among it, after the first list.
     pub alive: bool,
     /// Why the connection is of no more use.
-    pub end: Option<String>,
+    pub end: Option<CallEnd>,
 }
 
 impl Link {
@@ -54,6 +83,8 @@
             called: now,
             listed: false,
             begun: 0,
+            received: 0,
+            addr,
             wire,
             lines: Lines::default(),
             lists: Lists::default(),
@@ -64,8 +95,9 @@
     /// Takes what has come.
     pub fn ready(&mut self, event: Ready, poller: &Poller) -> Received {
         let mut received = Received::default();
+        let connecting = !self.connected;
         if let Err(error) = self.connect(event, poller) {
-            received.end = Some(error.to_string());
+            received.end = Some(if connecting { CallEnd::Connect(error) } else { CallEnd::Broken(error) });
             return received;
         }
         self.read()
@@ -103,14 +135,15 @@
         Ok(())
     }
 
-    fn read_into(&mut self, received: &mut Received) -> Result<(), String> {
+    fn read_into(&mut self, received: &mut Received) -> Result<(), CallEnd> {
         let (mut scratch, mut bytes, mut lines) = (vec![0; CHUNK], Vec::new(), Vec::new());
-        let taken = self.wire.read(&mut scratch, &mut bytes).map_err(|e| e.to_string())?;
+        let taken = self.wire.read(&mut scratch, &mut bytes).map_err(CallEnd::Broken)?;
         self.begun += bytes.len();
+        self.received += bytes.len();
         // Guards against: whole lists that are lost with what is malformed behind them.
         let fed = self.lines.feed(&bytes, &mut lines);
         for line in &lines {
-            match self.lists.take(line).map_err(|fault| format!("malformed list: {fault}"))? {
+            match self.lists.take(line).map_err(CallEnd::List)? {
                 News::Part => continue,
                 News::List(members) => {
                     self.listed = true;
@@ -122,9 +155,9 @@
             received.alive |= self.listed;
             self.begun = 0;
         }
-        fed.map_err(|e| e.to_string())?;
+        fed?;
         if taken == Taken::End || self.lines.ended() {
-            return Err("ended by discovery".to_owned());
+            return Err(CallEnd::Closed);
         }
         Ok(())
     }
--- a/gateway/src/net/operations.rs
+++ b/gateway/src/net/operations.rs
@@ -97,6 +97,7 @@
             outstanding: self.core.outstanding(),
             discovered: self.core.directory().held(),
             ejected: self.core.ejected(now),
+            list: self.discovery.figures(now, self.core.directory().version()),
             fleet: {
                 let fleet = self.fleet.iter().flat_map(|fleet| fleet.figures(now));
                 fleet.chain(self.federation.iter().flat_map(|link| link.figures(now))).collect()
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -364,10 +364,24 @@
     pub discovered: usize,
     /// Those of them that are avoided.
     pub ejected: usize,
+    /// The list of db hosts that is held.
+    pub list: ListFigures,
     /// Names and values of the fleet's, none while it is off.
     pub fleet: Vec<(String, u64)>,
 }
 
+/// How the held list of db hosts stands, and the calls for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListFigures {
+    /// Its version.
+    pub version: u64,
+    /// Milliseconds since a list or a whole line of a watch came.
+    pub age_ms: u64,
+    /// Calls to discovery made, and those that ended or whose watch ended.
+    pub calls: u64,
+    pub calls_ended: u64,
+}
+
 /// Appends the figures in the text format that Prometheus reads.
 pub fn put_figures(out: &mut Vec<u8>, figures: &Figures<'_>) {
     let mut body = String::from("# TYPE svc_results counter\n");
@@ -384,6 +398,13 @@
     for (name, value) in [("outstanding", outstanding), ("discovered", discovered), ("ejected", ejected)] {
         let _ = writeln!(body, "# TYPE svc_{name} gauge\nsvc_{name} {value}");
     }
+    let ListFigures { version, age_ms, calls, calls_ended } = figures.list;
+    for (name, value) in [("list_version", version), ("list_age_ms", age_ms)] {
+        let _ = writeln!(body, "# TYPE svc_{name} gauge\nsvc_{name} {value}");
+    }
+    for (name, value) in [("discovery_calls", calls), ("discovery_calls_ended", calls_ended)] {
+        let _ = writeln!(body, "# TYPE svc_{name} counter\nsvc_{name} {value}");
+    }
     let mut kind = "";
     for (name, value) in &figures.fleet {
         let family = name.split('{').next().unwrap_or_default();
@@ -551,6 +572,7 @@
             outstanding: 14,
             discovered: 8,
             ejected: 2,
+            list: ListFigures { version: 41, age_ms: 350, calls: 3, calls_ended: 2 },
             fleet: vec![("svc_fleet_members{state=\"alive\"}".to_owned(), 3)],
         };
         let mut out = Vec::new();
@@ -572,6 +594,10 @@
                 "svc_outstanding 14",
                 "svc_discovered 8",
                 "svc_ejected 2",
+                "svc_list_version 41",
+                "svc_list_age_ms 350",
+                "svc_discovery_calls 3",
+                "svc_discovery_calls_ended 2",
                 r#"svc_fleet_members{state="alive"} 3"#,
             ]
         );
