--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -4,12 +4,13 @@
 #![allow(dead_code)]
 
 pub mod calls;
+pub mod pair;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::rc::Rc;
+
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex};
@@ -96,7 +97,7 @@
     /// Where discovery is at the start.
     pub discovery: SocketAddr,
     config: String,
-    folder: Rc<tempfile::TempDir>,
+    folder: Arc<tempfile::TempDir>,
     /// Where its console is, if it has one.
     pub console: Option<SocketAddr>,
 }
@@ -167,7 +168,7 @@
         if let Some(edge) = edge {
             std::fs::write(folder.path().join("edge.star"), edge).unwrap();
         }
-        let folder = Rc::new(folder);
+        let folder = Arc::new(folder);
         let process = Process::spawn(program, &folder, discovery_addr, edge.is_some(), operated);
         let Process { child, addr, console, log } = process;
         Self { child, addr, news, calls, log, discovery: discovery_addr, config, folder, console }
@@ -178,7 +179,7 @@
         let Process { child, addr, console, log } =
             Process::spawn(Path::new(PROGRAM), &self.folder, self.discovery, false, true);
         let (news, calls) = (self.news.clone(), Arc::clone(&self.calls));
-        let (config, folder) = (self.config.clone(), Rc::clone(&self.folder));
+        let (config, folder) = (self.config.clone(), Arc::clone(&self.folder));
         Self { child, addr, news, calls, log, discovery: self.discovery, config, folder, console }
     }
 
@@ -296,3 +297,12 @@
     };
     format!("{verb} /* id=9b{id},c={class},d={wait_ms},cluster=2{more} */")
 }
+
+/// Plays cases side by side, and names those that failed.
+pub fn side_by_side(cases: &[(&str, fn())]) {
+    let failed: Vec<&str> = thread::scope(|scope| {
+        let threads: Vec<_> = cases.iter().map(|(name, case)| (*name, scope.spawn(case))).collect();
+        threads.into_iter().filter_map(|(name, thread)| thread.join().is_err().then_some(name)).collect()
+    });
+    assert!(failed.is_empty(), "failed: {failed:?}");
+}
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -91,15 +91,6 @@
     }
 }
 
-/// Plays cases side by side, and names those that failed.
-fn side_by_side(cases: &[(&str, fn())]) {
-    let failed: Vec<&str> = thread::scope(|scope| {
-        let threads: Vec<_> = cases.iter().map(|(name, case)| (*name, scope.spawn(case))).collect();
-        threads.into_iter().filter_map(|(name, thread)| thread.join().is_err().then_some(name)).collect()
-    });
-    assert!(failed.is_empty(), "failed: {failed:?}");
-}
-
 fn pushed() -> String {
     SETTINGS.replace("\"subscribe\"", "\"automatic\"")
 }
