--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -28,7 +28,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use yewroute::interface::{Action, Event, RequestId, Role, ServerId, SettingsError, Stand, Status};
+use yewroute::interface::{
+    Action, Event, ListObservation, RequestId, Role, ServerId, SettingsError, Stand, Status,
+};
 use yewroute::Router;
 use yewroute_federation::bridge::Shared;
 use yewroute_federation::permit::Permit;
@@ -167,6 +169,8 @@
     Members(Members),
     /// The watch could not be opened, or it broke.
     WatchBroken,
+    /// Something else was observed of discovery.
+    ListObserved(ListObservation),
     /// A client's request could not be read; it has been told so.
     Unreadable,
     /// An attempt's value has begun that is too long to be held: its first bytes, in the form of its connection.
@@ -383,6 +387,7 @@
             Input::Probed(server, ended) => self.book_probe(now, server, &ended, effects),
             Input::Members(members) => self.book_members(now, members, effects),
             Input::WatchBroken => self.book_broken_watch(now, effects),
+            Input::ListObserved(observation) => self.route(now, Event::ListObserved(observation), effects),
             Input::Began(attempt, bytes) => self.begin_value(now, attempt, bytes, effects),
             Input::Part(attempt, bytes) => self.pass_on(attempt, bytes, effects),
             Input::Full(client) => self.throttle(client, true, effects),
@@ -412,6 +417,21 @@
         &self.directory
     }
 
+    /// Whether requests may be sent by the list as it is held.
+    pub fn list_is_current(&self, now: Instant) -> bool {
+        self.router.list_is_current(now)
+    }
+
+    /// Until when they may, as things stand; none before anything has been observed of discovery.
+    pub fn list_expires(&self) -> Option<Instant> {
+        self.router.list_expires()
+    }
+
+    /// Requests that were refused or failed while they might not.
+    pub fn refused_without_list(&self) -> u64 {
+        self.router.refused_without_list()
+    }
+
     /// How many requests ended how.
     pub fn tally(&self) -> &Tally {
         &self.tally
--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -1,7 +1,8 @@
 //! The watch on discovery's list, and the clock by which one that says nothing is opened anew.
 //!
 //! What a watch misses counts as told a fixed time after it fell silent, whether or not it came. So silence is seen as
-//! soon as a line is overdue, and calls follow each other until one of them brings a list ([`schedule`] says when). A
+//! soon as a line is overdue, and calls follow each other until one of them brings a list ([`schedule`] says when). The
+//! module is told what is observed here, and decides how long the held list may be routed by. A
 //! call that brings nothing is not closed for that, as discovery handles calls in turn, and a long list takes its time.
 //! The first list of a call makes it the watch; earlier connections are closed then. Later calls stay open, as what
 //! discovery has written on them counts as told too.
@@ -15,6 +16,7 @@
 use std::time::{Duration, Instant};
 
 use tracing::{info, warn};
+use yewroute::interface::ListObservation;
 
 use super::poller::{Poller, Ready};
 use super::Input;
@@ -22,14 +24,14 @@
 use crate::proto::console::ListFigures;
 use link::{CallEnd, Link, Received};
 pub use schedule::DiscoveryMode;
-use schedule::{Opening, Schedule, CHANGE_TOLD_AFTER};
+use schedule::{Opening, Schedule, Urgency};
 
 /// As long as nothing changes, an empty line comes this often (protocol page, "Discovery").
 const LINE_INTERVAL: Duration = Duration::from_secs(2);
 /// A line is overdue this much later, and up to twice as much, so that many gateways do not ask in step.
 const LINE_OVERDUE_AFTER: Duration = Duration::from_millis(300);
-/// After SIGHUP the list of another discovery counts as told so much later.
-const CHANGE_TOLD_AFTER_MOVE: Duration = Duration::from_secs(4);
+/// How often calls without an answer are looked at.
+const WAITING_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Connections open at a time: the silent watch and three calls.
 const MAX_CONNECTIONS: usize = 4;
 /// The oldest call is kept for so long, however many follow it. Guards against: a slow discovery, each call of which is
@@ -48,6 +50,10 @@
     heard: Option<Heard>,
     /// When a list or a whole line of a watch came last; before that, when it began.
     last_line: Instant,
+    /// When calls that wait are looked at next.
+    check_at: Instant,
+    /// The present expiry of the lease has been logged.
+    expiry_logged: bool,
     opened: u64,
     ended: u64,
 }
@@ -64,10 +70,26 @@
 
 struct Watch {
     number: u64,
-    last_line: Instant,
     silent_at: Instant,
 }
 
+/// What the connections to discovery need of the gateway for a moment.
+pub struct DiscoveryContext<'a> {
+    pub now: Instant,
+    pub poller: &'a Poller,
+    pub inbox: &'a mut VecDeque<Input>,
+    /// The version of the held list.
+    pub version: u64,
+    /// When its lease expires.
+    pub expires: Instant,
+}
+
+impl DiscoveryContext<'_> {
+    fn observe(&mut self, observation: ListObservation) {
+        self.inbox.push_back(Input::ListObserved(observation));
+    }
+}
+
 #[derive(Clone, Copy)]
 struct Heard {
     at: Instant,
@@ -75,16 +97,25 @@
 }
 
 impl Discovery {
-    pub fn new(now: Instant, addr: SocketAddr, manner: DiscoveryMode, seed: u64) -> Self {
+    pub fn new(now: Instant, addr: SocketAddr, mode: DiscoveryMode, seed: u64) -> Self {
         // Where lists are pushed nobody asks for the first one.
-        let state = match manner.pushed {
-            true => WatchState::Opening(Schedule::at_once(now, None)),
+        let state = match mode.pushed {
+            true => WatchState::Opening(Schedule::at_once(now, Urgency::Steady)),
             false => WatchState::Unasked,
         };
-        let schedule = Schedule::new(manner, seed);
-        let pushed = manner.pushed;
-        let links = Vec::new();
-        Self { addr, pushed, schedule, links, state, heard: None, last_line: now, opened: 0, ended: 0 }
+        Self {
+            addr,
+            pushed: mode.pushed,
+            schedule: Schedule::new(mode, seed),
+            links: Vec::new(),
+            state,
+            heard: None,
+            last_line: now,
+            check_at: now,
+            expiry_logged: false,
+            opened: 0,
+            ended: 0,
+        }
     }
 
     /// Lists are pushed, and none has come yet.
@@ -94,65 +125,63 @@
 
     /// How the list stands, and the calls for it.
     pub fn figures(&self, now: Instant, version: u64) -> ListFigures {
-        let age_ms = millis(now, self.last_line);
-        ListFigures { version, age_ms, calls: self.opened, calls_ended: self.ended }
+        ListFigures {
+            version,
+            age_ms: millis(now, self.last_line),
+            calls: self.opened,
+            calls_ended: self.ended,
+            ..ListFigures::default()
+        }
     }
 
-    /// Opens a watch from a version on. One that is open or being opened already is left as it is.
-    pub fn watch(&mut self, now: Instant, since: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
+    /// Opens a watch. One that is open or being opened already is left as it is.
+    pub fn watch(&mut self, context: &mut DiscoveryContext) {
         if matches!(self.state, WatchState::Unasked) {
-            self.state = WatchState::Opening(Schedule::at_once(now, None));
-            self.tick(now, since, poller, inbox);
+            self.state = WatchState::Opening(Schedule::at_once(context.now, Urgency::Steady));
+            self.tick(context);
         }
     }
 
     /// Goes on at another address, at once; at the same one the watch stays as it is.
-    pub fn move_to(
-        &mut self,
-        now: Instant,
-        addr: SocketAddr,
-        since: u64,
-        poller: &Poller,
-        inbox: &mut VecDeque<Input>,
-    ) {
+    pub fn move_to(&mut self, addr: SocketAddr, context: &mut DiscoveryContext) {
         if self.addr == addr {
             return;
         }
         // Guards against: news that the old one has written, and that are closed unread.
         for link in &mut self.links {
-            inbox.extend(link.read_rest().into_iter().map(Input::Members));
+            context.inbox.extend(link.read_rest(context.now).into_iter().map(Input::Members));
         }
         self.addr = addr;
         self.links.clear();
         self.heard = None;
-        self.state = WatchState::Opening(Schedule::at_once(now, Some(now + CHANGE_TOLD_AFTER_MOVE)));
-        self.tick(now, since, poller, inbox);
+        self.state = WatchState::Opening(Schedule::at_once(context.now, Urgency::Failed));
+        context.observe(ListObservation::Moved);
+        self.tick(context);
     }
 
-    pub fn ready(
-        &mut self,
-        now: Instant,
-        number: u64,
-        event: Ready,
-        poller: &Poller,
-        inbox: &mut VecDeque<Input>,
-    ) {
+    pub fn ready(&mut self, number: u64, event: Ready, context: &mut DiscoveryContext) {
+        let now = context.now;
         let Some(at) = self.links.iter().position(|link| link.number == number) else { return };
-        let Received { lists, alive, mut end } = self.links[at].ready(event, poller);
-        match self.outdated(at, &lists) {
+        let Received { lists, line_began, answer_begun, mut end } =
+            self.links[at].ready(now, event, context.poller);
+        let observed_at_end = end.as_ref().and_then(|end| self.links[at].observed_at_end(now, end));
+        if answer_begun && observed_at_end.is_none() {
+            context.observe(ListObservation::AnswerBegun);
+        }
+        if self.outdated(at, &lists) {
             // The next call is answered with what counts.
-            true => end = Some(CallEnd::Outdated),
-            false => {
-                self.take(now, at, lists, inbox);
-                if alive {
-                    self.watch_on(now, number);
-                }
+            end = Some(CallEnd::Outdated);
+        } else {
+            self.take(at, lists, context);
+            if let Some(at) = line_began {
+                context.observe(ListObservation::Current { at });
+                self.watch_on(now, number);
             }
         }
         if let Some(why) = end {
-            self.log_end(now, at, &why);
-            self.links.retain(|link| link.number != number);
-            self.lost(now, number, inbox);
+            self.log_end(now, number, &why);
+            observed_at_end.into_iter().for_each(|observed| context.observe(observed));
+            self.lost(number, context);
         }
     }
 
@@ -168,11 +197,11 @@
             && first.version < heard.version
     }
 
-    fn take(&mut self, now: Instant, at: usize, lists: Vec<Members>, inbox: &mut VecDeque<Input>) {
+    fn take(&mut self, at: usize, lists: Vec<Members>, context: &mut DiscoveryContext) {
         for members in lists {
-            self.log_list(now, &self.links[at], &members);
-            self.heard = Some(Heard { at: now, version: members.version });
-            inbox.push_back(Input::Members(members));
+            self.log_list(context.now, &self.links[at], &members);
+            self.heard = Some(Heard { at: context.now, version: members.version });
+            context.inbox.push_back(Input::Members(members));
         }
     }
 
@@ -190,8 +219,8 @@
         );
     }
 
-    fn log_end(&self, now: Instant, at: usize, why: &CallEnd) {
-        let link = &self.links[at];
+    fn log_end(&self, now: Instant, number: u64, why: &CallEnd) {
+        let Some(link) = self.links.iter().find(|link| link.number == number) else { return };
         let list_age_ms = self.heard.map(|heard| millis(now, heard.at));
         warn!(
             %why,
@@ -211,50 +240,72 @@
         self.links.retain(|link| link.number >= number);
         let overdue = self.schedule.jittered(LINE_OVERDUE_AFTER..2 * LINE_OVERDUE_AFTER);
         let silent_at = now + LINE_INTERVAL + overdue;
-        self.state = WatchState::Watching(Watch { number, last_line: now, silent_at });
+        self.state = WatchState::Watching(Watch { number, silent_at });
     }
 
     /// When [`Discovery::tick`] is due.
     pub fn next(&self) -> Option<Instant> {
         match &self.state {
             WatchState::Unasked => None,
-            WatchState::Opening(opening) => Some(opening.next),
+            WatchState::Opening(opening) => Some(opening.next.min(self.check_at)),
             WatchState::Watching(watch) => Some(watch.silent_at),
         }
     }
 
-    /// Guards against: a discovery that vanished and says nothing, on a connection that stays open.
-    pub fn tick(&mut self, now: Instant, since: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        if let WatchState::Watching(watch) = &self.state {
-            if watch.silent_at <= now {
-                warn!(why = "silent", "watch broken");
-                let deadline = watch.last_line + CHANGE_TOLD_AFTER;
-                self.state = WatchState::Opening(Schedule::at_once(now, Some(deadline)));
-                self.tell_broken(inbox);
-            }
-        }
+    pub fn tick(&mut self, context: &mut DiscoveryContext) {
+        let now = context.now;
+        self.give_up_silent_watch(context);
+        self.check_waiting_calls(context);
         let WatchState::Opening(opening) = &mut self.state else { return };
         if opening.next > now {
             return;
         }
-        if opening.deadline.is_some_and(|deadline| deadline <= now) {
-            warn!(why = "no list in time", "watch broken");
-            opening.forget_deadline();
-        }
-        self.schedule.called(now, opening);
-        if let Err(error) = self.call(now, since, poller) {
+        self.schedule.called(now, opening, context.expires);
+        self.log_expiry(context);
+        if let Err(error) = self.call(context) {
             warn!(why = %error, "watch broken");
-            self.lost(now, self.opened, inbox);
+            self.lost(self.opened, context);
+        }
+    }
+
+    fn check_waiting_calls(&mut self, context: &mut DiscoveryContext) {
+        let now = context.now;
+        if self.check_at > now || matches!(self.state, WatchState::Watching(_)) {
+            return;
+        }
+        self.check_at = now + WAITING_CHECK_INTERVAL;
+        for observed in self.links.iter().filter_map(|link| link.waited(now)) {
+            context.observe(observed);
+        }
+    }
+
+    /// Guards against: a discovery that vanished and says nothing, on a connection that stays open.
+    fn give_up_silent_watch(&mut self, context: &mut DiscoveryContext) {
+        let WatchState::Watching(watch) = &self.state else { return };
+        if watch.silent_at <= context.now {
+            warn!(why = "silent", "watch broken");
+            self.state = WatchState::Opening(Schedule::at_once(context.now, Urgency::Failed));
+            self.tell_broken(context);
+        }
+    }
+
+    /// Says once that no call has brought a list before the lease expired.
+    fn log_expiry(&mut self, context: &DiscoveryContext) {
+        let expired = context.expires <= context.now;
+        if expired && !self.expiry_logged {
+            warn!(why = "no list in time", list_age_ms = millis(context.now, self.last_line), "watch broken");
         }
+        self.expiry_logged = expired;
     }
 
-    fn call(&mut self, now: Instant, since: u64, poller: &Poller) -> io::Result<()> {
+    fn call(&mut self, context: &DiscoveryContext) -> io::Result<()> {
         if self.links.len() >= MAX_CONNECTIONS {
-            self.make_room(now);
+            self.make_room(context.now);
         }
         self.opened += 1;
+        let since = context.version;
         info!(call = self.opened, addr = %self.addr, since, "calling discovery");
-        self.links.push(Link::open(now, self.opened, self.addr, since, poller)?);
+        self.links.push(Link::open(context.now, self.opened, self.addr, since, context.poller)?);
         Ok(())
     }
 
@@ -268,23 +319,28 @@
         least.map(|at| self.links.remove(at));
     }
 
-    /// A connection has ended, and is no longer among the others.
-    fn lost(&mut self, now: Instant, number: u64, inbox: &mut VecDeque<Input>) {
+    /// A connection has ended.
+    fn lost(&mut self, number: u64, context: &mut DiscoveryContext) {
+        let now = context.now;
+        let line_began =
+            self.links.iter().find(|link| link.number == number).and_then(|link| link.line_began);
+        self.links.retain(|link| link.number != number);
         self.ended += 1;
         match &mut self.state {
             WatchState::Watching(watch) if watch.number == number => {
                 self.state = WatchState::Opening(self.schedule.after_end(now));
-                self.tell_broken(inbox);
+                context.observe(ListObservation::WatchEnded { at: line_began.unwrap_or(now) });
+                self.tell_broken(context);
             }
-            WatchState::Opening(opening) => self.schedule.failed(now, opening),
+            WatchState::Opening(opening) => self.schedule.failed(now, opening, context.expires),
             WatchState::Watching(_) | WatchState::Unasked => {}
         }
     }
 
     /// The module learns that its watch broke; when it asks for another one, that is open or being opened.
-    fn tell_broken(&self, inbox: &mut VecDeque<Input>) {
+    fn tell_broken(&self, context: &mut DiscoveryContext) {
         if !self.pushed {
-            inbox.push_back(Input::WatchBroken);
+            context.inbox.push_back(Input::WatchBroken);
         }
     }
 }
--- a/gateway/src/net/discovery/link.rs
+++ b/gateway/src/net/discovery/link.rs
@@ -2,15 +2,21 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use thiserror::Error;
+use yewroute::interface::ListObservation;
 
 use super::super::poller::{Interest, Poller, Ready, Token};
 use super::super::wire::{Taken, Wire, CHUNK};
 use crate::proto::catalog::{Lists, Members, News};
 use crate::proto::http::{self, Lines};
 
+/// A connection that is not up by then does not come up, for all that is known.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Discovery turns calls away within this time if it does so by itself; a call that waits for it fails after 2 s.
+const PROMPT_ANSWER: Duration = Duration::from_millis(1_500);
+
 /// Why a call is of no more use. The texts are what operators see as `why`.
 #[derive(Debug, Error)]
 pub enum CallEnd {
@@ -44,8 +50,11 @@
     pub listed: bool,
     /// Bytes since its last whole line.
     pub begun: usize,
+    /// When the first bytes of the line that is coming were read; none between lines.
+    pub line_began: Option<Instant>,
     /// Bytes in all.
     pub received: usize,
+
     /// Whom the call was made to.
     pub addr: SocketAddr,
     wire: Wire,
@@ -59,8 +68,10 @@
 pub struct Received {
     /// Lists, in order; those before a fault as well, since what has been written counts.
     pub lists: Vec<Members>,
-    /// A whole line was among it, after the first list.
-    pub alive: bool,
+    /// When the last whole line among it had begun to come, after the first list.
+    pub line_began: Option<Instant>,
+    /// These were the first bytes of the answer.
+    pub answer_begun: bool,
     /// Why the connection is of no more use.
     pub end: Option<CallEnd>,
 }
@@ -83,6 +94,7 @@
             called: now,
             listed: false,
             begun: 0,
+            line_began: None,
             received: 0,
             addr,
             wire,
@@ -93,23 +105,44 @@
     }
 
     /// Takes what has come.
-    pub fn ready(&mut self, event: Ready, poller: &Poller) -> Received {
+    pub fn ready(&mut self, now: Instant, event: Ready, poller: &Poller) -> Received {
         let mut received = Received::default();
         let connecting = !self.connected;
         if let Err(error) = self.connect(event, poller) {
             received.end = Some(if connecting { CallEnd::Connect(error) } else { CallEnd::Broken(error) });
             return received;
         }
-        self.read()
+        self.read(now)
+    }
+
+    /// What a call that has waited for so long without an answer tells of discovery.
+    pub fn waited(&self, now: Instant) -> Option<ListObservation> {
+        let waited = now.saturating_duration_since(self.called);
+        if self.received > 0 || waited < CONNECT_TIMEOUT {
+            return None;
+        }
+        Some(if self.connected { ListObservation::Unanswered } else { ListObservation::Unreachable })
+    }
+
+    /// What the end of the call tells of discovery. An answer that came late and turns the call away may be that of a proxy
+    /// or of a queue that leads nowhere.
+    pub fn observed_at_end(&self, now: Instant, end: &CallEnd) -> Option<ListObservation> {
+        let prompt = now.saturating_duration_since(self.called) < PROMPT_ANSWER;
+        match end {
+            CallEnd::Connect(_) => Some(ListObservation::Unreachable),
+            CallEnd::Answer(http::Malformed::Status(_)) if !prompt => Some(ListObservation::Unanswered),
+            CallEnd::Broken(_) | CallEnd::Closed if self.received == 0 => Some(ListObservation::Unanswered),
+            _ => None,
+        }
     }
 
     /// Reads all that has come so far, for the last time.
-    pub fn read_rest(&mut self) -> Vec<Members> {
+    pub fn read_rest(&mut self, now: Instant) -> Vec<Members> {
         let mut lists = Vec::new();
         for _ in 0..Lists::LONGEST / CHUNK {
             let before = self.begun;
-            let received = self.read();
-            let progress = received.alive || self.begun > before;
+            let received = self.read(now);
+            let progress = received.line_began.is_some() || self.begun > before;
             lists.extend(received.lists);
             if received.end.is_some() || !progress {
                 break;
@@ -118,9 +151,9 @@
         lists
     }
 
-    fn read(&mut self) -> Received {
+    fn read(&mut self, now: Instant) -> Received {
         let mut received = Received::default();
-        received.end = self.read_into(&mut received).err();
+        received.end = self.read_into(now, &mut received).err();
         received
     }
 
@@ -135,9 +168,13 @@
         Ok(())
     }
 
-    fn read_into(&mut self, received: &mut Received) -> Result<(), CallEnd> {
+    fn read_into(&mut self, now: Instant, received: &mut Received) -> Result<(), CallEnd> {
         let (mut scratch, mut bytes, mut lines) = (vec![0; CHUNK], Vec::new(), Vec::new());
         let taken = self.wire.read(&mut scratch, &mut bytes).map_err(CallEnd::Broken)?;
+        received.answer_begun = self.received == 0 && !bytes.is_empty();
+        if !bytes.is_empty() {
+            self.line_began.get_or_insert(now);
+        }
         self.begun += bytes.len();
         self.received += bytes.len();
         // Guards against: whole lists that are lost with what is malformed behind them.
@@ -152,9 +189,17 @@
                 News::Empty => {}
             }
             // The first line of a watch holds what was missed before: until then it has brought nothing.
-            received.alive |= self.listed;
+            let began = self.line_began.take().unwrap_or(now);
+            if self.listed {
+                received.line_began = Some(began);
+            }
             self.begun = 0;
         }
+        if self.listed && self.lines.between_lines() && self.lists.between_lists() {
+            self.line_began = None;
+        } else if !bytes.is_empty() {
+            self.line_began.get_or_insert(now);
+        }
         fed?;
         if taken == Taken::End || self.lines.ended() {
             return Err(CallEnd::Closed);
--- a/gateway/src/net/discovery/schedule/tests.rs
+++ b/gateway/src/net/discovery/schedule/tests.rs
@@ -8,15 +8,16 @@
     start: Instant,
     mut opening: Opening,
     fail: bool,
+    expires: Instant,
     within: Duration,
 ) -> Vec<Duration> {
     let mut made = Vec::new();
     while opening.next < start + within {
         let now = opening.next;
         made.push(now - start);
-        schedule.called(now, &mut opening);
+        schedule.called(now, &mut opening, expires);
         if fail {
-            schedule.failed(now, &mut opening);
+            schedule.failed(now, &mut opening, expires);
         }
     }
     made
@@ -33,11 +34,13 @@
     let (start, hour) = (Instant::now(), Duration::from_secs(3600));
     for seed in 0..20 {
         let mut schedule = Schedule::new(ASKED, seed);
-        let failing = calls(&mut schedule, start, Schedule::at_once(start, None), true, hour);
+        let failing =
+            calls(&mut schedule, start, Schedule::at_once(start, Urgency::Steady), true, start, hour);
         let (least, most) = between(&failing);
         assert!(least >= Duration::from_secs(1) && most <= Duration::from_secs(3), "{least:?} {most:?}");
         let mut schedule = Schedule::new(ASKED, seed);
-        let waiting = calls(&mut schedule, start, Schedule::at_once(start, None), false, hour);
+        let waiting =
+            calls(&mut schedule, start, Schedule::at_once(start, Urgency::Steady), false, start, hour);
         let (least, most) = between(&waiting);
         assert!(
             least >= Duration::from_millis(2_100) && most <= Duration::from_millis(2_400),
@@ -53,8 +56,8 @@
         let seen = Instant::now();
         let left = Duration::from_millis(3_400);
         let mut schedule = Schedule::new(ASKED, seed);
-        let opening = Schedule::at_once(seen, Some(seen + left));
-        let made = calls(&mut schedule, seen, opening, false, left);
+        let opening = Schedule::at_once(seen, Urgency::Failed);
+        let made = calls(&mut schedule, seen, opening, false, seen + left, left);
         assert!(
             made[1] <= Duration::from_millis(2_150) && made[2] <= Duration::from_millis(2_700),
             "{made:?}"
@@ -83,7 +86,8 @@
     let start = Instant::now();
     let manner = DiscoveryMode { pushed: false, must_ask_in: Duration::from_secs(3) };
     let mut schedule = Schedule::new(manner, 1);
-    let made = calls(&mut schedule, start, Schedule::at_once(start, None), false, Duration::from_secs(30));
+    let opening = Schedule::at_once(start, Urgency::Steady);
+    let made = calls(&mut schedule, start, opening, false, start, Duration::from_secs(30));
     assert_eq!(between(&made).1, Duration::from_secs(1));
 }
 
@@ -113,7 +117,7 @@
     let start = Instant::now();
     let mut queue = Queue { service, free_at: start };
     let mut waiting: Vec<_> = (0..gateways)
-        .map(|seed| (Schedule::new(ASKED, seed), Schedule::at_once(start, None), None::<Instant>))
+        .map(|seed| (Schedule::new(ASKED, seed), Schedule::at_once(start, Urgency::Steady), None::<Instant>))
         .collect();
     let mut now = start;
     while !waiting.is_empty() {
@@ -124,10 +128,10 @@
                 return false;
             }
             if opening.next <= now {
-                schedule.called(now, opening);
+                schedule.called(now, opening, start);
                 let answered = queue.call(now);
                 if answered.is_none() {
-                    schedule.failed(now, opening);
+                    schedule.failed(now, opening, start);
                 }
                 *answer = answer.or(answered);
             }
@@ -150,3 +154,15 @@
         );
     }
 }
+
+#[test]
+fn calls_go_on_at_least_once_a_second_once_the_lease_has_expired() {
+    let start = Instant::now();
+    for (seed, fail) in [(1, false), (2, false), (3, true), (4, true)] {
+        let mut schedule = Schedule::new(ASKED, seed);
+        let opening = Schedule::at_once(start, Urgency::Failed);
+        let made = calls(&mut schedule, start, opening, fail, start, Duration::from_secs(60));
+        let (least, most) = between(&made);
+        assert!(least >= MIN_CALL_INTERVAL && most <= Duration::from_secs(1), "{least:?} {most:?}");
+    }
+}
--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -120,7 +120,7 @@
         let Some(job) = self.jobs.get(&id) else { return false };
         let fits = match id {
             JobId::Attempt(attempt) => a.core.may_begin(a.now, attempt),
-            JobId::Probe(_) => true,
+            JobId::Probe(_) => a.core.list_is_current(a.now),
         };
         fits && !job.is_over(a.now) && !job.leave.over()
     }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -27,7 +27,7 @@
 use std::time::Instant;
 
 use thiserror::Error;
-use tracing::info;
+use tracing::{info, warn};
 use yewroute::interface::SettingsError;
 use yewroute_federation::bridge::Wish;
 use yewroute_lifecycle::{Lifecycle, Means};
@@ -38,7 +38,7 @@
 use crate::proto::pg::request::Body;
 use clients::{Admission, Clients};
 use console::Console;
-use discovery::Discovery;
+use discovery::{Discovery, DiscoveryContext};
 use federation::FederationLink;
 use fleet::FleetLink;
 use handover::Handover;
@@ -110,6 +110,8 @@
     means: Means,
     /// When they are looked at again.
     share_at: Option<Instant>,
+    /// The lease of the list has expired, and this has been logged.
+    list_expired: bool,
     /// Descriptors of the console.
     console_share: usize,
     /// As they were at the start; they stay so.
@@ -180,7 +182,8 @@
                 }
             }
             Token::Watch(number) => {
-                self.discovery.ready(now, number, event, &self.poller, &mut self.inbox);
+                let (discovery, mut context) = self.discovery(now);
+                discovery.ready(number, event, &mut context);
             }
             Token::Client(number) => {
                 self.clients.ready(now, number, event, &self.poller, &mut self.inbox);
@@ -202,8 +205,8 @@
         let (hosts, mut around) = self.hosts(now);
         hosts.tick(&mut around);
         self.clients.tick(now, &self.poller, &mut self.inbox);
-        let since = self.core.directory().version();
-        self.discovery.tick(now, since, &self.poller, &mut self.inbox);
+        let (discovery, mut context) = self.discovery(now);
+        discovery.tick(&mut context);
         // What has come counts before what is overdue.
         self.settle(now);
         self.core.tick(now, &mut self.effects);
@@ -219,6 +222,22 @@
         }
         self.federate(now);
         self.attend(now);
+        self.log_list_lease(now);
+    }
+
+    /// Says when requests begin and cease to wait for a list.
+    fn log_list_lease(&mut self, now: Instant) {
+        let expired = !self.core.list_is_current(now);
+        if expired == self.list_expired {
+            return;
+        }
+        self.list_expired = expired;
+        let version = self.core.directory().version();
+        let waiting = self.core.outstanding();
+        match expired {
+            true => warn!(version, waiting, "list lease expired: nothing is sent until a list comes"),
+            false => info!(version, refused = self.core.refused_without_list(), "list lease renewed"),
+        }
     }
 
     /// Tells the federation's tasks what there is, and does what they want.
@@ -309,10 +328,24 @@
             Effect::Answer(client, answer) => {
                 self.clients.answer(now, client, answer, &self.poller, &mut self.inbox);
             }
-            Effect::Watch(since) => self.discovery.watch(now, since, &self.poller, &mut self.inbox),
+            Effect::Watch(version) => {
+                let (discovery, context) = self.discovery(now);
+                discovery.watch(&mut DiscoveryContext { version, ..context });
+            }
         }
     }
 
+    fn discovery(&mut self, now: Instant) -> (&mut Discovery, DiscoveryContext<'_>) {
+        let context = DiscoveryContext {
+            now,
+            poller: &self.poller,
+            inbox: &mut self.inbox,
+            version: self.core.directory().version(),
+            expires: self.core.list_expires().unwrap_or(now),
+        };
+        (&mut self.discovery, context)
+    }
+
     fn hosts(&mut self, now: Instant) -> (&mut Hosts, HostsContext<'_>) {
         let around = HostsContext { now, poller: &self.poller, core: &self.core, inbox: &mut self.inbox };
         (&mut self.hosts, around)
--- a/gateway/src/net/operations.rs
+++ b/gateway/src/net/operations.rs
@@ -8,7 +8,7 @@
 
 use super::{console, Gateway};
 use crate::core::Results;
-use crate::proto::console::{self as calls, Call, Figures};
+use crate::proto::console::{self as calls, Call, Figures, ListFigures};
 
 impl Gateway {
     /// Reads the console's callers, those that wait to be taken if `number` is the listener's, and answers calls.
@@ -84,6 +84,15 @@
         self.attend(now);
     }
 
+    fn list_figures(&self, now: Instant) -> ListFigures {
+        let left = self.core.list_expires().map(|expires| expires.saturating_duration_since(now));
+        ListFigures {
+            lease_ms: left.map_or(0, |left| u64::try_from(left.as_millis()).unwrap_or(u64::MAX)),
+            refused: self.core.refused_without_list(),
+            ..self.discovery.figures(now, self.core.directory().version())
+        }
+    }
+
     fn figures(&self, now: Instant) -> Figures<'_> {
         let names = self.core.deployment().class_names.iter().map(String::as_str);
         let tally = self.core.tally();
@@ -97,7 +106,7 @@
             outstanding: self.core.outstanding(),
             discovered: self.core.directory().held(),
             ejected: self.core.ejected(now),
-            list: self.discovery.figures(now, self.core.directory().version()),
+            list: self.list_figures(now),
             fleet: {
                 let fleet = self.fleet.iter().flat_map(|fleet| fleet.figures(now));
                 fleet.chain(self.federation.iter().flat_map(|link| link.figures(now))).collect()
--- a/gateway/src/net/reload.rs
+++ b/gateway/src/net/reload.rs
@@ -46,7 +46,7 @@
         if !same {
             warn!("SIGHUP: what the operator's file says of the fleet and of its first table counts from the next start");
         }
-        let since = self.core.directory().version();
-        self.discovery.move_to(now, config.discovery, since, &self.poller, &mut self.inbox);
+        let (discovery, mut context) = self.discovery(now);
+        discovery.move_to(config.discovery, &mut context);
     }
 }
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use tracing::info;
+use yewroute::interface::ListObservation;
 use yewroute_edge::Edge;
 use yewroute_federation::bridge::Reader;
 use yewroute_lifecycle::{Lifecycle, Means};
@@ -22,7 +23,7 @@
 use super::listener;
 use super::poller::{Interest, Poller, Token};
 use super::signals::Signals;
-use super::{Gateway, RunError, RESERVED_DESCRIPTORS};
+use super::{Gateway, Input, RunError, RESERVED_DESCRIPTORS};
 use crate::clock::Clock;
 use crate::config::{against, Budgets, Config};
 use crate::core::{Core, Known, Near};
@@ -164,6 +165,7 @@
             Known { members: std::mem::take(&mut config.known), near },
             &mut effects,
         )?;
+        core.handle(now, Input::ListObserved(ListObservation::Began), &mut effects);
         if let Some(console) = &console {
             info!(addr = %console.addr()?, "console listening");
         }
@@ -194,6 +196,7 @@
             life: Lifecycle::new(longest_deadline),
             handover,
             awaiting: Some(awaiting),
+            list_expired: false,
             limits,
             means: limits,
             share_at: None,
--- a/gateway/src/proto/catalog.rs
+++ b/gateway/src/proto/catalog.rs
@@ -84,6 +84,11 @@
     /// The longest list.
     pub const LONGEST: usize = 4 * 1024 * 1024;
 
+    /// Nothing of a further list has come.
+    pub fn between_lists(&self) -> bool {
+        self.text.is_empty()
+    }
+
     /// Takes a line without its end.
     ///
     /// # Errors
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -377,6 +377,10 @@
     pub version: u64,
     /// Milliseconds since a list or a whole line of a watch came.
     pub age_ms: u64,
+    /// Milliseconds until its lease expires; 0 while nothing is sent for want of a list.
+    pub lease_ms: u64,
+    /// Requests refused or failed while the lease had expired.
+    pub refused: u64,
     /// Calls to discovery made, and those that ended or whose watch ended.
     pub calls: u64,
     pub calls_ended: u64,
@@ -398,11 +402,16 @@
     for (name, value) in [("outstanding", outstanding), ("discovered", discovered), ("ejected", ejected)] {
         let _ = writeln!(body, "# TYPE svc_{name} gauge\nsvc_{name} {value}");
     }
-    let ListFigures { version, age_ms, calls, calls_ended } = figures.list;
-    for (name, value) in [("list_version", version), ("list_age_ms", age_ms)] {
+    let ListFigures { version, age_ms, lease_ms, refused, calls, calls_ended } = figures.list;
+    for (name, value) in [("list_version", version), ("list_age_ms", age_ms), ("list_lease_ms", lease_ms)] {
         let _ = writeln!(body, "# TYPE svc_{name} gauge\nsvc_{name} {value}");
     }
-    for (name, value) in [("discovery_calls", calls), ("discovery_calls_ended", calls_ended)] {
+    let counters = [
+        ("refused_without_list", refused),
+        ("discovery_calls", calls),
+        ("discovery_calls_ended", calls_ended),
+    ];
+    for (name, value) in counters {
         let _ = writeln!(body, "# TYPE svc_{name} counter\nsvc_{name} {value}");
     }
     let mut kind = "";
@@ -572,7 +581,14 @@
             outstanding: 14,
             discovered: 8,
             ejected: 2,
-            list: ListFigures { version: 41, age_ms: 350, calls: 3, calls_ended: 2 },
+            list: ListFigures {
+                version: 41,
+                age_ms: 350,
+                lease_ms: 5650,
+                refused: 6,
+                calls: 3,
+                calls_ended: 2,
+            },
             fleet: vec![("svc_fleet_members{state=\"alive\"}".to_owned(), 3)],
         };
         let mut out = Vec::new();
@@ -596,6 +612,8 @@
                 "svc_ejected 2",
                 "svc_list_version 41",
                 "svc_list_age_ms 350",
+                "svc_list_lease_ms 5650",
+                "svc_refused_without_list 6",
                 "svc_discovery_calls 3",
                 "svc_discovery_calls_ended 2",
                 r#"svc_fleet_members{state="alive"} 3"#,
--- a/gateway/src/proto/http.rs
+++ b/gateway/src/proto/http.rs
@@ -70,6 +70,11 @@
         matches!(self.expect, Expect::End)
     }
 
+    /// Nothing of a further line has come.
+    pub fn between_lines(&self) -> bool {
+        self.raw.is_empty() && self.line.is_empty() && matches!(self.expect, Expect::Size)
+    }
+
     /// Takes one element from the bytes at `from`; none if it is not all there.
     fn step(&mut self, from: usize, lines: &mut Vec<Vec<u8>>) -> Result<Option<usize>, Malformed> {
         let rest = &self.raw[from..];
--- a/gateway/tests/common/calls.rs
+++ b/gateway/tests/common/calls.rs
@@ -56,3 +56,12 @@
 pub fn hang() {
     thread::sleep(FOREVER);
 }
+
+/// A listener with room for one connection that nobody has taken.
+pub fn unanswering() -> TcpListener {
+    use rustix::net::{bind, ipproto, listen, socket, AddressFamily, SocketType};
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, Some(ipproto::TCP)).unwrap();
+    bind(&socket, &"127.0.0.1:0".parse::<SocketAddr>().unwrap()).unwrap();
+    listen(&socket, 0).unwrap();
+    socket.into()
+}
--- a/gateway/tests/common/pair.rs
+++ b/gateway/tests/common/pair.rs
@@ -56,9 +56,9 @@
 
 /// Sends reads one after the other until `end`, and counts those sent from `start` on.
 pub fn read_until(gateway: &Gateway, start: Instant, end: Instant) -> Reads {
-    /// Between reads, and how long each may take.
     const READ_INTERVAL: Duration = Duration::from_millis(10);
-    const READ_WAIT_MS: u32 = 200;
+    /// As long as the class allows: less marks a repeat, which is refused sooner.
+    const READ_WAIT_MS: u32 = 1_200;
     let (mut reads, mut client) = (Reads::default(), gateway.client());
     while Instant::now() < end {
         let counts = Instant::now() >= start;
--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -3,13 +3,14 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::calls::{hang, say, Calls};
+use common::calls::{hang, say, unanswering, Calls};
 use common::pair::{read_until, RecordedPair};
 use common::*;
 
@@ -18,6 +19,10 @@
 const TOLD_AFTER: Duration = Duration::from_secs(6);
 /// What a drain has, with the slack on sockets.
 const DRAIN_GRACE: Duration = Duration::from_millis(250 + 50);
+/// How long a discovery is out of reach.
+const OUTAGE: Duration = Duration::from_secs(30);
+/// Of reads, for as long as it lasts.
+const MIN_SERVED_PERCENT: usize = 90;
 /// How long nothing may be sent in these tests.
 const WITHOUT_LIST: Duration = Duration::from_millis(2_500);
 
@@ -150,3 +155,52 @@
         ("calls that stall", || with_reloads(stall)),
     ]);
 }
+
+/// Reads are sent on in at least so many of a hundred spans of 250 ms.
+fn served_without_discovery(discovery: SocketAddr, hosts: &RecordedPair, percent: usize) {
+    const SPAN: Duration = Duration::from_millis(250);
+    let gateway = hosts.gateway(discovery, SETTINGS);
+    let start = Instant::now();
+    read_until(&gateway, start, start + OUTAGE);
+    let arrivals = hosts.arrivals(start, OUTAGE);
+    let with_reads: BTreeSet<u128> = arrivals.iter().map(|at| at.as_millis() / SPAN.as_millis()).collect();
+    let spans = OUTAGE.as_millis() / SPAN.as_millis();
+    let without: Vec<u128> = (0..spans).filter(|span| !with_reads.contains(span)).collect();
+    let most = spans * (100 - percent as u128) / 100;
+    assert!(without.len() as u128 <= most, "no read in spans {without:?}: {}", gateway.log());
+}
+
+fn connections_refused() {
+    let hosts = RecordedPair::new();
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    served_without_discovery(unused, &hosts, 100);
+}
+
+/// A listener whose queue is full: connections do not come up.
+fn connections_that_do_not_come_up() {
+    let hosts = RecordedPair::new();
+    let listener = unanswering();
+    let addr = listener.local_addr().unwrap();
+    let _filling: Vec<_> = (0..4).map(|_| thread::spawn(move || TcpStream::connect(addr))).collect();
+    thread::sleep(Duration::from_millis(100));
+    served_without_discovery(addr, &hosts, 100);
+}
+
+/// Nothing is sent between the end of the lease and the moment at which discovery is taken to be out of reach.
+fn calls_that_wait_and_fail() {
+    let hosts = RecordedPair::new();
+    let discovery = Calls::start(|_, stream| {
+        thread::sleep(Duration::from_secs(2));
+        say(stream, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    });
+    served_without_discovery(discovery.addr, &hosts, MIN_SERVED_PERCENT);
+}
+
+#[test]
+fn reads_are_served_while_discovery_is_out_of_reach() {
+    side_by_side(&[
+        ("connections that are refused", connections_refused),
+        ("connections that do not come up", connections_that_do_not_come_up),
+        ("calls that wait and fail", calls_that_wait_and_fail),
+    ]);
+}
--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
 use std::process::Command;
 use std::sync::atomic::Ordering::SeqCst;
@@ -13,7 +13,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::calls::{hang, say, Calls};
+use common::calls::{hang, say, unanswering, Calls};
 use common::*;
 
 const SERVED: &[u8] = b"TDCZ";
@@ -201,15 +201,6 @@
     drop(discovery);
 }
 
-/// A listener with room for one connection that nobody has taken.
-fn unanswering() -> TcpListener {
-    use rustix::net::{bind, ipproto, listen, socket, AddressFamily, SocketType};
-    let socket = socket(AddressFamily::INET, SocketType::STREAM, Some(ipproto::TCP)).unwrap();
-    bind(&socket, &"127.0.0.1:0".parse::<SocketAddr>().unwrap()).unwrap();
-    listen(&socket, 0).unwrap();
-    socket.into()
-}
-
 fn turned_away_after_waiting() {
     let hosts = Pair::new();
     let drain = hosts.drain();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,6 +231,31 @@
     Broken,
 }
 
+/// What a gateway observes of discovery, apart from the lists themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListObservation {
+    /// The gateway observes discovery from now on, with the list that was known before.
+    Began,
+    /// The held list is what discovery had at `at`: a list or a line of the watch had begun to come by then.
+    Current {
+        /// When.
+        at: Instant,
+    },
+    /// The watch ended, all that it had brought read; the list was current at `at`.
+    WatchEnded {
+        /// When: as the watch ended, or when a line began to come that it broke off.
+        at: Instant,
+    },
+    /// Discovery has begun to answer a call, in whatever way.
+    AnswerBegun,
+    /// No connection to it can be had.
+    Unreachable,
+    /// A call has waited, or ended, without an answer of its own.
+    Unanswered,
+    /// It is elsewhere from now on.
+    Moved,
+}
+
 /// A client's request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
@@ -383,6 +408,8 @@
         /// The entries.
         entries: Vec<Entry>,
     },
+    /// Something was observed of discovery. Without any, the held list is taken to be current.
+    ListObserved(ListObservation),
     /// A client's request arrived.
     Request(Request),
     /// An attempt's answer began to stream to the client, which now owns it.
--- a/src/policy/blame.rs
+++ b/src/policy/blame.rs
@@ -78,7 +78,7 @@
                 }
                 let full = o.status == Status::Full && write;
                 if p.erred.len() >= 2 || full && self.sheds(now, o.request) {
-                    self.finish(o.request, out);
+                    self.finish(now, o.request, out);
                 } else {
                     self.dispatch(now, o.request, out);
                 }
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -32,6 +32,34 @@
         self.on_tick(now, out);
     }
 
+    pub(super) fn on_list_observed(&mut self, now: Instant, observation: ListObservation, out: Out) {
+        let pushed = self.settings.discovery == Discovery::Automatic;
+        let was_current = self.list_is_current(now);
+        let lease = self.list_lease.get_or_insert_with(|| ListLease::begin(now, pushed));
+        lease.observe(now, observation);
+        if !was_current && self.list_is_current(now) {
+            self.on_tick(now, out);
+        }
+    }
+
+    /// Whether the held list may be routed by.
+    #[must_use]
+    pub fn list_is_current(&self, now: Instant) -> bool {
+        self.list_expires().is_none_or(|expires| now < expires)
+    }
+
+    /// Until when the held list may be routed by, as things stand; none if nothing is observed of discovery.
+    #[must_use]
+    pub fn list_expires(&self) -> Option<Instant> {
+        self.list_lease.as_ref().map(ListLease::expires)
+    }
+
+    /// Requests that were refused or failed while the list could not be routed by.
+    #[must_use]
+    pub fn refused_without_list(&self) -> u64 {
+        self.refused_without_list
+    }
+
     /// How many servers are held: those listed, and gone ones that an attempt is still out at.
     pub fn held(&self) -> usize {
         self.servers.len()
--- /dev/null
+++ b/src/policy/list_lease.rs
@@ -0,0 +1,116 @@
+//! Until when the held list may be routed by.
+//!
+//! A change of the list counts as known 6 s after it was made, whether or not it has arrived. So a list is
+//! good for that long
+//! after the last moment at which it was known to be current: its lease. Past it, requests wait until a list
+//! has come, each
+//! within its own time. Discovery that cannot be reached starts no clock, as nothing counts before it is
+//! back.
+//!
+//! The lease belongs to the list, not to the calls for it: a reload, a reconnection or a failed call never
+//! extends it.
+
+use std::time::{Duration, Instant};
+
+use crate::interface::ListObservation;
+
+/// A change counts as known so long after it was made and discovery could be reached.
+const CHANGE_VISIBLE_AFTER: Duration = Duration::from_secs(6);
+/// After a move to another discovery, what that one has counts so much later.
+const CHANGE_VISIBLE_AFTER_MOVE: Duration = Duration::from_secs(4);
+/// Discovery that gives no sign of life for so long is taken to be out of reach: longer than the lease, as
+/// one with too many
+/// callers answers nothing for a while either.
+const OUT_OF_REACH_AFTER: Duration = Duration::from_millis(8_500);
+/// So long no connection can be had before it is taken for out of reach.
+const UNREACHABLE_AFTER: Duration = Duration::from_secs(1);
+/// An agent on this machine answers at once unless it has nothing to tell.
+const AGENT_OUT_OF_REACH_AFTER: Duration = Duration::from_millis(500);
+/// An agent that is out of reach is called more often than this; what it has on its return counts at once.
+const AGENT_CALL_INTERVAL: Duration = Duration::from_millis(700);
+
+/// The lease of the held list.
+#[derive(Debug)]
+pub(super) struct ListLease {
+    /// Lists are pushed to an agent on this machine, and what that has counts at once.
+    pushed: bool,
+    expires: Instant,
+    /// When discovery gave the last sign of life, or was moved.
+    alive_at: Instant,
+    out_of_reach_after: Duration,
+    /// Since when no connection can be had.
+    unreachable_since: Option<Instant>,
+}
+
+impl ListLease {
+    /// The lease of a list that was known before this process began.
+    pub(super) fn begin(now: Instant, pushed: bool) -> Self {
+        let (span, out_of_reach_after) = match pushed {
+            true => (Duration::ZERO, AGENT_OUT_OF_REACH_AFTER),
+            false => (CHANGE_VISIBLE_AFTER, OUT_OF_REACH_AFTER),
+        };
+        Self { pushed, expires: now + span, alive_at: now, out_of_reach_after, unreachable_since: None }
+    }
+
+    pub(super) fn expires(&self) -> Instant {
+        self.expires
+    }
+
+    pub(super) fn observe(&mut self, now: Instant, observation: ListObservation) {
+        match observation {
+            ListObservation::Began => {}
+            ListObservation::Current { at } => self.current(now, at),
+            ListObservation::WatchEnded { at } => self.watch_ended(now, at),
+            ListObservation::AnswerBegun => self.alive(now),
+            ListObservation::Unreachable => self.unreachable(now),
+            ListObservation::Unanswered => {
+                self.unreachable_since = None;
+                if now >= self.alive_at + self.out_of_reach_after {
+                    self.out_of_reach(now);
+                }
+            }
+            ListObservation::Moved => {
+                self.expires = self.expires.min(now + CHANGE_VISIBLE_AFTER_MOVE);
+                self.alive(now);
+            }
+        }
+    }
+
+    fn current(&mut self, now: Instant, at: Instant) {
+        self.expires = self.expires.max(at + CHANGE_VISIBLE_AFTER);
+        self.alive(now);
+        self.out_of_reach_after = OUT_OF_REACH_AFTER;
+    }
+
+    fn alive(&mut self, now: Instant) {
+        self.alive_at = now;
+        self.unreachable_since = None;
+    }
+
+    /// Guards against: a connection that this system refuses for a moment, taken for a discovery that is
+    /// down.
+    fn unreachable(&mut self, now: Instant) {
+        let since = *self.unreachable_since.get_or_insert(now);
+        if now >= since + UNREACHABLE_AFTER {
+            self.out_of_reach(now);
+        }
+    }
+
+    fn watch_ended(&mut self, now: Instant, at: Instant) {
+        self.alive(now);
+        if self.pushed {
+            self.expires = self.expires.min(at);
+            self.out_of_reach_after = AGENT_OUT_OF_REACH_AFTER;
+        } else {
+            self.expires = self.expires.max(at + CHANGE_VISIBLE_AFTER);
+        }
+    }
+
+    fn out_of_reach(&mut self, now: Instant) {
+        let span = if self.pushed { AGENT_CALL_INTERVAL } else { CHANGE_VISIBLE_AFTER };
+        self.expires = self.expires.max(now + span);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/policy/list_lease/tests.rs
@@ -0,0 +1,91 @@
+use super::*;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// The lease of a list that was current at `start`, where discovery is asked.
+fn asked(start: Instant) -> ListLease {
+    let mut lease = ListLease::begin(start, false);
+    lease.observe(start, ListObservation::Current { at: start });
+    lease
+}
+
+#[test]
+fn reloads_in_a_row_never_extend_the_lease() {
+    let start = Instant::now();
+    let mut lease = asked(start);
+    for reload in 0..30 {
+        lease.observe(start + seconds(0.4) * reload, ListObservation::Moved);
+        lease.observe(start + seconds(0.4) * reload, ListObservation::Unanswered);
+    }
+    assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER_MOVE);
+}
+
+#[test]
+fn failed_calls_to_a_discovery_that_answers_never_extend_the_lease() {
+    let start = Instant::now();
+    let mut lease = asked(start);
+    for call in 1..60 {
+        let now = start + seconds(0.5) * call;
+        lease.observe(now, ListObservation::AnswerBegun);
+        lease.observe(now + seconds(0.3), ListObservation::Unanswered);
+    }
+    assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER);
+}
+
+#[test]
+fn a_discovery_out_of_reach_starts_no_clock() {
+    let start = Instant::now();
+    let mut lease = asked(start);
+    for call in 1..20 {
+        let now = start + seconds(2.0) * call;
+        assert!(now < lease.expires(), "refused connections, call {call}");
+        lease.observe(now, ListObservation::Unreachable);
+    }
+}
+
+#[test]
+fn one_connection_that_fails_between_calls_that_are_answered_extends_nothing() {
+    let start = Instant::now();
+    let mut lease = asked(start);
+    for call in 1..20 {
+        let now = start + seconds(1.5) * call;
+        let observed =
+            if call % 2 == 0 { ListObservation::AnswerBegun } else { ListObservation::Unreachable };
+        lease.observe(now, observed);
+    }
+    assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER);
+}
+
+#[test]
+fn one_without_any_sign_of_life_is_out_of_reach_after_the_lease_and_a_while() {
+    let start = Instant::now();
+    let mut lease = asked(start);
+    lease.observe(start + seconds(8.4), ListObservation::Unanswered);
+    assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER);
+    lease.observe(start + OUT_OF_REACH_AFTER, ListObservation::Unanswered);
+    assert_eq!(lease.expires(), start + OUT_OF_REACH_AFTER + CHANGE_VISIBLE_AFTER);
+    // A reload to another discovery starts anew: nothing is known of that one.
+    let moved = start + seconds(10.0);
+    lease.observe(moved, ListObservation::Moved);
+    lease.observe(moved + seconds(8.0), ListObservation::Unanswered);
+    assert_eq!(lease.expires(), moved + CHANGE_VISIBLE_AFTER_MOVE);
+}
+
+#[test]
+fn an_agent_that_is_called_anew_has_told_all_that_it_has() {
+    let start = Instant::now();
+    let mut lease = ListLease::begin(start, true);
+    assert_eq!(lease.expires(), start, "what an agent has counts from the start of a process");
+    lease.observe(start, ListObservation::Current { at: start });
+    let ended = start + seconds(1.0);
+    lease.observe(ended, ListObservation::WatchEnded { at: ended });
+    lease.observe(ended + seconds(0.1), ListObservation::Unanswered);
+    assert_eq!(lease.expires(), ended);
+    let silent = ended + AGENT_OUT_OF_REACH_AFTER;
+    lease.observe(silent, ListObservation::Unanswered);
+    assert_eq!(lease.expires(), silent + AGENT_CALL_INTERVAL);
+    lease.observe(silent + seconds(0.2), ListObservation::Current { at: silent });
+    assert_eq!(lease.expires(), silent + CHANGE_VISIBLE_AFTER);
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 
 mod blame;
 mod list;
+mod list_lease;
 mod pick;
 mod probes;
 mod shedding;
@@ -22,6 +23,7 @@
 use crate::interface::*;
 use crate::measured::{Blame, Commits, Doubt, Latencies, Queue, Tries};
 use crate::pending::{Attempt, Pending};
+use list_lease::ListLease;
 
 type Out<'a> = &'a mut Vec<Action>;
 
@@ -139,6 +141,9 @@
     latency: Latencies,
     tries: Tries,
     doubt: Doubt,
+    /// None where nothing is observed of discovery.
+    list_lease: Option<ListLease>,
+    refused_without_list: u64,
 }
 
 impl Router {
@@ -160,6 +165,8 @@
             tries: Tries::new(settings.classes.len()),
             latency: Latencies::new(settings.classes.iter().map(|c| c.aim / 4)),
             doubt: Doubt::default(),
+            list_lease: None,
+            refused_without_list: 0,
             settings,
         })
     }
@@ -168,6 +175,7 @@
     pub fn handle(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::List { kind, entries } => self.on_list(now, kind, &entries, out),
+            Event::ListObserved(observation) => self.on_list_observed(now, observation, out),
             Event::Request(request) => self.on_request(now, request, out),
             Event::Outcome(outcome) => self.on_outcome(now, &outcome, out),
             Event::Gone(id) => drop(self.requests.remove(&id)),
@@ -177,7 +185,7 @@
             }
             // A stream that has started is an attempt still out.
             Event::Timer(ASK) => out.push(Action::Subscribe),
-            Event::Barred(id) => self.finish(id, out),
+            Event::Barred(id) => self.finish(now, id, out),
             Event::Timer(_) | Event::Started { .. } => {}
             Event::Verdict { server, verdict } => self.on_verdict(now, server, verdict, out),
             Event::Primary { server, seen } => self.on_primary(server, seen),
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -34,14 +34,16 @@
         // Shed at once what cannot be answered in time any more.
         let least = self.latency.unloaded[p.request.class].mul_f64(WORTH_TRYING);
         if barred || !listed || now + least >= ends || p.sends >= self.settings.limits.max_attempts {
-            return self.finish(id, out);
+            return self.finish(now, id, out);
         }
         let needs_primary = matches!(class.freshness, Freshness::Write | Freshness::Fresh);
         let (reached, patient) = (p.reached, p.patient);
         let could = |m: &&ServerId| !needs_primary || self.groups[&group].primary == Some(**m);
         let answers = |m: &ServerId| patient + 2 * least < ends && self.servers[m].answers(now);
         let answered = members.iter().filter(could).any(answers);
-        let target = if needs_primary {
+        let target = if !self.list_is_current(now) {
+            None
+        } else if needs_primary {
             self.pick_write(now, p)
         } else if self.asks_for_news(now, id, out) {
             None
@@ -54,7 +56,7 @@
             // little is left after that or nobody in its group answers, so that its client can come again.
             // Guards against: holding requests in vain. Hurts where the group comes back in the second half.
             None if now + 2 * TICK_EVERY >= (if reached || answered { ends } else { ends.min(patient) }) => {
-                self.finish(id, out);
+                self.finish(now, id, out);
             }
             None => self.groups.get_mut(&group).expect("listed").waiting.push(id),
         }
@@ -98,8 +100,9 @@
     }
 
     /// Final answer for a request without an attempt out: refused where a further try is harmless.
-    pub(super) fn finish(&mut self, id: RequestId, out: Out) {
+    pub(super) fn finish(&mut self, now: Instant, id: RequestId, out: Out) {
         let Some(p) = self.requests.remove(&id) else { return };
+        self.refused_without_list += u64::from(!self.list_is_current(now));
         let effect = self.settings.classes[p.request.class].effect;
         let everywhere = matches!(effect, Effect::Deduplicated { scope: KeyScope::All, .. });
         let harmless = p.may_have_run.is_none() || effect == Effect::Idempotent || everywhere;
@@ -116,9 +119,10 @@
     }
 
     /// Whether an attempt may begin that was decided on a while ago, as when its connection came up late.
-    /// Guards against: a read of data that has grown too old by then, or of one that was the primary.
+    /// Guards against: a read of data that has grown too old by then, or of one that was the primary, and a
+    /// list whose lease has expired meanwhile.
     pub fn may_begin(&self, now: Instant, id: RequestId, server: ServerId) -> bool {
-        let Some(p) = self.requests.get(&id) else { return false };
+        let Some(p) = self.requests.get(&id).filter(|_| self.list_is_current(now)) else { return false };
         self.servers.get(&server).is_some_and(|s| s.usable && self.fits(now, p, server))
     }
 
--- a/src/policy/waiting.rs
+++ b/src/policy/waiting.rs
@@ -46,7 +46,7 @@
         self.probe_down(now, group, out);
         self.warm_up(now, group);
         if self.sheds(now, id) {
-            self.finish(id, out);
+            self.finish(now, id, out);
         } else {
             self.dispatch(now, id, out);
         }
