Do not hurry calls past the lease, and see a discovery that is down sooner

Past the lease calls follow each other every 1 to 2 s. An answer counts as prompt within 250 ms of its call, as calls of one gateway end together. A watch that fell silent, a move and any prompt answer give no such excuse.

--- a/gateway/src/net/discovery/link.rs
+++ b/gateway/src/net/discovery/link.rs
@@ -14,8 +14,10 @@
 
 /// A connection that is not up by then does not come up, for all that is known.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Discovery turns calls away within this time if it does so by itself; a call that waits for it fails after 2 s.
-const PROMPT_ANSWER: Duration = Duration::from_millis(1_500);
+/// A call that is turned away within this time was turned away by discovery itself.
+const PROMPT_ANSWER: Duration = Duration::from_millis(250);
+/// A call that waits for discovery in vain fails after 2 s; between the two it may have shared the end of an earlier one.
+const FULL_WAIT: Duration = Duration::from_millis(1_900);
 
 /// Why a call is of no more use. The texts are what operators see as `why`.
 #[derive(Debug, Error)]
@@ -127,11 +129,13 @@
     /// What the end of the call tells of discovery. An answer that came late and turns the call away may be that of a proxy
     /// or of a queue that leads nowhere.
     pub fn observed_at_end(&self, now: Instant, end: &CallEnd) -> Option<ListObservation> {
-        let prompt = now.saturating_duration_since(self.called) < PROMPT_ANSWER;
+        let waited = now.saturating_duration_since(self.called);
+        let unanswered =
+            if waited < FULL_WAIT { ListObservation::Unanswered } else { ListObservation::WaitedOut };
         match end {
             CallEnd::Connect(_) => Some(ListObservation::Unreachable),
-            CallEnd::Answer(http::Malformed::Status(_)) if !prompt => Some(ListObservation::Unanswered),
-            CallEnd::Broken(_) | CallEnd::Closed if self.received == 0 => Some(ListObservation::Unanswered),
+            CallEnd::Answer(http::Malformed::Status(_)) if waited >= PROMPT_ANSWER => Some(unanswered),
+            CallEnd::Broken(_) | CallEnd::Closed if self.received == 0 => Some(unanswered),
             _ => None,
         }
     }
--- a/gateway/src/net/discovery/schedule.rs
+++ b/gateway/src/net/discovery/schedule.rs
@@ -13,8 +13,9 @@
 const WAITING_CALL_INTERVAL: Range<Duration> = Duration::from_millis(2_100)..Duration::from_millis(2_400);
 /// From a call that failed to the next one.
 const FAILED_CALL_INTERVAL: Range<Duration> = Duration::from_millis(1_000)..Duration::from_millis(3_000);
-/// From one call to the next once the lease has expired and nothing is sent.
-const EXPIRED_CALL_INTERVAL: Range<Duration> = Duration::from_millis(500)..Duration::from_millis(1_000);
+/// From one call to the next once the lease has expired and nothing is sent. Guards against: gateways that all wait for a
+/// list, and whose calls keep discovery too busy to answer any.
+const EXPIRED_CALL_INTERVAL: Range<Duration> = Duration::from_millis(1_000)..Duration::from_millis(2_000);
 /// From the end of a watch to the first call.
 const ENDED_WATCH_DELAY: Range<Duration> = Duration::ZERO..Duration::from_millis(600);
 /// Where lists are pushed, what a local agent has counts at once: calls follow sooner.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -250,8 +250,10 @@
     AnswerBegun,
     /// No connection to it can be had.
     Unreachable,
-    /// A call has waited, or ended, without an answer of its own.
+    /// A call waits without an answer, or has ended without one of its own.
     Unanswered,
+    /// A call has ended without an answer of its own, after as long a wait as discovery gives it.
+    WaitedOut,
     /// It is elsewhere from now on.
     Moved,
 }
--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -22,6 +22,8 @@
 /// one with too many
 /// callers answers nothing for a while either.
 const OUT_OF_REACH_AFTER: Duration = Duration::from_millis(8_500);
+/// After a watch that ended, so many calls in a row that wait in vain show the same.
+const WAITED_OUT_CALLS: u32 = 2;
 /// So long no connection can be had before it is taken for out of reach.
 const UNREACHABLE_AFTER: Duration = Duration::from_secs(1);
 /// An agent on this machine answers at once unless it has nothing to tell.
@@ -40,6 +42,10 @@
     out_of_reach_after: Duration,
     /// Since when no connection can be had.
     unreachable_since: Option<Instant>,
+    /// Discovery itself ended the watch, or there was none before.
+    watch_ended: bool,
+    /// Calls in a row that waited as long as discovery lets them.
+    waited_out: u32,
 }
 
 impl ListLease {
@@ -49,7 +55,15 @@
             true => (Duration::ZERO, AGENT_OUT_OF_REACH_AFTER),
             false => (CHANGE_VISIBLE_AFTER, OUT_OF_REACH_AFTER),
         };
-        Self { pushed, expires: now + span, alive_at: now, out_of_reach_after, unreachable_since: None }
+        Self {
+            pushed,
+            expires: now + span,
+            alive_at: now,
+            out_of_reach_after,
+            unreachable_since: None,
+            watch_ended: true,
+            waited_out: 0,
+        }
     }
 
     pub(super) fn expires(&self) -> Instant {
@@ -63,15 +77,15 @@
             ListObservation::WatchEnded { at } => self.watch_ended(now, at),
             ListObservation::AnswerBegun => self.alive(now),
             ListObservation::Unreachable => self.unreachable(now),
-            ListObservation::Unanswered => {
-                self.unreachable_since = None;
-                if now >= self.alive_at + self.out_of_reach_after {
-                    self.out_of_reach(now);
-                }
+            ListObservation::Unanswered => self.unanswered(now),
+            ListObservation::WaitedOut => {
+                self.waited_out += 1;
+                self.unanswered(now);
             }
             ListObservation::Moved => {
                 self.expires = self.expires.min(now + CHANGE_VISIBLE_AFTER_MOVE);
                 self.alive(now);
+                self.watch_ended = false;
             }
         }
     }
@@ -80,10 +94,12 @@
         self.expires = self.expires.max(at + CHANGE_VISIBLE_AFTER);
         self.alive(now);
         self.out_of_reach_after = OUT_OF_REACH_AFTER;
+        self.watch_ended = false;
     }
 
     fn alive(&mut self, now: Instant) {
         self.alive_at = now;
+        self.waited_out = 0;
         self.unreachable_since = None;
     }
 
@@ -98,6 +114,7 @@
 
     fn watch_ended(&mut self, now: Instant, at: Instant) {
         self.alive(now);
+        self.watch_ended = true;
         if self.pushed {
             self.expires = self.expires.min(at);
             self.out_of_reach_after = AGENT_OUT_OF_REACH_AFTER;
@@ -106,6 +123,16 @@
         }
     }
 
+    /// A discovery that goes down ends its watches and lets calls wait for nothing; one with too many callers turns them away
+    /// at once. A watch that fell silent says neither.
+    fn unanswered(&mut self, now: Instant) {
+        self.unreachable_since = None;
+        let down = self.watch_ended && self.waited_out >= WAITED_OUT_CALLS;
+        if down || now >= self.alive_at + self.out_of_reach_after {
+            self.out_of_reach(now);
+        }
+    }
+
     fn out_of_reach(&mut self, now: Instant) {
         let span = if self.pushed { AGENT_CALL_INTERVAL } else { CHANGE_VISIBLE_AFTER };
         self.expires = self.expires.max(now + span);
--- a/src/policy/list_lease/tests.rs
+++ b/src/policy/list_lease/tests.rs
@@ -73,6 +73,26 @@
     assert_eq!(lease.expires(), moved + CHANGE_VISIBLE_AFTER_MOVE);
 }
 
+#[test]
+fn calls_that_wait_in_vain_show_that_discovery_is_down_only_if_it_ended_the_watch() {
+    let start = Instant::now();
+    for ended in [true, false] {
+        let mut lease = asked(start);
+        if ended {
+            lease.observe(start, ListObservation::WatchEnded { at: start });
+        }
+        lease.observe(start + seconds(2.0), ListObservation::WaitedOut);
+        assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER, "one call");
+        lease.observe(start + seconds(4.0), ListObservation::WaitedOut);
+        let from = if ended { start + seconds(4.0) } else { start };
+        assert_eq!(lease.expires(), from + CHANGE_VISIBLE_AFTER, "ended: {ended}");
+        // It turns a call away: it is there, and the lease runs on from what is known.
+        lease.observe(start + seconds(5.0), ListObservation::AnswerBegun);
+        lease.observe(start + seconds(7.0), ListObservation::WaitedOut);
+        assert_eq!(lease.expires(), from + CHANGE_VISIBLE_AFTER, "ended: {ended}");
+    }
+}
+
 #[test]
 fn an_agent_that_is_called_anew_has_told_all_that_it_has() {
     let start = Instant::now();
