Correct a wall clock that is off when the process starts by what db hosts say

Cause: started_ms and positions are read by a clock that is taken from the system once. A start in that clock's future made the server cold from then on, so it never earned a send; one an hour ahead put the start an hour back.

Now a start is never in the future, and three answers in a row that agree, of primaries (which are at the present) or of replicas (never in the future, never over 60 s behind while they serve), correct the clock; servers are then cold by it.

--- /dev/null
+++ b/crates/rig/shims/wall_clock.c
@@ -0,0 +1,16 @@
+/* Puts a process's wall clock off by WALL_CLOCK_OFF_S seconds; its monotonic clock runs on. Loaded by LD_PRELOAD in tests. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <stdlib.h>
+#include <time.h>
+
+int clock_gettime(clockid_t clock, struct timespec *time) {
+    static int (*real)(clockid_t, struct timespec *);
+    if (!real)
+        real = (int (*)(clockid_t, struct timespec *))dlsym(RTLD_NEXT, "clock_gettime");
+    int result = real(clock, time);
+    const char *off = getenv("WALL_CLOCK_OFF_S");
+    if (result == 0 && clock == CLOCK_REALTIME && off)
+        time->tv_sec += strtol(off, NULL, 10);
+    return result;
+}
--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -1,12 +1,89 @@
 //! The only map between Unix positions and the times that the module and the rest of the gateway use.
 //!
-//! Unix time is read off the system once and moves on with `Instant` from there.
+//! Unix time is read off the system once and moves on with `Instant` from there, so a step of the wall clock changes nothing. It
+//! may have been off already: a primary is at the present, and a replica not far behind it, so what answers say of their position
+//! shows by how much.
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use yewroute::interface::Role;
+
 /// How far ahead of this machine's clock a position may seem to be: clocks differ, and commits are rounded up.
 const AHEAD: Duration = Duration::from_secs(1);
 
+/// A clock that is off by less is not corrected: clocks differ, and answers take their time.
+const MAX_OFFSET: Duration = Duration::from_secs(1);
+/// A replica may be behind its primary, but none that serves is behind by more than this.
+const MAX_REPLICA_LAG: Duration = Duration::from_secs(60);
+/// So many answers in a row have to agree on the offset, this closely. Guards against: answers that are spoilt.
+const AGREEING_ANSWERS: u32 = 3;
+const AGREEMENT: Duration = Duration::from_millis(500);
+
+/// By how much the wall clock is off: true time less this clock's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offset {
+    /// It is behind.
+    Behind(Duration),
+    /// It is ahead.
+    Ahead(Duration),
+}
+
+impl Offset {
+    fn between(truth: Duration, own: Duration) -> Self {
+        match truth.checked_sub(own) {
+            Some(behind) => Self::Behind(behind),
+            None => Self::Ahead(own - truth),
+        }
+    }
+
+    fn span(self) -> Duration {
+        match self {
+            Self::Behind(span) | Self::Ahead(span) => span,
+        }
+    }
+
+    fn agrees(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::Behind(a), Self::Behind(b)) | (Self::Ahead(a), Self::Ahead(b)) => {
+                a.abs_diff(b) <= AGREEMENT
+            }
+            _ => false,
+        }
+    }
+}
+
+/// What servers' answers show of the clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClockCheck {
+    supposed: Option<Offset>,
+    answers: u32,
+}
+
+impl ClockCheck {
+    /// Takes a server's position in an answer that came at `now`, as Unix time in milliseconds. Corrects the clock and says by
+    /// how much, once several answers agree that it is off.
+    pub fn position(&mut self, now: Instant, role: Role, unix_ms: u64, clock: &mut Clock) -> Option<Offset> {
+        let offset = Offset::between(Duration::from_millis(unix_ms), clock.unix(now));
+        let lag = matches!(offset, Offset::Ahead(span) if role == Role::Replica && span <= MAX_REPLICA_LAG);
+        if lag {
+            return None;
+        }
+        if offset.span() <= MAX_OFFSET {
+            *self = Self::default();
+            return None;
+        }
+        let agrees = self.supposed.is_some_and(|supposed| supposed.agrees(offset));
+        self.answers = if agrees { self.answers + 1 } else { 1 };
+        self.supposed = Some(offset);
+        if self.answers < AGREEING_ANSWERS {
+            return None;
+        }
+        *self = Self::default();
+        clock.correct(offset);
+        Some(offset)
+    }
+}
+
 /// Maps times.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -49,6 +126,18 @@
         at.filter(|at| *at <= now + AHEAD)
     }
 
+    fn correct(&mut self, offset: Offset) {
+        self.unix = match offset {
+            Offset::Behind(span) => self.unix + span,
+            Offset::Ahead(span) => self.unix.saturating_sub(span),
+        };
+    }
+
+    /// When something happened that is over by `now`, whatever this clock says.
+    pub fn past(&self, now: Instant, unix_ms: u64) -> Option<Instant> {
+        self.position(unix_ms).map(|at| at.min(now))
+    }
+
     fn instant(&self, unix: Duration) -> Option<Instant> {
         match unix.checked_sub(self.unix) {
             Some(later) => self.origin.checked_add(later),
@@ -58,19 +147,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn positions_before_and_after_the_start_and_such_as_are_none() {
-        let origin = Instant::now();
-        let clock = Clock::at(origin, Duration::from_secs(1_767_225_600));
-        assert_eq!(clock.position(1_767_225_600_250), Some(origin + Duration::from_millis(250)));
-        let now = origin;
-        assert_eq!(clock.reported(now, 1_767_225_599.5), origin.checked_sub(Duration::from_millis(500)));
-        assert_eq!(clock.applied(now, 1_767_225_600_250), Some(origin + Duration::from_millis(250)));
-        assert_eq!([clock.applied(now, 1_767_225_601_500), clock.reported(now, 1_767_225_601.5)], [None; 2]);
-        assert_eq!(clock.unix(origin + Duration::from_secs(1)), Duration::from_secs(1_767_225_601));
-        assert_eq!([-1.0, f64::NAN, 1e300].map(|seconds| clock.reported(now, seconds)), [None; 3]);
-    }
-}
+mod tests;
--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use tracing::warn;
 use yewroute::interface::{Event, ListKind, Note, Outcome, Report, Role, ServerId, Status};
 use yewroute_fleet::load::End;
 
@@ -34,6 +35,7 @@
             held.out = None;
             held.reached |= !matches!(ended.status, Status::ConnectFailed | Status::NotSent);
         }
+        self.check_clock(now, &ended.note, effects);
         let outcome = Outcome { finished, ..self.outcome(now, id, &attempt, ended.status, ended.note) };
         let failed = outcome.status != Status::Good;
         self.route(now, Event::Outcome(outcome), effects);
@@ -43,6 +45,16 @@
         self.settle_order(request);
     }
 
+    /// Corrects the clock by what servers say. Those that the list has as started lately are cold by the corrected one.
+    fn check_clock(&mut self, now: Instant, note: &HostNote, effects: &mut Vec<Effect<B>>) {
+        let (Some(role), Some(unix_ms)) = (note.role, note.applied_ms) else { return };
+        let Some(offset) = self.clock_check.position(now, role, unix_ms, &mut self.clock) else { return };
+        warn!(?offset, "wall clock is off: corrected by the positions of db hosts");
+        for (server, started) in self.directory.restarted(now, &self.clock) {
+            self.route(now, Event::Restarted { server, started }, effects);
+        }
+    }
+
     /// What other gateways are told of it. `counted` where it was sent as an attempt.
     pub(super) fn book_load(
         &mut self,
@@ -104,7 +116,7 @@
 
     pub(super) fn book_members(&mut self, now: Instant, members: Members, effects: &mut Vec<Effect<B>>) {
         let kind = if members.full { ListKind::Whole } else { ListKind::Patch };
-        let entries = self.directory.learn(&members, &self.clock);
+        let entries = self.directory.learn(now, &members, &self.clock);
         self.route(now, Event::List { kind, entries }, effects);
     }
 
--- a/gateway/src/core/directory.rs
+++ b/gateway/src/core/directory.rs
@@ -25,8 +25,9 @@
     /// Its zone as a number, and as it is called.
     pub zone: u64,
     pub zone_name: Box<str>,
-    /// When it started, as far as the list says.
+    /// When it started, as far as the list says; and as Unix time in milliseconds, 0 if long ago.
     pub started: Option<Instant>,
+    started_ms: u64,
 }
 
 /// The list as it is held. A db host keeps its number while it is listed; numbers are never used again.
@@ -130,7 +131,7 @@
     }
 
     /// Takes news and gives the entries as the module has them.
-    pub fn learn(&mut self, news: &Members, clock: &Clock) -> Vec<Entry> {
+    pub fn learn(&mut self, now: Instant, news: &Members, clock: &Clock) -> Vec<Entry> {
         self.version = news.version;
         self.changes += 1;
         if news.full {
@@ -141,26 +142,37 @@
         }
         let mut entries = Vec::with_capacity(news.servers.len());
         for member in &news.servers {
-            entries.extend(self.moved(member, clock));
-            entries.extend(self.entry(member, clock));
+            entries.extend(self.moved(now, member, clock));
+            entries.extend(self.entry(now, member, clock));
         }
         entries
     }
 
+    /// When each db host started by a clock that has been corrected; those that started long ago are left out.
+    pub fn restarted(&mut self, now: Instant, clock: &Clock) -> Vec<(ServerId, Instant)> {
+        let mut starts = Vec::new();
+        for (server, listed) in &mut self.members {
+            listed.started = started(now, listed.started_ms, clock);
+            starts.extend(listed.started.map(|at| (*server, at)));
+        }
+        starts.sort_by_key(|(server, _)| *server);
+        starts
+    }
+
     /// Guards against: requests of a set that go to a db host which has become one of another. To the module it is
     /// another one from then on.
-    fn moved(&mut self, member: &Member, clock: &Clock) -> Option<Entry> {
+    fn moved(&mut self, now: Instant, member: &Member, clock: &Clock) -> Option<Entry> {
         let held = self.members.get(self.numbers.get(&member.id)?)?;
         let (cell, addr) = (held.group, held.addr);
         if cell == member.cell {
             return None;
         }
-        self.entry(&Member { cell, addr, state: State::Gone, ..member.clone() }, clock)
+        self.entry(now, &Member { cell, addr, state: State::Gone, ..member.clone() }, clock)
     }
 
     /// Guards against: a table that grows with every db host there ever was. One that is gone is told of and
     /// dropped; nothing is told of one that was never listed.
-    fn entry(&mut self, member: &Member, clock: &Clock) -> Option<Entry> {
+    fn entry(&mut self, now: Instant, member: &Member, clock: &Clock) -> Option<Entry> {
         let gone = member.state == State::Gone;
         let server = match self.numbers.get(&member.id).copied() {
             Some(server) => server,
@@ -179,14 +191,16 @@
             let serving = member.state == State::Ready;
             let name = name_number(&member.id);
             let (addr, group, zone) = (member.addr, member.cell, self.stand(&member.zone).zone);
-            let started = started(member, clock);
+            let started_ms = member.started_ms;
+            let started = started(now, started_ms, clock);
             let zone_name = member.zone.as_str().into();
-            self.members.insert(server, Listed { addr, serving, group, name, zone, zone_name, started });
+            let listed = Listed { addr, serving, group, name, zone, zone_name, started, started_ms };
+            self.members.insert(server, listed);
         }
         Some(Entry {
             server,
             group: GroupId(member.cell),
-            started: started(member, clock),
+            started: started(now, member.started_ms, clock),
             primary: member.role == Some(Role::Primary),
             stand: self.stand(&member.zone),
             phase: match member.state {
@@ -198,8 +212,8 @@
     }
 }
 
-fn started(member: &Member, clock: &Clock) -> Option<Instant> {
-    Some(member.started_ms).filter(|ms| *ms != 0).and_then(|ms| clock.position(ms))
+fn started(now: Instant, started_ms: u64, clock: &Clock) -> Option<Instant> {
+    Some(started_ms).filter(|ms| *ms != 0).and_then(|ms| clock.past(now, ms))
 }
 
 #[cfg(test)]
@@ -223,23 +237,25 @@
 
     #[test]
     fn who_is_gone_or_left_out_of_a_full_list_is_dropped_and_comes_back_under_another_number() {
-        let clock = Clock::at(Instant::now(), std::time::Duration::ZERO);
+        let now = Instant::now();
+        let clock = Clock::at(now, std::time::Duration::ZERO);
         let mut held = Directory::default();
-        let first = held.learn(&members(true, &[("a", State::Ready), ("b", State::Terminating)]), &clock);
+        let first =
+            held.learn(now, &members(true, &[("a", State::Ready), ("b", State::Terminating)]), &clock);
         assert_eq!(first.len(), 2);
         assert!(held.open(first[0].server).is_some() && held.open(first[1].server).is_none());
-        let gone = held.learn(&members(false, &[("a", State::Gone), ("never", State::Gone)]), &clock);
+        let gone = held.learn(now, &members(false, &[("a", State::Gone), ("never", State::Gone)]), &clock);
         assert_eq!(
             gone.iter().map(|e| (e.server, e.phase)).collect::<Vec<_>>(),
             [(first[0].server, Phase::Gone)]
         );
         assert!(held.member(first[0].server).is_none());
-        let again = held.learn(&members(true, &[("a", State::Ready)]), &clock);
+        let again = held.learn(now, &members(true, &[("a", State::Ready)]), &clock);
         assert_ne!(again[0].server, first[0].server);
         assert!(held.member(first[1].server).is_none(), "left out of a full list");
         let mut moved = members(false, &[("a", State::Ready)]);
         moved.servers[0].cell = 3;
-        let [old, new] = &held.learn(&moved, &clock)[..] else {
+        let [old, new] = &held.learn(now, &moved, &clock)[..] else {
             panic!("gone from one set, new in the other")
         };
         assert_eq!((old.server, old.phase, old.group), (again[0].server, Phase::Gone, GroupId(2)));
@@ -247,7 +263,7 @@
         for n in 0..1000 {
             let id = format!("r{n}");
             for state in [State::Ready, State::Gone] {
-                held.learn(&members(false, &[(&id, state)]), &clock);
+                held.learn(now, &members(false, &[(&id, state)]), &clock);
             }
         }
         assert_eq!((held.members.len(), held.numbers.len()), (1, 1));
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -37,7 +37,7 @@
 use yewroute_fleet::{Loads, Subject, Value};
 use yewroute_settings::Deployment;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, ClockCheck};
 use crate::proto::catalog::Members;
 use crate::timers::Timers;
 use channels::Orders;
@@ -294,6 +294,7 @@
 /// Holds requests and attempts round the module.
 pub struct Core<B> {
     clock: Clock,
+    clock_check: ClockCheck,
     deployment: Deployment,
     router: Router,
     directory: Directory,
@@ -345,6 +346,7 @@
         let tally = Tally::new(deployment.class_names.len());
         let mut core = Self {
             clock,
+            clock_check: ClockCheck::default(),
             deployment,
             router,
             directory: Directory::default(),
--- a/gateway/src/core/route.rs
+++ b/gateway/src/core/route.rs
@@ -10,7 +10,7 @@
 impl<B: Payload> Core<B> {
     /// The module's first event: the list as it was last known.
     pub(super) fn begin(&mut self, now: Instant, known: Members, effects: &mut Vec<Effect<B>>) {
-        let entries = self.directory.learn(&known, &self.clock);
+        let entries = self.directory.learn(now, &known, &self.clock);
         self.route(now, Event::List { kind: ListKind::Stale, entries }, effects);
     }
 
--- a/gateway/src/core/shares.rs
+++ b/gateway/src/core/shares.rs
@@ -203,7 +203,7 @@
 
         fn learn(&mut self, hosts: &[(&str, &str, u64, State)]) {
             let clock = Clock::at(std::time::Instant::now(), std::time::Duration::ZERO);
-            self.directory.learn(&list(hosts), &clock);
+            self.directory.learn(std::time::Instant::now(), &list(hosts), &clock);
         }
 
         fn draw(&mut self, table: &Arc<Table>, class: usize, group: u64) -> Option<Stand> {
--- /dev/null
+++ b/gateway/tests/wall_clock.rs
@@ -0,0 +1,68 @@
+//! A gateway whose wall clock is off when it starts: a server that has just started is neither left out nor taken for warm.
+
+mod common;
+
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::*;
+
+/// How long reads are counted for.
+const SPAN: Duration = Duration::from_secs(4);
+const READ_INTERVAL: Duration = Duration::from_millis(8);
+const HOUR_S: i64 = 3_600;
+
+/// The gateway's program behind a library that puts its wall clock off.
+fn program(folder: &Path, off_s: i64) -> PathBuf {
+    let (shim, script) = (folder.join("wall_clock.so"), folder.join("yewroute"));
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../crates/rig/shims/wall_clock.c");
+    let built =
+        Command::new("cc").args(["-shared", "-fPIC", "-o"]).arg(&shim).arg(source).arg("-ldl").status();
+    assert!(built.unwrap().success());
+    let text = format!(
+        "#!/bin/sh\nLD_PRELOAD={} WALL_CLOCK_OFF_S={off_s} exec {} \"$@\"\n",
+        shim.display(),
+        env!("CARGO_BIN_EXE_yewroute")
+    );
+    std::fs::write(&script, text).unwrap();
+    std::fs::set_permissions(&script, std::fs::Permissions::from_mode(0o755)).unwrap();
+    script
+}
+
+/// Reads in a hundred that reach a replica which has just started, beside a primary that answers all.
+fn percent_at_cold_replica(off_s: i64) -> usize {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let entries = [
+        entry("s-a", &primary, "primary", "Ready", 0),
+        entry("s-b", &replica, "replica", "Ready", unix_ms()),
+    ];
+    let folder = tempfile::tempdir().unwrap();
+    let gateway = Gateway::of(&program(folder.path(), off_s), &list(41, true, &entries));
+    let (mut client, start, mut reads) = (gateway.client(), Instant::now(), 0);
+    while start.elapsed() < SPAN {
+        client.ask(&statement("view", 1_200, ""));
+        reads += 1;
+        thread::sleep(READ_INTERVAL);
+    }
+    let percent = 100 * replica.asked().len() / reads;
+    println!("wall clock off by {off_s} s: {percent}% of {reads} reads at the replica");
+    percent
+}
+
+#[test]
+fn a_server_that_has_just_started_is_cold_whatever_the_wall_clock_says() {
+    let offsets = [0, -5, -HOUR_S, HOUR_S];
+    let percents: Vec<usize> = thread::scope(|scope| {
+        let plays = offsets.map(|off| scope.spawn(move || percent_at_cold_replica(off)));
+        plays.into_iter().map(|play| play.join().unwrap()).collect()
+    });
+    let truly = percents[0];
+    assert!(truly > 10, "with the true clock: {percents:?}");
+    for (off, percent) in offsets.iter().zip(&percents) {
+        let alike = truly * 9 / 10..=truly * 11 / 10;
+        assert!(alike.contains(percent), "off by {off} s: {percent}%, with the true clock {truly}%");
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -436,6 +436,13 @@
         /// The server's report on itself.
         report: Report,
     },
+    /// A server started at this time, as has turned out later than its list came.
+    Restarted {
+        /// Which server.
+        server: ServerId,
+        /// When.
+        started: Instant,
+    },
     /// Other gateways judge a server; the newest word counts.
     Verdict {
         /// Which server.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -185,6 +185,10 @@
             }
             // A stream that has started is an attempt still out.
             Event::Timer(ASK) => out.push(Action::Subscribe),
+            Event::Restarted { server, started } => {
+                let settings = &self.settings;
+                self.servers.entry(server).and_modify(|s| s.chill(Some(started), settings));
+            }
             Event::Barred(id) => self.finish(now, id, out),
             Event::Timer(_) | Event::Started { .. } => {}
             Event::Verdict { server, verdict } => self.on_verdict(now, server, verdict, out),
