Measure how late another gateway's messages are by its process, not by its listing

Found while looking for the incident's class elsewhere (a bound that a reconnection sets anew). How late a gateway's messages come is measured against the quickest so far of its life. That measure was dropped whenever the member was not listed, or was listed under another incarnation than its process began with. A member that is declared down because its messages are late, and returns, was measured anew by a late message, so its old words passed as new. Now the measure goes with the process, and is kept for 60 s after a member was listed last. The new test fails without it (0 s late in place of 5 s: the entry was gone).

--- a/crates/federation/src/verdicts/mod.rs
+++ b/crates/federation/src/verdicts/mod.rs
@@ -16,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 use tokio::time::sleep_until;
+use tracing::info;
 
 use crate::bridge::{now, Wish};
 use crate::peers::{Incoming, Kind, Member, Question};
@@ -183,21 +184,36 @@
 
 /// The quickest way so far, and when it was taken.
 struct Way {
+    /// Of the process, as its connections say: one that was declared down and returns goes on by the same clock.
     incarnation: u64,
     least: i64,
     at_ms: u64,
+    /// When a message came last.
+    heard_ms: u64,
 }
 
+/// What is known of a member that is no longer listed is kept for so long. Guards against: late messages of one that was declared
+/// down for being late, and whose lateness is measured anew when it is back.
+const FORGET_ABSENT_AFTER: Duration = Duration::from_secs(60);
+
 impl Ways {
+    /// Drops what is known of those that have been absent for long.
+    fn forget_absent(&mut self, now_ms: u64, listed: impl Fn(&str) -> bool) {
+        let forget_ms = u64::try_from(FORGET_ABSENT_AFTER.as_millis()).unwrap_or(u64::MAX);
+        self.0.retain(|name, way| listed(name) || now_ms < way.heard_ms.saturating_add(forget_ms));
+    }
+
     fn late(&mut self, from: &str, incarnation: u64, sent_ms: u64, came_ms: u64) -> Duration {
         let took = i64::try_from(came_ms).unwrap_or(i64::MAX).saturating_sub_unsigned(sent_ms);
-        let first = Way { incarnation, least: took, at_ms: came_ms };
+        let first = Way { incarnation, least: took, at_ms: came_ms, heard_ms: came_ms };
         let known = self.0.get(from).filter(|way| way.incarnation == incarnation).unwrap_or(&first);
         // Guards against: clocks that drift apart until all that one says counts as late.
         let since = came_ms.saturating_sub(known.at_ms);
         let least = known.least.saturating_add_unsigned(since / DRIFTS_ONE_IN);
         if took <= least {
             self.0.insert(from.into(), first);
+        } else if let Some(way) = self.0.get_mut(from) {
+            way.heard_ms = came_ms;
         }
         Duration::from_millis(took.saturating_sub(least).max(0).unsigned_abs())
     }
@@ -388,6 +404,7 @@
         }
         self.tries.retain(|host, _| held.iter().any(|held| held.host == *host && held.what.bars()));
         if held != self.wished {
+            self.log_change(now, &held);
             let away = held.iter().filter(|held| held.what.bars() && !held.spared).count();
             self.context.shared.figures.away.store(away as u64, Ordering::Relaxed);
             self.wished.clone_from(&held);
@@ -395,11 +412,33 @@
         }
     }
 
+    /// Says which hosts begin or cease to be judged away, by how many, and how old the proof is.
+    fn log_change(&self, now: Instant, held: &[Held]) {
+        let away = |of: &Held| of.what.bars() && !of.spared;
+        let listed = |all: &[Held], host: u64| all.iter().any(|of| of.host == host && away(of));
+        for of in held.iter().filter(|of| away(of) && !listed(&self.wished, of.host)) {
+            let age_ms = now.saturating_duration_since(of.proven).as_millis();
+            let (host, own) = (format!("{:016x}", of.host), self.own.contains_key(&of.host));
+            info!(
+                host,
+                zones = of.zones,
+                tellers = of.tellers,
+                own,
+                age_ms,
+                "verdicts: a db host is judged away"
+            );
+        }
+        for of in self.wished.iter().filter(|of| away(of) && !listed(held, of.host)) {
+            let host = format!("{:016x}", of.host);
+            info!(host, "verdicts: a db host is not judged away any more");
+        }
+    }
+
     /// Tells each new life of a member this one's time. Guards against: its first word, that was long on its way, as the measure.
     fn greet(&mut self, now: Instant) {
         let (members, time) = (self.members(), self.time(now));
         let lives = |name: &str| members.iter().find(|member| *member.name == *name).map(|m| m.incarnation);
-        self.ways.0.retain(|name, way| lives(name) == Some(way.incarnation));
+        self.ways.forget_absent(time, |name| lives(name).is_some());
         self.greeted.retain(|name, life| lives(name) == Some(*life));
         for member in members.iter().skip(1) {
             if self.greeted.insert(member.name.clone(), member.incarnation).is_none() {
--- a/crates/federation/src/verdicts/tests.rs
+++ b/crates/federation/src/verdicts/tests.rs
@@ -407,3 +407,18 @@
     let sent = 24 * 3_600_000;
     assert!(ways.late("g1", 1, sent, sent + sent / 10_000 + 5_000) > ms(4_900), "this one is");
 }
+
+#[test]
+fn late_messages_of_a_member_that_was_declared_down_for_it_are_late_when_it_is_back() {
+    let mut ways = Ways::default();
+    assert_eq!(ways.late("g1", 7, 1_000, 5_000), ms(0));
+    let absent = |name: &str| name != "g1";
+    // Declared down, and listed again under another incarnation; its process and its clock are the same.
+    ways.forget_absent(12_000, absent);
+    ways.forget_absent(13_000, |_| true);
+    assert!(ways.late("g1", 7, 5_000, 14_000) > ms(4_900));
+    ways.forget_absent(14_000 + 59_000, absent);
+    assert!(ways.late("g1", 7, 64_000, 73_000) > ms(4_900));
+    ways.forget_absent(73_000 + 60_000, absent);
+    assert_eq!(ways.late("g1", 7, 131_000, 140_000), ms(0), "long absent, it is measured anew");
+}
--- a/gateway/tests/verdicts.rs
+++ b/gateway/tests/verdicts.rs
@@ -235,6 +235,11 @@
     stage.world.well(2);
     let held = stage.held((8 * SECOND).saturating_sub(start.elapsed()), &c, 0);
     println!("held in c, where it serves, for {held:?}");
+    for n in c {
+        for l in stage.rig.log(n).lines().filter(|l| l.contains("verdicts:")) {
+            println!("g{n} {l}");
+        }
+    }
     assert!(held < SECOND / 2, "{held:?}");
     stage.ends();
 }
