Add a seeded soak of processes with reloads in series, broken lists, ends under traffic and cold starts

The checker is pure and holds drain, lost, duplicate, slow start, deadlines passed on and clients gone; each rule has a case that breaks it and one beside it that does not.

--- a/crates/rig/src/hints.rs
+++ b/crates/rig/src/hints.rs
@@ -13,6 +13,8 @@
     pub number: Option<u64>,
     /// `k`: the key.
     pub key: Option<String>,
+    /// `d`: how long an answer is waited for, in milliseconds.
+    pub wait_ms: Option<u64>,
 }
 
 impl Hints {
@@ -27,6 +29,7 @@
                 "c" => value.clone_into(&mut hints.class),
                 "ch" => hints.channel = Some(value.to_owned()),
                 "n" => hints.number = value.parse().ok(),
+                "d" => hints.wait_ms = value.parse().ok(),
                 "k" => hints.key = Some(value.to_owned()),
                 _ => {}
             }
@@ -48,6 +51,7 @@
             channel: Some("c7".into()),
             number: Some(12),
             key: Some("x1".into()),
+            wait_ms: Some(50),
         };
         assert_eq!(hints, wanted);
         assert_eq!((Hints::of("SHOW load"), Hints::of("SELECT 1 /* c=view */")), (None, None));
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod play;
 mod relay;
 mod rules;
+pub mod soak;
 mod table_rules;
 pub mod tcp;
 pub mod world;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,10 +5,12 @@
 
 mod plays;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use clap::{Parser, Subcommand};
+use yewroute_rig::soak;
 
 #[derive(Parser)]
 #[command(name = "yewroute-rig")]
@@ -21,10 +23,84 @@
 enum Command {
     /// Play a plan.
     Play(plays::Args),
+    /// Play seeds of the soak, one after the other.
+    Soak(SoakArgs),
+}
+
+/// What the soak is.
+#[derive(clap::Args)]
+struct SoakArgs {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seeds.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Gateways; drawn from the seed, up to 30, without it.
+    #[arg(long)]
+    processes: Option<usize>,
+    /// Seconds of each seed.
+    #[arg(long, default_value_t = 30)]
+    seconds: u64,
+    /// The gateway's program; the one beside this one without it.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// A library that puts the wall clocks of some gateways off.
+    #[arg(long)]
+    wall_clock_shim: Option<PathBuf>,
+    /// Print events and logs of seeds that broke a rule.
+    #[arg(long)]
+    keep_logs: bool,
 }
 
 fn main() -> ExitCode {
-    let Command::Play(args) = Cli::parse().command;
+    match Cli::parse().command {
+        Command::Play(args) => play(args),
+        Command::Soak(args) => soak(&args),
+    }
+}
+
+fn soak(args: &SoakArgs) -> ExitCode {
+    let beside = || std::env::current_exe().map(|own| own.with_file_name("yewroute")).unwrap_or_default();
+    let mut broken = false;
+    for seed in args.seed..args.seed + args.seeds {
+        let options = soak::Options {
+            program: args.program.clone().unwrap_or_else(beside),
+            seed,
+            processes: args.processes,
+            span: Duration::from_secs(args.seconds),
+            wall_clock_shim: args.wall_clock_shim.clone(),
+        };
+        match soak::play(&options) {
+            Ok(report) => broken |= print_soak(&report, args.keep_logs),
+            Err(error) => {
+                eprintln!("seed {seed} cannot be played: {error}");
+                return ExitCode::from(2);
+            }
+        }
+    }
+    ExitCode::from(u8::from(broken))
+}
+
+/// Prints what came of a seed; whether a rule was broken.
+fn print_soak(report: &soak::Report, keep_logs: bool) -> bool {
+    let soak::Report { seed, processes, requests, served, arrivals, .. } = report;
+    let percent = 100.0 * *served as f64 / (*requests).max(1) as f64;
+    let broken = report.violations.len();
+    println!("seed {seed}: {processes} gateways, {requests} requests, {percent:.1}% served, {arrivals} arrivals, {broken} broken");
+    for violation in report.violations.iter().take(20) {
+        println!("  {violation}");
+    }
+    if keep_logs && broken > 0 {
+        report.events.iter().for_each(|event| println!("  {event}"));
+        for (number, log) in report.logs.iter().enumerate() {
+            println!("g{number}:\n{log}");
+        }
+    }
+    broken > 0
+}
+
+fn play(args: plays::Args) -> ExitCode {
     let start = Instant::now();
     let seed = args.seed;
     match plays::play(args) {
--- /dev/null
+++ b/crates/rig/src/soak/gateways.rs
@@ -0,0 +1,168 @@
+//! The processes.
+
+use std::fs::{self, File};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use yewroute_standin::Client;
+
+use super::checker::GatewayEvent;
+use super::discovery::Discovery;
+use crate::clients::Front;
+use crate::{held, own_address, PORTS};
+
+/// From SIGTERM to the earliest SIGKILL: the longest deadline, 3 s, and 0.7 s more.
+pub const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+/// The front goes on sending new connections to a gateway that was told to end for so long.
+const FRONT_NOTICES_AFTER: Duration = Duration::from_millis(300);
+const READY_WITHIN: Duration = Duration::from_secs(10);
+const SETTINGS: &str = include_str!("../../../../gateway/tests/common/settings.json");
+
+struct Gateway {
+    addr: SocketAddr,
+    child: Option<Child>,
+    /// Which of its two addresses of discovery it has.
+    discovery: usize,
+}
+
+/// All gateways.
+pub struct Gateways {
+    program: PathBuf,
+    folder: tempfile::TempDir,
+    seed: u64,
+    shim: Option<PathBuf>,
+    all: Vec<Gateway>,
+    front: Arc<Front>,
+    /// When each was moved.
+    pub reloads: Vec<GatewayEvent>,
+    /// When each process began.
+    pub starts: Vec<GatewayEvent>,
+}
+
+impl Gateways {
+    pub fn start(
+        program: &Path,
+        discovery: &Discovery,
+        count: usize,
+        seed: u64,
+        shim: Option<PathBuf>,
+    ) -> io::Result<Self> {
+        let own = own_address();
+        let addr = |n: usize| SocketAddr::from((own, PORTS + u16::try_from(n).unwrap_or(0)));
+        for n in 0..count {
+            drop(TcpListener::bind(addr(n))?);
+        }
+        let gateway = |n: usize| Gateway { addr: addr(n), child: None, discovery: 0 };
+        let mut gateways = Self {
+            program: program.to_owned(),
+            folder: tempfile::tempdir()?,
+            seed,
+            shim,
+            all: (0..count).map(gateway).collect(),
+            front: Arc::default(),
+            reloads: Vec::new(),
+            starts: Vec::new(),
+        };
+        for n in 0..count {
+            gateways.restart(n, discovery, 0)?;
+        }
+        Ok(gateways)
+    }
+
+    pub fn front(&self) -> Arc<Front> {
+        Arc::clone(&self.front)
+    }
+
+    pub fn addr(&self, n: usize) -> SocketAddr {
+        self.all[n].addr
+    }
+
+    fn path(&self, n: usize, what: &str) -> PathBuf {
+        self.folder.path().join(format!("g{n}.{what}"))
+    }
+
+    fn configure(&self, n: usize, discovery: &Discovery, known: &str) -> io::Result<()> {
+        let (listen, at) = (self.all[n].addr, discovery.address(n, self.all[n].discovery));
+        let seed = self.seed.wrapping_add(n as u64);
+        let text = format!(
+            r#"{{"name":"n{n}","listen":"{listen}","discovery":"{at}","seed":"{seed:016x}",
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{known},"settings":{SETTINGS}}}"#
+        );
+        fs::write(self.path(n, "json"), text)
+    }
+
+    /// Starts it with the list that it had last, and its wall clock so many seconds off.
+    pub fn restart(&mut self, n: usize, discovery: &Discovery, wall_clock_off_s: i64) -> io::Result<()> {
+        self.configure(n, discovery, &discovery.known(n))?;
+        let log = File::options().create(true).append(true).open(self.path(n, "log"))?;
+        let mut command = Command::new(&self.program);
+        command.env_clear().env("EDGE_CONFIG", self.path(n, "json")).stderr(log);
+        if let Some(shim) = self.shim.as_ref().filter(|_| wall_clock_off_s != 0) {
+            command.env("LD_PRELOAD", shim).env("WALL_CLOCK_OFF_S", wall_clock_off_s.to_string());
+        }
+        self.starts.push(GatewayEvent { gateway: n, at: Instant::now() });
+        self.all[n].child = Some(command.spawn()?);
+        self.wait_until_ready(n)?;
+        held(&self.front).push((n, self.all[n].addr));
+        Ok(())
+    }
+
+    fn wait_until_ready(&self, n: usize) -> io::Result<()> {
+        let begun = Instant::now();
+        while begun.elapsed() < READY_WITHIN {
+            if Client::connect(self.all[n].addr).is_ok() {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        Err(io::Error::other(format!("g{n} is not ready: {}", fs::read_to_string(self.path(n, "log"))?)))
+    }
+
+    fn signal(&self, n: usize, signal: &str) {
+        if let Some(child) = &self.all[n].child {
+            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
+        }
+    }
+
+    /// Moves it to its other address of discovery.
+    pub fn reload(&mut self, n: usize, discovery: &Discovery) -> io::Result<()> {
+        self.all[n].discovery += 1;
+        self.configure(n, discovery, &discovery.known(n))?;
+        self.reloads.push(GatewayEvent { gateway: n, at: Instant::now() });
+        self.signal(n, "-HUP");
+        Ok(())
+    }
+
+    /// Tells it to end. The front notices after a while; clients that are connected go on.
+    pub fn terminate(&self, n: usize) {
+        self.signal(n, "-TERM");
+        let front = self.front();
+        thread::spawn(move || {
+            thread::sleep(FRONT_NOTICES_AFTER);
+            held(&front).retain(|(other, _)| *other != n);
+        });
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        held(&self.front).retain(|(other, _)| *other != n);
+        if let Some(mut child) = self.all[n].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn logs(&self) -> Vec<String> {
+        (0..self.all.len()).map(|n| fs::read_to_string(self.path(n, "log")).unwrap_or_default()).collect()
+    }
+}
+
+impl Drop for Gateways {
+    fn drop(&mut self) {
+        (0..self.all.len()).for_each(|n| self.kill(n));
+    }
+}
