Let the soak's checker take a list for as old as it was when it was made

Trace: s-1's drain was version 3, made at 5.1 s; g7's call 3 brought version 2, made before and written after it; its new watch was silent. The checker took the first watch's silence (0.64 s) to be over only when that list was written, and so held the drain to 6.64 s.

--- a/crates/rig/src/soak/checker.rs
+++ b/crates/rig/src/soak/checker.rs
@@ -40,6 +40,8 @@
 pub struct Written {
     pub gateway: usize,
     pub version: u32,
+    /// The list was made then; changes after that are to come on its watch.
+    pub as_of: Instant,
     pub at: Instant,
 }
 
@@ -260,10 +262,10 @@
         Some(self.reachable_for(silence.at, VISIBLE_AFTER).max(change.at))
     }
 
-    /// When something was written to a gateway for the first time after this.
+    /// When the list was made that was written to a gateway first after this.
     fn next_written(&self, gateway: usize, after: Instant) -> Option<Instant> {
         let later = |written: &&Written| written.gateway == gateway && written.at > after;
-        self.written.iter().filter(later).map(|written| written.at).min()
+        self.written.iter().filter(later).min_by_key(|written| written.at).map(|written| written.as_of)
     }
 
     /// The end of the first span of this length from `from` on, counted anew after each outage in it.
--- a/crates/rig/src/soak/discovery.rs
+++ b/crates/rig/src/soak/discovery.rs
@@ -252,6 +252,7 @@
     if is_closed(&stream)? {
         return Ok(());
     }
+    let as_of = Instant::now();
     let ((how, silent), version, text) = {
         let mut state = held(state);
         (state.draw(), state.version, state.since(since.unwrap_or(0)))
@@ -277,7 +278,7 @@
     if is_closed(&stream)? {
         return Ok(());
     }
-    held(state).written.push(Written { gateway, version, at });
+    held(state).written.push(Written { gateway, version, as_of, at });
     if silent {
         held(state).silences.push(Silence { gateway, at });
         return hold(&mut stream, state);
@@ -317,6 +318,7 @@
     let mut said = Instant::now();
     loop {
         thread::sleep(POLL_INTERVAL);
+        let as_of = Instant::now();
         let (down, newest, text) = {
             let state = held(state);
             let newer = state.version > version;
@@ -334,7 +336,7 @@
             return Ok(());
         }
         version = newest;
-        held(state).written.push(Written { gateway, version, at: said });
+        held(state).written.push(Written { gateway, version, as_of, at: said });
     }
 }
 
