--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -292,7 +292,7 @@
     /// Says once that no call has brought a list before the lease expired.
     fn log_expiry(&mut self, context: &DiscoveryContext) {
         let expired = context.expires <= context.now;
-        if expired && !self.expiry_logged {
+        if expired && !self.expiry_logged && self.opened > 0 {
             warn!(why = "no list in time", list_age_ms = millis(context.now, self.last_line), "watch broken");
         }
         self.expiry_logged = expired;
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -228,7 +228,7 @@
     /// Says when requests begin and cease to wait for a list.
     fn log_list_lease(&mut self, now: Instant) {
         let expired = !self.core.list_is_current(now);
-        if expired == self.list_expired {
+        if expired == self.list_expired || self.awaiting.is_some() {
             return;
         }
         self.list_expired = expired;
--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -26,7 +26,7 @@
 const WAITED_OUT_CALLS: u32 = 2;
 /// So long no connection can be had before it is taken for out of reach.
 const UNREACHABLE_AFTER: Duration = Duration::from_secs(1);
-/// An agent on this machine answers at once unless it has nothing to tell.
+/// An agent on this machine answers at once, unless discovery is down and it learns nothing.
 const AGENT_OUT_OF_REACH_AFTER: Duration = Duration::from_millis(500);
 /// An agent that is out of reach is called more often than this; what it has on its return counts at once.
 const AGENT_CALL_INTERVAL: Duration = Duration::from_millis(700);
@@ -93,7 +93,6 @@
     fn current(&mut self, now: Instant, at: Instant) {
         self.expires = self.expires.max(at + CHANGE_VISIBLE_AFTER);
         self.alive(now);
-        self.out_of_reach_after = OUT_OF_REACH_AFTER;
         self.watch_ended = false;
     }
 
@@ -117,14 +116,13 @@
         self.watch_ended = true;
         if self.pushed {
             self.expires = self.expires.min(at);
-            self.out_of_reach_after = AGENT_OUT_OF_REACH_AFTER;
         } else {
             self.expires = self.expires.max(at + CHANGE_VISIBLE_AFTER);
         }
     }
 
-    /// A discovery that goes down ends its watches and lets calls wait for nothing; one with too many callers turns them away
-    /// at once. A watch that fell silent says neither.
+    /// A discovery that goes down ends its watches and lets calls wait for nothing; one with too many callers
+    /// turns them away at once. A watch that fell silent says neither.
     fn unanswered(&mut self, now: Instant) {
         self.unreachable_since = None;
         let down = self.watch_ended && self.waited_out >= WAITED_OUT_CALLS;
--- a/src/policy/list_lease/tests.rs
+++ b/src/policy/list_lease/tests.rs
@@ -108,4 +108,11 @@
     assert_eq!(lease.expires(), silent + AGENT_CALL_INTERVAL);
     lease.observe(silent + seconds(0.2), ListObservation::Current { at: silent });
     assert_eq!(lease.expires(), silent + CHANGE_VISIBLE_AFTER);
+    // Its watch falls silent and no call is answered: it learns nothing either.
+    let mut now = silent + seconds(0.2);
+    while now < silent + seconds(30.0) {
+        assert!(now < lease.expires(), "{:?} after the last line", now - silent);
+        now += seconds(0.5);
+        lease.observe(now, ListObservation::Unanswered);
+    }
 }
