Date attempts in the rig by the kernel's receive time, for what limits are held to

Change: connections from gateways ask for SO_TIMESTAMPNS, and an attempt has the time at which the kernel received it beside the time at which it was read. limits::sent takes the former; all other checks keep the latter.

--- a/crates/rig/src/limits.rs
+++ b/crates/rig/src/limits.rs
@@ -21,11 +21,12 @@
     pub at: Instant,
 }
 
-/// When the attempts of these classes were sent, in order; of all if none is named.
+/// When the attempts of these classes were sent, in order; of all if none is named. By the kernel's receive time, as the thread that
+/// reads them may be held up on a busy machine and read in one moment what was sent over a tenth of a second.
 #[must_use]
 pub fn sent(attempts: &[Attempt], classes: &[&str]) -> Vec<Instant> {
     let meant = |attempt: &&Attempt| classes.is_empty() || classes.contains(&&*attempt.hints.class);
-    let mut times: Vec<Instant> = attempts.iter().filter(meant).map(|attempt| attempt.from).collect();
+    let mut times: Vec<Instant> = attempts.iter().filter(meant).map(|attempt| attempt.received).collect();
     times.sort_unstable();
     times
 }
@@ -141,6 +142,23 @@
         assert!((part - 0.5).abs() < 1e-6, "{part}");
     }
 
+    /// Guards against: a thread that is held up for a tenth of a second, and reads in a heap what was sent at the limit's pace.
+    #[test]
+    fn attempts_that_are_read_in_a_heap_are_judged_by_when_they_were_received() {
+        let start = Instant::now();
+        let (pace, held_up_until) = (Duration::from_millis(8), start + Duration::from_millis(100));
+        let attempt = |number: u32| {
+            let received = start + pace * number;
+            let hints = Hints { class: "view".into(), ..Hints::default() };
+            Attempt { received, ..Attempt::new(hints, (0, 1), received.max(held_up_until)) }
+        };
+        let attempts: Vec<Attempt> = (0..20).map(attempt).collect();
+        let by_read: Vec<Instant> = attempts.iter().map(|attempt| attempt.from).collect();
+        let over = |times: &[Instant]| over_limit(times, 125.0, 1.0).expect("some").any_span;
+        assert!(over(&by_read) > 10.0, "as they were read");
+        assert!(over(&sent(&attempts, &["view"])) < 0.1, "as they were sent");
+    }
+
     #[test]
     fn attempts_out_at_a_time_are_counted_with_the_rest_of_those_that_were_given_up() {
         let start = Instant::now();
--- /dev/null
+++ b/crates/rig/src/receive_time.rs
@@ -0,0 +1,37 @@
+//! When the kernel received the bytes of a connection, which does not depend on when a thread gets to read them.
+
+use std::io::{self, IoSliceMut};
+use std::net::TcpStream;
+use std::os::fd::AsRawFd;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use nix::sys::socket::{recvmsg, setsockopt, sockopt::ReceiveTimestampns, ControlMessageOwned, MsgFlags};
+use nix::sys::time::TimeSpec;
+
+/// Asks the kernel to note receive times from now on (`SO_TIMESTAMPNS`, socket(7)). Where it does not, [`read`] gives the time of
+/// the read.
+pub fn enable(stream: &TcpStream) {
+    let _ = setsockopt(stream, ReceiveTimestampns, &true);
+}
+
+/// Reads once, and tells when the last of the bytes that were read had been received.
+///
+/// # Errors
+/// As `read` of the stream.
+pub fn read(stream: &TcpStream, buffer: &mut [u8]) -> io::Result<(usize, Instant)> {
+    let mut space = nix::cmsg_space!(TimeSpec);
+    let mut parts = [IoSliceMut::new(buffer)];
+    let message = recvmsg::<()>(stream.as_raw_fd(), &mut parts, Some(&mut space), MsgFlags::empty())?;
+    let stamp = message.cmsgs().find_map(|control| match control {
+        ControlMessageOwned::ScmTimestampns(at) => Some(Duration::from(at)),
+        _ => None,
+    });
+    let now = Instant::now();
+    Ok((message.bytes, stamp.and_then(|stamp| monotonic(now, stamp)).unwrap_or(now)))
+}
+
+/// A moment of the wall clock as one of the monotonic clock; none if it has not come yet, as after a step of the clock.
+fn monotonic(now: Instant, stamp: Duration) -> Option<Instant> {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.checked_sub(stamp)?;
+    now.checked_sub(age)
+}
--- a/crates/rig/src/tcp.rs
+++ b/crates/rig/src/tcp.rs
@@ -15,6 +15,7 @@
 
 use crate::held;
 use crate::hints::Hints;
+use crate::receive_time;
 use crate::world::ZONES;
 
 /// How often a relay that waits looks at what it is told.
@@ -29,8 +30,10 @@
     pub writes: bool,
     /// From which gateway, to which db host.
     pub link: (usize, usize),
-    /// When it was sent.
+    /// When it was read here.
     pub from: Instant,
+    /// When the kernel received it, however late it was read here.
+    pub received: Instant,
     /// When it was answered, or its connection was closed; at `from` for one that had been given up before it was seen.
     pub to: Option<Instant>,
     /// What was answered, empty for rows and else a sqlstate; none if nothing was.
@@ -41,7 +44,7 @@
     /// One that has just been sent.
     #[must_use]
     pub fn new(hints: Hints, link: (usize, usize), from: Instant) -> Self {
-        Self { hints, writes: false, link, from, to: None, answer: None }
+        Self { hints, writes: false, link, from, received: from, to: None, answer: None }
     }
 
     /// It was still out at a moment. One whose connection ended without an answer was given up a little before it was seen to
@@ -188,16 +191,27 @@
     let _ = from.set_read_timeout(Some(GRAIN));
     let _ = to.set_read_timeout(Some(GRAIN));
     let _ = to.set_nodelay(true);
+    if forth {
+        receive_time::enable(&from);
+    }
     let mut buffer = vec![0; 64 * 1024];
     while !shared.over.load(Ordering::SeqCst) && resets() == before {
-        let len = match from.read(&mut buffer) {
-            Ok(0) => break,
-            Ok(len) => len,
+        let read = if forth {
+            receive_time::read(&from, &mut buffer)
+        } else {
+            from.read(&mut buffer).map(|len| (len, Instant::now()))
+        };
+        let (len, received) = match read {
+            Ok((0, _)) => break,
+            Ok(read) => read,
             Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
             Err(_) => break,
         };
         if let Some(hints) = Some(&buffer[..len]).filter(|_| forth).and_then(hints_in) {
-            begun(&from, hints, &buffer[..len], link, shared, out);
+            let mut attempt = Attempt::new(hints, link, Instant::now());
+            attempt.received = received;
+            attempt.writes = buffer[..len].windows(6).any(|window| window == b"INSERT");
+            begun(&from, attempt, shared, out);
         }
         if forth {
             thread::sleep(Duration::from_micros(shared.delay_us.load(Ordering::SeqCst)));
@@ -232,21 +246,19 @@
 /// An attempt begins. An earlier one of its request that its gateway has given up is over, though the thread that passes its bytes
 /// may not have heard of that yet; and one that is heard of only when its gateway has given it up is over as well. Guards against:
 /// a busy machine that makes two attempts of one after the other.
-fn begun(gateway: &TcpStream, hints: Hints, bytes: &[u8], link: (usize, usize), shared: &Shared, out: &Out) {
+fn begun(gateway: &TcpStream, attempt: Attempt, shared: &Shared, out: &Out) {
     // One at a time, so that whichever is second looks at the other's connection.
     let mut last = held(&shared.last);
     let late = closed(gateway);
     if let Some(end) = gateway.try_clone().ok().filter(|_| !late) {
-        let before = last.insert(hints.id.clone(), (Arc::clone(out), end));
+        let before = last.insert(attempt.hints.id.clone(), (Arc::clone(out), end));
         if let Some((earlier, _)) = before.filter(|(other, end)| !Arc::ptr_eq(other, out) && closed(end)) {
             // Not `ended`, which takes the lock that is held here.
             over(shared, &earlier, None);
         }
     }
-    let writes = bytes.windows(6).any(|window| window == b"INSERT");
     let mut at = held(out);
     let mut attempts = held(&shared.attempts);
-    let attempt = Attempt { writes, ..Attempt::new(hints, link, Instant::now()) };
     *at = (!late).then_some(attempts.len());
     let to = late.then_some(attempt.from);
     attempts.push(Attempt { to, ..attempt });
@@ -276,3 +288,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
