--- a/gateway/tests/limits.rs
+++ b/gateway/tests/limits.rs
@@ -452,3 +452,26 @@
     assert!(most <= 6, "{most} of 6 permits\n{}", fleet.logs());
     fleet.demand.end();
 }
+
+/// Guards against: attempts that spend one after the other while they wait for connections, and are all sent when those come up.
+#[test]
+fn attempts_that_wait_for_connections_do_not_pass_the_limit_when_those_come_up() {
+    let _alone = alone();
+    let fleet = Fleet::start(62, COUNT as f64);
+    let begun = Instant::now();
+    for stalled_ms in [200, 120, 240] {
+        fleet.world.links().reset(|_, _| true);
+        sleep(SECOND / 2);
+        fleet.world.links().stall(|_, _| true);
+        fleet.demand.want(|_| 80.0);
+        sleep(Duration::from_millis(stalled_ms));
+        fleet.world.links().stall(|_, _| false);
+        sleep(2 * SECOND);
+        fleet.demand.want(|_| 0.0);
+    }
+    fleet.held("connections come up late and at once", RATE, begun);
+    let part = used(&fleet.sent(), RATE, begun, Instant::now());
+    println!("{part:.2} of the limit used over all, pauses included");
+    assert!(part > 0.3, "{part}");
+    fleet.demand.end();
+}
