Spend a rate limit at the first byte of an attempt that has waited for its connection

Cause: an attempt spent when it was sent by the module, and then waited for a connection, up to the connect timeout (250 ms). The buckets filled meanwhile and later attempts spent too; all of them went out in the moment in which the connections came up.

Change: an attempt that is not written in the turn in which it spent gives its rate back (permits stay), and spends again right before its first byte; with nothing left its request ends as one that found nothing at first. A turn of the loop that was held up for over 5 ms between spending and writing spends anew too. The token bucket has a module of its own, what holds of a first byte too.

--- a/crates/federation/src/limits/meter.rs
+++ b/crates/federation/src/limits/meter.rs
@@ -1,18 +1,17 @@
 //! What this gateway's attempts may spend now: atomics that the event loop spends from and the tasks fill.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicI64, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use yewroute_table::{Limit, Table};
 
+use super::bucket::{Bucket, ONE};
 use super::keeper::Key;
 use super::share::{depth, Floors};
 
-/// One attempt, in what buckets count: billionths, so that a rate of 0.01 a second adds up over microseconds.
-const ONE: f64 = 1e9;
 /// A bucket that lacks less than this is full.
 const NEARLY: f64 = 0.05;
 /// What a class may save up while not all of what is wanted can be had, in seconds of its share.
@@ -70,41 +69,6 @@
     gate: Bucket,
 }
 
-#[derive(Debug, Default)]
-struct Bucket {
-    tokens: AtomicI64,
-    /// Up to when it is filled, in nanoseconds since the meter's base.
-    filled: AtomicU64,
-}
-
-impl Bucket {
-    /// Fills it up to `now`, whoever else does so: each moment counts once.
-    fn fill(&self, base: Instant, now: Instant, accrued: impl Fn(Instant) -> f64, depth: f64) {
-        let nanos = u64::try_from(now.saturating_duration_since(base).as_nanos()).unwrap_or(u64::MAX);
-        let last = self.filled.fetch_max(nanos, Ordering::AcqRel);
-        let more = if last < nanos { accrued(base + Duration::from_nanos(last)) } else { 0.0 };
-        let most = (depth * ONE) as i64;
-        let fill = |tokens: i64| Some(tokens.saturating_add((more * ONE) as i64).min(most));
-        let _ = self.tokens.fetch_update(Ordering::AcqRel, Ordering::Acquire, fill);
-    }
-
-    fn take(&self) -> bool {
-        let take = |tokens: i64| (tokens >= ONE as i64).then_some(tokens - ONE as i64);
-        self.tokens.fetch_update(Ordering::AcqRel, Ordering::Acquire, take).is_ok()
-    }
-
-    /// What was taken at this very moment comes back.
-    fn put_back(&self) {
-        self.tokens.fetch_add(ONE as i64, Ordering::AcqRel);
-    }
-
-    /// How long until it has one, at such a rate.
-    fn wait(&self, rate: f64) -> Duration {
-        let missing = (1.0 - self.tokens.load(Ordering::Acquire) as f64 / ONE).max(0.0);
-        Duration::try_from_secs_f64(missing / rate).unwrap_or(Duration::MAX)
-    }
-}
-
 /// One limit at this gateway.
 #[derive(Debug)]
 pub struct Meter {
@@ -224,7 +188,7 @@
         let grant = self.grant.load();
         self.fill(now, &grant);
         let depth = self.depth(grant.amount(now));
-        !self.whole() && self.bucket.tokens.load(Ordering::Acquire) as f64 >= (depth - NEARLY) * ONE
+        !self.whole() && self.bucket.level() >= (depth - NEARLY) * ONE
     }
 
     /// Spends one; gives the end of the lease under which it did so.
@@ -288,6 +252,13 @@
     until: Option<Instant>,
 }
 
+impl PartialEq for Spent {
+    fn eq(&self, other: &Self) -> bool {
+        let key = |spent: &Self| (spent.class, spent.group, spent.until);
+        Arc::ptr_eq(&self.meters, &other.meters) && key(self) == key(other)
+    }
+}
+
 impl Spent {
     /// The end of the lease under which it was spent: its first byte goes out before that, if there is one.
     #[must_use]
@@ -305,6 +276,26 @@
         self.meters.of(self.class, self.group).filter(|meter| meter.whole()).for_each(|meter| meter.end());
     }
 
+    /// Gives back what rates counted, and keeps the permits: the attempt waits, and spends again when its first byte can go out.
+    /// Guards against: attempts that spend one after the other, wait for connections, and are all sent in the moment in which
+    /// those come up.
+    pub fn give_back_rates(&self) {
+        self.rates().for_each(|meter| meter.give_back(self.class));
+    }
+
+    /// Spends again what [`Spent::give_back_rates`] gave back: from all rates or from none. Gives the end of the lease under which
+    /// it did so, as [`Spent::until`].
+    ///
+    /// # Errors
+    /// One of them has nothing left.
+    pub fn spend_rates_again(&self, now: Instant) -> Result<Option<Instant>, Refused> {
+        spend_all(|| self.rates(), now, self.class)
+    }
+
+    fn rates(&self) -> impl Iterator<Item = &Meter> {
+        self.meters.of(self.class, self.group).filter(|meter| !meter.whole())
+    }
+
     /// Whether permits are held until its end.
     #[must_use]
     pub fn held(&self) -> bool {
@@ -370,16 +361,25 @@
     /// # Errors
     /// One of them has nothing left.
     pub fn try_spend(self: &Arc<Self>, now: Instant, class: usize, group: u64) -> Result<Spent, Refused> {
-        let mut until: Option<Instant> = None;
-        for (taken, meter) in self.of(class, group).enumerate() {
-            match meter.try_spend(now, class) {
-                Ok(ends) => until = until.into_iter().chain(ends).min(),
-                Err(refused) => {
-                    self.of(class, group).take(taken).for_each(|meter| meter.give_back(class));
-                    return Err(refused);
-                }
+        let until = spend_all(|| self.of(class, group), now, class)?;
+        Ok(Spent { meters: Arc::clone(self), class, group, until })
+    }
+}
+
+/// Spends one attempt from all of these, or from none; the soonest end of the leases under which it did so.
+fn spend_all<'a, M>(meters: impl Fn() -> M, now: Instant, class: usize) -> Result<Option<Instant>, Refused>
+where
+    M: Iterator<Item = &'a Meter>,
+{
+    let mut until: Option<Instant> = None;
+    for (taken, meter) in meters().enumerate() {
+        match meter.try_spend(now, class) {
+            Ok(ends) => until = until.into_iter().chain(ends).min(),
+            Err(refused) => {
+                meters().take(taken).for_each(|meter| meter.give_back(class));
+                return Err(refused);
             }
         }
-        Ok(Spent { meters: Arc::clone(self), class, group, until })
     }
+    Ok(until)
 }
--- a/crates/federation/src/limits/mod.rs
+++ b/crates/federation/src/limits/mod.rs
@@ -5,6 +5,7 @@
 //! the seats of all keepers. `docs/design/limits.md` states the bound.
 
 mod ask;
+mod bucket;
 pub mod keeper;
 pub mod meter;
 #[cfg(test)]
--- a/gateway/src/core/limit.rs
+++ b/gateway/src/core/limit.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use yewroute::interface::{RequestId, Status};
+use yewroute::interface::{Event, RequestId, Status};
 use yewroute_federation::bridge::Shared;
-use yewroute_federation::limits::{Classes, Spent};
+use yewroute_federation::limits::{Classes, Refused, Spent};
 
-use super::{Answer, AttemptId, Core, Due, Payload};
+use super::{Answer, AttemptId, Core, Due, Effect, Ended, Payload};
 
 /// What attempts have spent.
 #[derive(Default)]
@@ -84,6 +84,23 @@
         self.timers.set(sent + longest + self.deployment.connect_timeout, Due::Rested(id));
     }
 
+    /// An attempt that has waited for a connection finds nothing to spend: it is not sent, and its request ends as one that found
+    /// nothing at first.
+    pub(super) fn end_at_limit(
+        &mut self,
+        now: Instant,
+        id: AttemptId,
+        refused: Refused,
+        effects: &mut Vec<Effect<B>>,
+    ) {
+        let (request, _) = id;
+        if self.held.get(&request).is_some_and(|held| held.out == Some(id)) {
+            self.spending.barred = Some((request, refused.retry));
+            self.route(now, Event::Barred(request), effects);
+        }
+        self.book(now, id, Ended::silent(Status::NotSent), effects);
+    }
+
     /// Until when the first byte of an attempt may go out that has spent at `now`: while the lease runs under which it did, and
     /// before its connection could take longer than it may. Guards against: one that is sent long after, as by a process that
     /// was stopped in between, when what it spent is another's.
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -33,6 +33,7 @@
 };
 use yewroute::Router;
 use yewroute_federation::bridge::Shared;
+use yewroute_federation::limits::{Refused, Spent};
 use yewroute_federation::permit::Permit;
 use yewroute_fleet::{Loads, Subject, Value};
 use yewroute_settings::Deployment;
@@ -163,6 +164,8 @@
     Cancel(ClientId),
     /// An attempt ended; once for each [`Effect::Start`].
     Ended(AttemptId, Ended),
+    /// An attempt that waited for a connection found nothing left of a limit; this in place of its end.
+    LimitReached(AttemptId, Refused),
     /// A probe ended; once for each [`Effect::Probe`].
     Probed(ServerId, Ended),
     /// News from the list.
@@ -204,6 +207,8 @@
         permit: Option<Permit>,
         /// Its first byte goes out before then, or it is not sent.
         send_by: Option<Instant>,
+        /// What it has spent of rate limits: given back while it waits for a connection, spent again at its first byte.
+        spent: Option<Spent>,
     },
     /// Pass these bytes of its value on to the client; more follow.
     Pass(ClientId, Vec<u8>),
@@ -386,6 +391,7 @@
             Input::ClientGone(client) => self.leave(now, client, effects),
             Input::Cancel(client) => self.cancel(now, client, effects),
             Input::Ended(attempt, ended) => self.book(now, attempt, ended, effects),
+            Input::LimitReached(attempt, refused) => self.end_at_limit(now, attempt, refused, effects),
             Input::Probed(server, ended) => self.book_probe(now, server, &ended, effects),
             Input::Members(members) => self.book_members(now, members, effects),
             Input::WatchBroken => self.book_broken_watch(now, effects),
--- a/gateway/src/core/send.rs
+++ b/gateway/src/core/send.rs
@@ -62,7 +62,8 @@
         };
         let attempt = (id, number);
         let send_by = spent.iter().flatten().next().map(|spent| self.send_by(now, spent));
-        self.spending.sent(attempt, spent.flatten());
+        let spent = spent.flatten();
+        self.spending.sent(attempt, spent.clone());
         let begin_by = half_at.and_then(|half| begin_by(now, half));
         let host = self.directory.member(server).map(|listed| (listed.name, listed.group));
         if let (Some(loads), Some((name, _))) = (&mut self.loads, host) {
@@ -71,7 +72,7 @@
         let sent = Attempt { server, host, sent: now, first_byte: None, booked: false, class, told: 0 };
         self.attempts.insert(attempt, sent);
         let permit = self.orders.sent(id);
-        effects.push(Effect::Start { attempt, server, body, begin_by, cut_at, permit, send_by });
+        effects.push(Effect::Start { attempt, server, body, begin_by, cut_at, permit, send_by, spent });
     }
 }
 
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -2,6 +2,7 @@
 
 mod assign;
 mod connection;
+pub mod first_byte;
 mod receive;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -18,7 +19,7 @@
 use crate::proto::pg::request::Body;
 use crate::timers::Timers;
 use connection::{HostConnection, JobId, State};
-use yewroute_federation::permit::Permit;
+use first_byte::FirstByteLimit;
 
 /// Idle connections are retired after this share of the time that a db host leaves them open.
 const RETIRE_AT_KEEPALIVE_SHARE: f64 = 0.6;
@@ -28,27 +29,6 @@
 /// How often that is looked after.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Until when a first byte may go out.
-#[derive(Default)]
-pub struct FirstByteLimit {
-    /// While this runs, if there is one.
-    pub permit: Option<Permit>,
-    /// Before then, if it is limited.
-    pub send_by: Option<Instant>,
-}
-
-impl FirstByteLimit {
-    /// Guards against: a first byte by a gateway whose lease has ended since the send was asked for, as when it was stopped in
-    /// between. The clock is read again: the turn of the loop may have begun long ago.
-    fn over(&self) -> bool {
-        let over = |now: Instant| {
-            self.permit.as_ref().is_some_and(|permit| !permit.runs(now))
-                || self.send_by.is_some_and(|by| now >= by)
-        };
-        (self.permit.is_some() || self.send_by.is_some()) && over(Instant::now())
-    }
-}
-
 struct Job {
     server: ServerId,
     leave: FirstByteLimit,
@@ -364,12 +344,20 @@
         }
     }
 
-    /// A job is over.
-    fn end(&mut self, id: JobId, ended: Ended, a: &mut HostsContext) {
-        let Some(job) = self.jobs.remove(&id) else { return };
+    /// Forgets a job; false if it is not known.
+    fn remove(&mut self, id: JobId) -> bool {
+        let Some(job) = self.jobs.remove(&id) else { return false };
         if job.conn.is_none() {
             self.pools.entry(job.server).or_default().waiting.retain(|waiting| *waiting != id);
         }
+        true
+    }
+
+    /// A job is over.
+    fn end(&mut self, id: JobId, ended: Ended, a: &mut HostsContext) {
+        if !self.remove(id) {
+            return;
+        }
         a.inbox.push_back(match id {
             JobId::Attempt(attempt) => Input::Ended(attempt, ended),
             JobId::Probe(server) => Input::Probed(server, ended),
--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -6,10 +6,12 @@
 use tracing::warn;
 use yewroute::interface::{ServerId, Status};
 
+use super::first_byte::FirstByteLimit;
 use super::{HostConnection, HostProtocol, Hosts, HostsContext, JobId, State, TimerEvent};
 use crate::core::Ended;
 use crate::net::poller::{Interest, Token};
 use crate::net::wire::{Shared, Wire, CHUNK};
+use crate::net::Input;
 use crate::proto::pg::backend;
 use crate::proto::pg::exchange::Sent;
 use crate::proto::pg::request::Body;
@@ -28,7 +30,9 @@
             self.drop_outdated_dials(a);
         }
         for server in std::mem::take(&mut self.servable) {
+            self.each_waiting(server, |leave| leave.wait_if_held_up(a.now));
             self.pump(server, a);
+            self.each_waiting(server, FirstByteLimit::wait);
         }
     }
 
@@ -59,6 +63,27 @@
         }
     }
 
+    /// Tells each job that waits for a connection to a db host.
+    fn each_waiting(&mut self, server: ServerId, tell: impl Fn(&mut FirstByteLimit)) {
+        let waiting = self.pools.get(&server).into_iter().flat_map(|pool| &pool.waiting);
+        for id in waiting {
+            if let Some(job) = self.jobs.get_mut(id) {
+                tell(&mut job.leave);
+            }
+        }
+    }
+
+    /// Spends for a job that has a connection; one that finds nothing left is over.
+    fn spend(&mut self, id: JobId, a: &mut HostsContext) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else { return false };
+        let Err(refused) = job.leave.spend() else { return true };
+        self.remove(id);
+        if let JobId::Attempt(attempt) = id {
+            a.inbox.push_back(Input::LimitReached(attempt, refused));
+        }
+        false
+    }
+
     /// Gives waiting jobs connections: idle ones first, then new ones.
     fn pump(&mut self, server: ServerId, a: &mut HostsContext) {
         loop {
@@ -79,11 +104,13 @@
                 let conn = self.conns.get(&number);
                 // Guards against: a stale connection that ends as a reset. One that the db host has closed
                 // may not have been polled yet.
-                if conn.is_some_and(|conn| conn.addr == addr && conn.wire.quiet()) {
-                    pool.waiting.pop_front();
+                if !conn.is_some_and(|conn| conn.addr == addr && conn.wire.quiet()) {
+                    self.conns.remove(&number);
+                } else if self.spend(id, a) {
+                    self.pools.entry(server).or_default().waiting.pop_front();
                     self.write(number, id, a);
                 } else {
-                    self.conns.remove(&number);
+                    self.pools.entry(server).or_default().idle.push(number);
                 }
                 continue;
             }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -42,7 +42,8 @@
 use federation::FederationLink;
 use fleet::FleetLink;
 use handover::Handover;
-use hosts::{FirstByteLimit, Hosts, HostsContext};
+use hosts::first_byte::{FirstByteLimit, Spending};
+use hosts::{Hosts, HostsContext};
 use poller::{Poller, Ready, Token};
 use signals::Signals;
 use startup::StartConditions;
@@ -309,8 +310,8 @@
     fn perform(&mut self, now: Instant, effect: Effect) {
         let (hosts, mut around) = self.hosts(now);
         match effect {
-            Effect::Start { attempt, server, body, begin_by, cut_at, permit, send_by } => {
-                let leave = FirstByteLimit { permit, send_by };
+            Effect::Start { attempt, server, body, begin_by, cut_at, permit, send_by, spent } => {
+                let leave = FirstByteLimit { permit, send_by, spent: spent.map(Spending::Spent) };
                 hosts.start(attempt, server, body, (begin_by, cut_at, leave));
             }
             Effect::Pass(client, bytes) => {
