Add a failing test: words of gateways whose messages were all late so far are held

The test fixes the order of events that makes it come: gateways of zone c list the others after these have greeted them, so that the greetings are dropped, and by then their ways take 5 s. The first message that counts is late itself and becomes the measure: at 9.34 s words that were sent at 4.34 s are held. The clock is paused, so it fails each time. Links of memory can be slow now, as well as cut.

--- a/crates/federation/src/memory.rs
+++ b/crates/federation/src/memory.rs
@@ -8,6 +8,7 @@
 
 use tokio::io::{split, AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf};
 use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, Instant};
 
 use crate::links::{Link, Linked, Links};
 
@@ -16,13 +17,24 @@
 /// How long bytes take.
 const WAY: Duration = Duration::from_millis(1);
 
-type Cuts = BTreeSet<(SocketAddr, SocketAddr)>;
+/// Pieces that a link holds.
+const PIECES: usize = 1_024;
+
+/// From one place to another.
+type Way = (SocketAddr, SocketAddr);
+
+/// What is on the way.
+#[derive(Debug, Default)]
+struct Faults {
+    cuts: BTreeSet<Way>,
+    late: BTreeMap<Way, Duration>,
+}
 
 /// A network of memory.
 #[derive(Clone)]
 pub struct Memory {
     doors: Arc<Mutex<BTreeMap<SocketAddr, mpsc::Sender<Link>>>>,
-    cuts: Arc<watch::Sender<Cuts>>,
+    faults: Arc<watch::Sender<Faults>>,
 }
 
 /// One gateway's place in it.
@@ -34,7 +46,7 @@
 
 impl Default for Memory {
     fn default() -> Self {
-        Self { doors: Arc::default(), cuts: Arc::new(watch::channel(Cuts::new()).0) }
+        Self { doors: Arc::default(), faults: Arc::new(watch::channel(Faults::default()).0) }
     }
 }
 
@@ -49,34 +61,59 @@
 
     /// What goes from one to the other does not arrive until the cut is mended; both are silent, not closed.
     pub fn cut(&self, from: SocketAddr, to: SocketAddr) {
-        self.cuts.send_modify(|cuts| {
-            cuts.insert((from, to));
+        self.faults.send_modify(|faults| {
+            faults.cuts.insert((from, to));
+        });
+    }
+
+    /// What goes from one to the other takes so much longer from now on, in order; connections come up as ever.
+    pub fn delay(&self, from: SocketAddr, to: SocketAddr, late: Duration) {
+        self.faults.send_modify(|faults| {
+            faults.late.insert((from, to), late);
         });
     }
 
     /// Ends all cuts.
     pub fn mend(&self) {
-        self.cuts.send_modify(Cuts::clear);
+        self.faults.send_modify(|faults| faults.cuts.clear());
     }
 }
 
 /// Waits until nothing is cut that way.
-async fn whole(cuts: &mut watch::Receiver<Cuts>, way: (SocketAddr, SocketAddr)) {
+async fn whole(faults: &mut watch::Receiver<Faults>, way: Way) {
     // It fails once the network is gone, and then nothing waits for it any more.
-    let _ = cuts.wait_for(|cuts| !cuts.contains(&way)).await;
+    let _ = faults.wait_for(|faults| !faults.cuts.contains(&way)).await;
 }
 
+/// Reads what is to go one way, and dates each piece with when it arrives.
 async fn carry(
     mut from: ReadHalf<DuplexStream>,
-    mut to: WriteHalf<DuplexStream>,
-    way: (SocketAddr, SocketAddr),
-    mut cuts: watch::Receiver<Cuts>,
+    to: WriteHalf<DuplexStream>,
+    way: Way,
+    faults: watch::Receiver<Faults>,
 ) {
+    let (pieces, arriving) = mpsc::channel(PIECES);
+    tokio::spawn(deliver(arriving, to, way, faults.clone()));
     let mut bytes = vec![0; HELD];
     while let Ok(len @ 1..) = from.read(&mut bytes).await {
-        tokio::time::sleep(WAY).await;
-        whole(&mut cuts, way).await;
-        if to.write_all(&bytes[..len]).await.is_err() {
+        let late = faults.borrow().late.get(&way).copied().unwrap_or_default();
+        if pieces.send((Instant::now() + WAY + late, bytes[..len].to_vec())).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Writes each piece when it arrives, in order.
+async fn deliver(
+    mut pieces: mpsc::Receiver<(Instant, Vec<u8>)>,
+    mut to: WriteHalf<DuplexStream>,
+    way: Way,
+    mut faults: watch::Receiver<Faults>,
+) {
+    while let Some((at, piece)) = pieces.recv().await {
+        sleep_until(at).await;
+        whole(&mut faults, way).await;
+        if to.write_all(&piece).await.is_err() {
             return;
         }
     }
@@ -86,17 +123,17 @@
 impl Links for Place {
     fn dial(&self, to: SocketAddr) -> Linked<'_> {
         Box::pin(async move {
-            let mut cuts = self.net.cuts.subscribe();
-            whole(&mut cuts, (self.me, to)).await;
-            whole(&mut cuts, (to, self.me)).await;
+            let mut faults = self.net.faults.subscribe();
+            whole(&mut faults, (self.me, to)).await;
+            whole(&mut faults, (to, self.me)).await;
             let door = self.net.doors.lock().unwrap_or_else(PoisonError::into_inner).get(&to).cloned();
             let refused = || io::Error::from(io::ErrorKind::ConnectionRefused);
             let (own, mine) = tokio::io::duplex(HELD);
             let (theirs, other) = tokio::io::duplex(HELD);
             door.ok_or_else(refused)?.send(Box::new(other)).await.map_err(|_| refused())?;
             let ((my_read, my_write), (their_read, their_write)) = (split(mine), split(theirs));
-            tokio::spawn(carry(my_read, their_write, (self.me, to), self.net.cuts.subscribe()));
-            tokio::spawn(carry(their_read, my_write, (to, self.me), self.net.cuts.subscribe()));
+            tokio::spawn(carry(my_read, their_write, (self.me, to), self.net.faults.subscribe()));
+            tokio::spawn(carry(their_read, my_write, (to, self.me), self.net.faults.subscribe()));
             Ok(Box::new(own) as Link)
         })
     }
--- a/crates/federation/src/verdicts/tests.rs
+++ b/crates/federation/src/verdicts/tests.rs
@@ -15,7 +15,7 @@
 use super::*;
 use crate::bridge::{Acting, Outlook, Shared, Wishes};
 use crate::memory::Memory;
-use crate::peers::{Inboxes, Me, Peers};
+use crate::peers::{Inboxes, Me, Members, Peers};
 use crate::Terms;
 
 const STEP: Duration = Duration::from_millis(2);
@@ -30,6 +30,8 @@
 
 struct One {
     news: mpsc::Sender<News>,
+    listed: watch::Sender<Members>,
+    outlook: watch::Sender<Arc<Outlook>>,
     wishes: Receiver<Wish>,
     evidence: Evidence,
     held: BTreeMap<u64, Held>,
@@ -63,8 +65,8 @@
     SocketAddr::from(([127, 0, 1, u8::try_from(n / 200).unwrap()], 7_000 + u16::try_from(n % 200).unwrap()))
 }
 
-fn world(count: usize, zones: usize, hosts: u64, rate: f64, ill: Ill) -> World {
-    let (net, ends) = (Memory::default(), CancellationToken::new());
+/// These gateways as one of them lists them, itself first.
+fn members(me: usize, listed: &[usize], zones: usize) -> Members {
     let member = |n: usize| Member {
         name: format!("g{n}").into(),
         zone: ZONES[n % zones].into(),
@@ -73,14 +75,18 @@
         incarnation: 1,
         stays: true,
     };
+    let others = listed.iter().copied().filter(|n| *n != me);
+    Arc::new(std::iter::once(me).chain(others).map(member).collect())
+}
+
+fn world(count: usize, zones: usize, hosts: u64, rate: f64, ill: Ill) -> World {
+    let (net, ends) = (Memory::default(), CancellationToken::new());
     let one = |n: usize| {
-        let mut all: Vec<Member> = (0..count).map(member).collect();
-        all.swap(0, n);
-        let members = Arc::new(all);
+        let members = members(n, &(0..count).collect::<Vec<_>>(), zones);
         let (inboxes, [inbox]) = Inboxes::new([Kind::Verdicts]);
         let me = Me { name: format!("g{n}").into(), incarnation: 1, key: [1; 32], most: 2 * count };
-        let peers =
-            Peers::start(me, Arc::new(net.place(addr(n))), watch::channel(members.clone()).1, inboxes, &ends);
+        let (listed, seen) = watch::channel(members.clone());
+        let peers = Peers::start(me, Arc::new(net.place(addr(n))), seen, inboxes, &ends);
         let outlook = Outlook {
             members,
             sure: true,
@@ -102,10 +108,11 @@
             reader: Arc::new(|_, _| Ok(yewroute_table::Table::default())),
         };
         let (wishes, from) = Wishes::new(Arc::new(|| {}));
+        let (outlook, looks) = watch::channel(Arc::new(outlook));
         let context = Context {
             terms: Arc::new(terms),
             peers,
-            outlook: watch::channel(Arc::new(outlook)).1,
+            outlook: looks,
             acting: watch::channel(Arc::new(Acting::default())).1,
             shared: Arc::new(Shared::default()),
             wishes,
@@ -117,6 +124,8 @@
         news.try_send(News::Listed((1..=hosts).map(|host| (host, 1 + host / 100)).collect())).unwrap();
         One {
             news,
+            listed,
+            outlook,
             wishes: from,
             evidence: Evidence::default(),
             held: BTreeMap::new(),
@@ -146,6 +155,13 @@
         now().saturating_duration_since(self.began)
     }
 
+    /// Which gateways one lists from now on.
+    fn list(&self, n: usize, listed: &[usize]) {
+        let members = members(n, listed, self.all.len().min(ZONES.len()));
+        self.all[n].listed.send_replace(members.clone());
+        self.all[n].outlook.send_modify(|held| *held = Arc::new(Outlook { members, ..(**held).clone() }));
+    }
+
     fn zone(&self, n: usize) -> &'static str {
         let zones = self.all.len().min(ZONES.len());
         ZONES[n % zones]
@@ -344,6 +360,29 @@
     }
 }
 
+/// Guards against: the first message of another gateway, late itself, as the measure of how late its messages are.
+#[tokio::test(start_paused = true)]
+async fn words_of_gateways_whose_messages_were_all_late_so_far_are_not_taken_for_new() {
+    let fails = |host: u64, zone: &str, at: Duration| {
+        (host == 2 && zone != "c" && (CALM..CALM + ms(2_000)).contains(&at)).then_some(How::Silent)
+    };
+    let mut world = world(6, 3, 6, 10.0, Box::new(fails));
+    let (others, late) = ([0, 1, 3, 4], [2, 5]);
+    // Those of zone c list the others only when these have greeted them, and when the way has become slow.
+    late.iter().for_each(|n| world.list(*n, &late));
+    world.pass(ms(1_000)).await;
+    others
+        .iter()
+        .for_each(|from| late.iter().for_each(|to| world.net.delay(addr(*from), addr(*to), ms(5_000))));
+    late.iter().for_each(|n| world.list(*n, &[0, 1, 2, 3, 4, 5]));
+    world.pass(CALM).await;
+    for _ in 0..500 {
+        world.pass(ms(20)).await;
+        let held = late.iter().any(|n| world.all[*n].held.contains_key(&2));
+        assert!(!held, "at {:?}", world.since());
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn of_a_group_that_hangs_as_a_whole_a_share_is_judged_away_and_no_more() {
     let ill = |_: u64, _: &str, at: Duration| (CALM..CALM + ms(5_000)).contains(&at).then_some(How::Silent);
