Date words of other gateways by round trips, and take none whose age is not known

What callers saw: reads kept from a db host that serves in their zone, by words of other gateways that were 5 s old.

Cause: how late a message was followed from the quickest message so far, one way. The first one that counted was in time by definition: with a way that took 5 s by then all later ones were in time too, and were held as new for up to 3 s. The greeting that was to be the measure was sent once and dropped where its sender was not listed yet.

Change: a gateway asks another for its time, as NTP does; the clock of the other is behind by no less than what lies between asking and the answer's time, so that no message is taken for younger than it is (older by at most the question's way and the drift). Members are asked when they are listed and answer whoever asks; words of a process that was not asked in the last minute wait for that (32 messages at most), and those of one that cannot be asked within the time that words last count for nothing: the next telling asks again. A round trip of over 50 ms is repeated. A log line at debug level has sender, incarnation, both times and the age. A gateway of an earlier release does not answer; its words count for nothing until it is replaced.

--- a/crates/federation/src/verdicts/mod.rs
+++ b/crates/federation/src/verdicts/mod.rs
@@ -4,7 +4,9 @@
 //! the module takes as news. While a host is judged away one gateway at a time is given a trial there. `docs/design/verdicts.md`
 //! weighs this against other ways and states the bounds.
 
+mod clocks;
 pub mod evidence;
+mod measure;
 pub mod rules;
 #[cfg(test)]
 mod tests;
@@ -21,6 +23,7 @@
 use crate::bridge::{now, Wish};
 use crate::peers::{Incoming, Kind, Member, Question};
 use crate::Context;
+use measure::{Measurements, Message};
 use rules::{Board, PROVEN_WITHIN};
 
 /// Words of one zone that weigh so much together prove what they say.
@@ -34,8 +37,6 @@
 const TRY_MOST: f64 = 0.6;
 /// How often all is looked at though nothing has come.
 const LOOK: Duration = Duration::from_millis(100);
-/// Two clocks may drift apart by one part in so many; time servers slew by no more.
-const DRIFTS_ONE_IN: u64 = 2_000;
 /// Words in one message, and own words kept.
 const MOST_WORDS: usize = 1_024;
 
@@ -171,52 +172,22 @@
     Words(u64, Vec<Said>),
     /// The one that is told this is to try a host.
     Try(u64),
+    /// What is your time?
+    AskTime,
 }
 
-impl Question for Say {
-    const KIND: Kind = Kind::Verdicts;
-    type Answer = ();
-}
-
-/// How late another gateway's messages are: by its time and this one's, against the quickest so far of its life.
-#[derive(Default)]
-struct Ways(BTreeMap<Box<str>, Way>);
-
-/// The quickest way so far, and when it was taken.
-struct Way {
-    /// Of the process, as its connections say: one that was declared down and returns goes on by the same clock.
+/// A gateway's time, by which what it says is dated.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Time {
+    /// Which of its lives it is in.
     incarnation: u64,
-    least: i64,
-    at_ms: u64,
-    /// When a message came last.
-    heard_ms: u64,
+    /// In milliseconds since its tasks began.
+    now_ms: u64,
 }
 
-/// What is known of a member that is no longer listed is kept for so long. Guards against: late messages of one that was declared
-/// down for being late, and whose lateness is measured anew when it is back.
-const FORGET_ABSENT_AFTER: Duration = Duration::from_secs(60);
-
-impl Ways {
-    /// Drops what is known of those that have been absent for long.
-    fn forget_absent(&mut self, now_ms: u64, listed: impl Fn(&str) -> bool) {
-        let forget_ms = u64::try_from(FORGET_ABSENT_AFTER.as_millis()).unwrap_or(u64::MAX);
-        self.0.retain(|name, way| listed(name) || now_ms < way.heard_ms.saturating_add(forget_ms));
-    }
-
-    fn late(&mut self, from: &str, incarnation: u64, sent_ms: u64, came_ms: u64) -> Duration {
-        let took = i64::try_from(came_ms).unwrap_or(i64::MAX).saturating_sub_unsigned(sent_ms);
-        let first = Way { incarnation, least: took, at_ms: came_ms, heard_ms: came_ms };
-        let known = self.0.get(from).filter(|way| way.incarnation == incarnation).unwrap_or(&first);
-        // Guards against: clocks that drift apart until all that one says counts as late.
-        let since = came_ms.saturating_sub(known.at_ms);
-        let least = known.least.saturating_add_unsigned(since / DRIFTS_ONE_IN);
-        if took <= least {
-            self.0.insert(from.into(), first);
-        } else if let Some(way) = self.0.get_mut(from) {
-            way.heard_ms = came_ms;
-        }
-        Duration::from_millis(took.saturating_sub(least).max(0).unsigned_abs())
-    }
+impl Question for Say {
+    const KIND: Kind = Kind::Verdicts;
+    type Answer = Time;
 }
 
 /// When a host is tried next, and by the how manieth of those in order.
@@ -232,15 +203,14 @@
 struct Judge {
     context: Context,
     settled: Settled,
-    began: Instant,
     board: Board,
     /// What this gateway says itself, by host; and what of it is still to be told.
     own: BTreeMap<u64, Word>,
     fresh: Vec<Word>,
     tell_at: Option<Instant>,
     again_at: Instant,
-    ways: Ways,
-    /// Lives of members that were told this one's time.
+    measurements: Measurements,
+    /// Lives of members that were asked for their time.
     greeted: BTreeMap<Box<str>, u64>,
     trials: BTreeMap<u64, Trial>,
     /// Numbers of this gateway's own trials.
@@ -259,13 +229,12 @@
     let mut judge = Judge {
         context,
         settled,
-        began,
         board: Board::default(),
         own: BTreeMap::new(),
         fresh: Vec::new(),
         tell_at: None,
         again_at: began + settled.expire / 3,
-        ways: Ways::default(),
+        measurements: Measurements::new(began),
         greeted: BTreeMap::new(),
         trials: BTreeMap::new(),
         tries: BTreeMap::new(),
@@ -284,9 +253,10 @@
                 None => return,
             },
             said = inbox.recv() => match said {
-                Some(said) => judge.hear(&said),
+                Some(said) => judge.hear(said),
                 None => return,
             },
+            Some(measured) = judge.measurements.next() => judge.measured(measured),
             Ok(()) = outlook.changed() => judge.greet(now()),
             () = sleep_until(wake.unwrap_or(look_at).into()), if wake.is_some() => look_at = now() + LOOK,
         }
@@ -295,7 +265,7 @@
             if let Ok(news) = news.try_recv() {
                 judge.learn(news);
             } else if let Ok(said) = inbox.try_recv() {
-                judge.hear(&said);
+                judge.hear(said);
             } else {
                 break;
             }
@@ -344,25 +314,29 @@
         }
     }
 
-    fn hear(&mut self, said: &Incoming) {
-        let members = self.members();
-        let Some(from) = members.iter().find(|member| member.name == said.from) else { return };
+    fn hear(&mut self, said: Incoming) {
         match said.read::<Say>() {
+            // Whoever asks: it may be listed here a little later.
+            Some(Say::AskTime) => {
+                let now_ms = self.measurements.time(now());
+                said.reply::<Say>(&Time { incarnation: self.context.terms.incarnation, now_ms });
+            }
             Some(Say::Words(sent_ms, words)) => {
-                let now = now();
-                let late = self.ways.late(&from.name, said.incarnation, sent_ms, self.time(now));
-                // Guards against: a word that was long on its way and passes for a new one.
-                if late >= self.settled.expire || said.from == self.context.terms.name {
+                let own = said.from == self.context.terms.name;
+                if own || words.is_empty() || !self.is_member(&said.from) {
                     return;
                 }
-                for said in words.into_iter().take(MOST_WORDS) {
-                    let age = late + Duration::from_millis(said.ago_ms.into());
-                    let Some(at) = now.checked_sub(age) else { continue };
-                    let Said { host, group, what, weight, .. } = said;
-                    self.board.hear(now, (&from.name, &from.zone), Word { host, group, what, weight, at });
+                let message = Message { incarnation: said.incarnation, sent_ms, came: now(), said: words };
+                let patience = self.settled.expire;
+                let known = self.measurements.hold(&self.context, &said.from, message, patience);
+                if let Some(message) = known {
+                    self.take_words(&said.from, message);
                 }
             }
             Some(Say::Try(host)) => {
+                if !self.is_member(&said.from) {
+                    return;
+                }
                 self.tried += 1;
                 self.tries.insert(host, self.tried);
                 self.context.shared.figures.trials.fetch_add(1, Ordering::Relaxed);
@@ -371,8 +345,30 @@
         }
     }
 
-    fn time(&self, now: Instant) -> u64 {
-        u64::try_from(now.saturating_duration_since(self.began).as_millis()).unwrap_or(u64::MAX)
+    fn is_member(&self, name: &str) -> bool {
+        self.members().iter().any(|member| *member.name == *name)
+    }
+
+    /// A gateway has told its time, or could not be asked: what waited for it is taken as far as its age is known.
+    fn measured(&mut self, measured: measure::Measured) {
+        let (name, waited) = self.measurements.learn(measured);
+        waited.into_iter().for_each(|message| self.take_words(&name, message));
+    }
+
+    fn take_words(&mut self, name: &str, message: Message) {
+        let members = self.members();
+        let Some(from) = members.iter().find(|member| *member.name == *name) else { return };
+        // Guards against: a word that was long on its way and passes for a new one.
+        let Some(late) = self.measurements.age(name, &message).filter(|late| *late < self.settled.expire)
+        else {
+            return;
+        };
+        for said in message.said.into_iter().take(MOST_WORDS) {
+            let age = late + Duration::from_millis(said.ago_ms.into());
+            let Some(at) = message.came.checked_sub(age) else { continue };
+            let Said { host, group, what, weight, .. } = said;
+            self.board.hear(message.came, (&from.name, &from.zone), Word { host, group, what, weight, at });
+        }
     }
 
     /// Tells what is due, holds what follows, hands out trials.
@@ -434,15 +430,15 @@
         }
     }
 
-    /// Tells each new life of a member this one's time. Guards against: its first word, that was long on its way, as the measure.
+    /// Asks each new life of a member for its time, so that its first words need not wait for it.
     fn greet(&mut self, now: Instant) {
-        let (members, time) = (self.members(), self.time(now));
+        let members = self.members();
         let lives = |name: &str| members.iter().find(|member| *member.name == *name).map(|m| m.incarnation);
-        self.ways.forget_absent(time, |name| lives(name).is_some());
+        self.measurements.forget_absent(now, |name| lives(name).is_some());
         self.greeted.retain(|name, life| lives(name) == Some(*life));
         for member in members.iter().skip(1) {
             if self.greeted.insert(member.name.clone(), member.incarnation).is_none() {
-                let _ = self.context.peers.tell(&member.name, &Say::Words(time, Vec::new()));
+                self.measurements.ask(&self.context, &member.name, self.settled.expire);
             }
         }
     }
@@ -458,7 +454,7 @@
             weight: word.weight,
             ago_ms: u32::try_from(now.saturating_duration_since(word.at).as_millis()).unwrap_or(u32::MAX),
         };
-        let say = Say::Words(self.time(now), words.iter().take(MOST_WORDS).map(said).collect());
+        let say = Say::Words(self.measurements.time(now), words.iter().take(MOST_WORDS).map(said).collect());
         for member in self.members().iter().skip(1) {
             // Lost if too much waits there already; it is told again.
             let _ = self.context.peers.tell(&member.name, &say);
--- a/crates/federation/src/verdicts/tests.rs
+++ b/crates/federation/src/verdicts/tests.rs
@@ -427,37 +427,3 @@
     println!("100 gateways: {first} lost in the first second, all hold it after {all_hold:?} ms");
     assert!(first <= 16 && all_hold.is_some());
 }
-
-#[test]
-fn how_late_a_message_is_follows_from_both_clocks_and_the_quickest_one() {
-    let mut ways = Ways::default();
-    let lates =
-        [(1, 1_000, 5_010, 0), (1, 2_000, 6_000, 0), (1, 3_000, 7_020, 20), (1, 4_000, 13_000, 4_997)];
-    for (life, sent, came, late) in lates {
-        assert_eq!(ways.late("g1", life, sent, came), ms(late), "sent {sent}");
-    }
-    assert_eq!(ways.late("g1", 2, 10, 14_000), ms(0), "another life has another clock");
-    // A clock that is faster by 100 in a million: a day later it is 8.6 s ahead, and nothing is late.
-    let mut ways = Ways::default();
-    for minute in 0..24 * 60 {
-        let sent = minute * 60_000;
-        assert_eq!(ways.late("g1", 1, sent, sent + sent / 10_000), ms(0), "minute {minute}");
-    }
-    let sent = 24 * 3_600_000;
-    assert!(ways.late("g1", 1, sent, sent + sent / 10_000 + 5_000) > ms(4_900), "this one is");
-}
-
-#[test]
-fn late_messages_of_a_member_that_was_declared_down_for_it_are_late_when_it_is_back() {
-    let mut ways = Ways::default();
-    assert_eq!(ways.late("g1", 7, 1_000, 5_000), ms(0));
-    let absent = |name: &str| name != "g1";
-    // Declared down, and listed again under another incarnation; its process and its clock are the same.
-    ways.forget_absent(12_000, absent);
-    ways.forget_absent(13_000, |_| true);
-    assert!(ways.late("g1", 7, 5_000, 14_000) > ms(4_900));
-    ways.forget_absent(14_000 + 59_000, absent);
-    assert!(ways.late("g1", 7, 64_000, 73_000) > ms(4_900));
-    ways.forget_absent(73_000 + 60_000, absent);
-    assert_eq!(ways.late("g1", 7, 131_000, 140_000), ms(0), "long absent, it is measured anew");
-}
