Add a failing test: a change that was written is closed unread beside another answer

What callers saw: reads sent to a db host that drains, though discovery had written that on an open connection of the gateway.

--- a/gateway/tests/watch.rs
+++ b/gateway/tests/watch.rs
@@ -9,7 +9,7 @@
 use std::ops::Range;
 use std::process::Command;
 use std::sync::atomic::Ordering::SeqCst;
-use std::sync::{Arc, Mutex};
+use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -321,6 +321,54 @@
     hosts.none_from(&gateway, Instant::now() + DRAIN);
 }
 
+/// Guards against: a list that was written, and is closed unread as another call was answered beside it.
+#[test]
+fn what_was_written_counts_though_another_call_is_answered_in_the_same_moment() {
+    side_by_side(&[
+        ("a change on the silent watch behind an unchanged list on a new call", change_behind_a_new_watch),
+        ("a change on a call that is overtaken, behind its older list", change_behind_an_outdated_list),
+    ]);
+}
+
+/// A gateway with a watch that has fallen silent and a call that waits: their ends.
+fn silent_watch_and_call(hosts: &Pair) -> (Gateway, TcpStream, TcpStream) {
+    let (calls, came) = mpsc::channel();
+    let discovery = Calls::start(move |call, stream| {
+        if call == 0 {
+            say(stream, &unchanged());
+        }
+        let _ = calls.send(stream.try_clone().unwrap());
+        hang();
+    });
+    let gateway = hosts.gateway(discovery.addr, SETTINGS);
+    let next = || came.recv_timeout(Duration::from_secs(10)).expect("a call");
+    let ends = (next(), next());
+    hosts.goes_to_replica(&gateway);
+    (gateway, ends.0, ends.1)
+}
+
+fn change_behind_a_new_watch() {
+    let hosts = Pair::new();
+    let (gateway, mut old, mut new) = silent_watch_and_call(&hosts);
+    at_once(&gateway, || {
+        say(&mut new, &unchanged());
+        say(&mut old, &line(&hosts.drain()));
+    });
+    hosts.none_from(&gateway, Instant::now() + DRAIN);
+}
+
+fn change_behind_an_outdated_list() {
+    let hosts = Pair::new();
+    let (gateway, mut old, mut new) = silent_watch_and_call(&hosts);
+    say(&mut old, &line(&hosts.list(42, false, "Ready")));
+    thread::sleep(Duration::from_millis(100));
+    // The answer was made before the change to 42, and the drain after it.
+    at_once(&gateway, || {
+        say(&mut new, &(unchanged() + &line(&hosts.list(43, false, "Terminating"))));
+    });
+    hosts.none_from(&gateway, Instant::now() + DRAIN);
+}
+
 #[test]
 fn calls_go_on_at_a_steady_pace_without_a_watch() {
     side_by_side(&[
