Read what discovery has written on earlier connections before one of them is closed

What callers saw: reads sent to a db host that drains, though discovery had written that on an open connection of the gateway: ten of ten in each of two cases, until a later call brought the list.

Cause: a connection of the gateway to discovery was closed unread when another one was answered beside it. The first list of a new call closes the earlier connections at once, and what had come on them in the same turn of the loop was lost; with a new watch that falls silent after its list, for 2.3 s and more. An answer that has been overtaken was dropped whole for its first list, with the changes behind it. A reload read the rest since earlier; these two, and the connection that makes room for a fifth, did not.

Change: what has come on earlier connections is taken before what has come on a later one, and before one is closed for room; of an overtaken answer the lists count that are newer than the held one.

--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -18,9 +18,10 @@
 use tracing::{info, warn};
 use yewroute::interface::ListObservation;
 
-use super::poller::{Poller, Ready};
+use super::poller::{Poller, Ready, Token};
+use super::wire::CHUNK;
 use super::Input;
-use crate::proto::catalog::{Members, State};
+use crate::proto::catalog::{Lists, Members, State};
 use crate::proto::console::ListFigures;
 use link::{CallEnd, Link, Received};
 pub use schedule::DiscoveryMode;
@@ -38,6 +39,9 @@
 /// given up before it is answered.
 const OLDEST_CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Reads of a connection in a row: as much as the longest list.
+const MAX_READS: usize = Lists::LONGEST / CHUNK;
+
 /// The connections to discovery.
 pub struct Discovery {
     addr: SocketAddr,
@@ -159,7 +163,35 @@
         self.tick(context);
     }
 
+    /// Takes what has come on a connection.
     pub fn ready(&mut self, number: u64, event: Ready, context: &mut DiscoveryContext) {
+        self.read_earlier(number, context);
+        self.receive(number, event, context);
+    }
+
+    /// Takes what has come on earlier connections. Guards against: changes that discovery has written on a connection that is
+    /// closed unread, as a list on this one makes it the watch.
+    fn read_earlier(&mut self, number: u64, context: &mut DiscoveryContext) {
+        let earlier = self.links.iter().filter(|link| link.number < number && link.is_connected());
+        for earlier in earlier.map(|link| link.number).collect::<Vec<_>>() {
+            self.read_all(earlier, context);
+        }
+    }
+
+    /// Takes all that has come on a connection so far.
+    fn read_all(&mut self, number: u64, context: &mut DiscoveryContext) {
+        let readable = Ready { token: Token::Watch(number), write: false, broken: false };
+        let received = |links: &[Link]| links.iter().find(|link| link.number == number).map(|of| of.received);
+        for _ in 0..MAX_READS {
+            let before = received(&self.links);
+            self.receive(number, readable, context);
+            if received(&self.links) == before {
+                return;
+            }
+        }
+    }
+
+    fn receive(&mut self, number: u64, event: Ready, context: &mut DiscoveryContext) {
         let now = context.now;
         let Some(at) = self.links.iter().position(|link| link.number == number) else { return };
         let Received { lists, line_began, answer_begun, mut end } =
@@ -169,7 +201,10 @@
             context.observe(ListObservation::AnswerBegun);
         }
         if self.outdated(at, &lists) {
-            // The next call is answered with what counts.
+            // The next call is answered with what counts; what came behind the list that is out of date counts already.
+            let mut behind = lists;
+            behind.extend(self.links[at].read_rest(now));
+            self.take_newer(at, behind, context);
             end = Some(CallEnd::Outdated);
         } else {
             self.take(at, lists, context);
@@ -205,6 +240,12 @@
         }
     }
 
+    /// Takes the lists that are newer than what is held.
+    fn take_newer(&mut self, at: usize, lists: Vec<Members>, context: &mut DiscoveryContext) {
+        let held = self.heard.map_or(0, |heard| heard.version);
+        self.take(at, lists.into_iter().filter(|members| members.version > held).collect(), context);
+    }
+
     fn log_list(&self, now: Instant, link: &Link, members: &Members) {
         let held = self.heard.map_or(0, |heard| heard.version);
         info!(
@@ -256,6 +297,11 @@
         let now = context.now;
         self.give_up_silent_watch(context);
         self.check_waiting_calls(context);
+        let due = |state: &WatchState| matches!(state, WatchState::Opening(opening) if opening.next <= now);
+        if due(&self.state) && self.links.len() >= MAX_CONNECTIONS {
+            // One of them is closed for the next call.
+            self.read_earlier(u64::MAX, context);
+        }
         let WatchState::Opening(opening) = &mut self.state else { return };
         if opening.next > now {
             return;
--- a/gateway/src/net/discovery/link.rs
+++ b/gateway/src/net/discovery/link.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// The connection is up.
+    pub fn is_connected(&self) -> bool {
+        self.connected
+    }
+
     /// Reads all that has come so far, for the last time.
     pub fn read_rest(&mut self, now: Instant) -> Vec<Members> {
         let mut lists = Vec::new();
