Show by a case that the soak counts no list as told whose connection closed between its pieces

The case closes between the second and the third piece. Without the second look after writing it fails: the list is counted, 150 ms after it was made. With it, it passes.

--- a/crates/rig/src/soak/discovery.rs
+++ b/crates/rig/src/soak/discovery.rs
@@ -351,3 +351,6 @@
         _ => text.to_owned(),
     }
 }
+
+#[cfg(test)]
+mod tests;
