Soak: signals in series to gateways that end, short deadlines with early kills, plays kept

- Half of the gateways that are told to end get up to five further SIGTERM or SIGHUP before the kill.
Other draws of a seed are what they were.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,7 +5,9 @@
 
 mod plays;
 
-use std::path::PathBuf;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -51,6 +53,9 @@
     /// Print events and logs of seeds that broke a rule.
     #[arg(long)]
     keep_logs: bool,
+    /// A folder for all that was recorded of each seed, whether or not it broke a rule.
+    #[arg(long)]
+    keep: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -72,7 +77,13 @@
             wall_clock_shim: args.wall_clock_shim.clone(),
         };
         match soak::play(&options) {
-            Ok(report) => broken |= print_soak(&report, args.keep_logs),
+            Ok(report) => {
+                if let Err(error) = args.keep.as_deref().map_or(Ok(()), |folder| keep(&report, folder)) {
+                    eprintln!("seed {seed} cannot be kept: {error}");
+                    return ExitCode::from(2);
+                }
+                broken |= print_soak(&report, args.keep_logs);
+            }
             Err(error) => {
                 eprintln!("seed {seed} cannot be played: {error}");
                 return ExitCode::from(2);
@@ -84,20 +95,39 @@
 
 /// Prints what came of a seed; whether a rule was broken.
 fn print_soak(report: &soak::Report, keep_logs: bool) -> bool {
-    let soak::Report { seed, processes, requests, served, arrivals, .. } = report;
-    let percent = 100.0 * *served as f64 / (*requests).max(1) as f64;
-    let broken = report.violations.len();
-    println!("seed {seed}: {processes} gateways, {requests} requests, {percent:.1}% served, {arrivals} arrivals, {broken} broken");
+    println!("{}", summary(report));
     for violation in report.violations.iter().take(20) {
         println!("  {violation}");
     }
-    if keep_logs && broken > 0 {
-        report.events.iter().for_each(|event| println!("  {event}"));
-        for (number, log) in report.logs.iter().enumerate() {
-            println!("g{number}:\n{log}");
-        }
+    let broken = !report.violations.is_empty();
+    if keep_logs && broken {
+        println!("{}", recorded(report));
     }
-    broken > 0
+    broken
+}
+
+fn summary(report: &soak::Report) -> String {
+    let soak::Report { seed, processes, requests, served, arrivals, .. } = report;
+    let percent = 100.0 * *served as f64 / (*requests).max(1) as f64;
+    let (broken, deadline) = (report.violations.len(), report.deadline);
+    format!(
+        "seed {seed}: {processes} gateways, deadline {deadline:?}, {requests} requests, {percent:.1}% served, {arrivals} arrivals, {broken} broken"
+    )
+}
+
+/// Events, what counts as told, and logs.
+fn recorded(report: &soak::Report) -> String {
+    let logs = report.logs.iter().enumerate().map(|(number, log)| format!("g{number}:\n{log}"));
+    let parts = report.events.iter().chain(&report.told).map(|line| format!("  {line}")).chain(logs);
+    parts.collect::<Vec<_>>().join("\n")
+}
+
+/// Writes all that was recorded of a seed to a file of its own.
+fn keep(report: &soak::Report, folder: &Path) -> io::Result<()> {
+    fs::create_dir_all(folder)?;
+    let violations: String = report.violations.iter().map(|violation| format!("  {violation}\n")).collect();
+    let text = format!("{}\n{violations}{}\n", summary(report), recorded(report));
+    fs::write(folder.join(format!("seed-{}.txt", report.seed)), text)
 }
 
 fn play(args: plays::Args) -> ExitCode {
--- a/crates/rig/src/soak/checker.rs
+++ b/crates/rig/src/soak/checker.rs
@@ -209,6 +209,31 @@
 }
 
 impl Record {
+    /// What decides when a change counts as told, a line each, with seconds since the start.
+    pub fn told_lines(&self, start: Instant) -> Vec<String> {
+        let seconds = |at: Instant| match at.checked_duration_since(start) {
+            Some(after) => after.as_secs_f64(),
+            None => -start.duration_since(at).as_secs_f64(),
+        };
+        let changes = self.changes.iter().map(|change| {
+            let Change { version, server, listed, at } = change;
+            (*at, format!("change to version {version}: s-{server} {listed:?}"))
+        });
+        let written = self.written.iter().map(|written| {
+            let Written { gateway, version, as_of, at } = written;
+            (*at, format!("version {version} written to g{gateway}, made at {:.3}", seconds(*as_of)))
+        });
+        let silences =
+            self.silences.iter().map(|of| (of.at, format!("watch of g{} falls silent", of.gateway)));
+        let outages = self.outages.iter().map(|of| (of.from, format!("down until {:.3}", seconds(of.to))));
+        let reloads = self.reloads.iter().map(|of| (of.at, format!("g{} reloads", of.gateway)));
+        let starts = self.starts.iter().map(|of| (of.at, format!("g{} starts", of.gateway)));
+        let mut all: Vec<(Instant, String)> =
+            changes.chain(written).chain(silences).chain(outages).chain(reloads).chain(starts).collect();
+        all.sort_by_key(|(at, _)| *at);
+        all.into_iter().map(|(at, what)| format!("{:.3} {what}", seconds(at))).collect()
+    }
+
     /// How long after the grace a request reached a server that drains or is gone.
     fn sent_after_drain(&self, arrival: &Arrival, gateway: usize) -> Option<Duration> {
         let of_server = self.changes.iter().filter(|change| change.server == arrival.server);
--- a/crates/rig/src/soak/clients.rs
+++ b/crates/rig/src/soak/clients.rs
@@ -11,12 +11,10 @@
 use yewroute_standin::Client;
 
 use super::checker::{Asked, End};
+use super::plan::Deadlines;
 use crate::clients::{connect, hear, send, Front};
 use crate::{checks, held};
 
-/// Classes, with the time that a client gives a request.
-const CLASSES: [(&str, Duration); 2] =
-    [("view", Duration::from_millis(1_200)), ("order", Duration::from_millis(3_000))];
 /// One in so many requests is a write, and in so many the client leaves.
 const WRITES: u32 = 5;
 const LEAVES: u32 = 40;
@@ -32,6 +30,7 @@
     asked: Mutex<Vec<Asked>>,
     numbers: AtomicU64,
     pause: Duration,
+    deadlines: Deadlines,
     over: AtomicBool,
 }
 
@@ -42,12 +41,13 @@
 }
 
 impl Clients {
-    pub fn start(front: Arc<Front>, count: usize, seed: u64) -> Self {
+    pub fn start(front: Arc<Front>, count: usize, deadlines: Deadlines, seed: u64) -> Self {
         let shared = Arc::new(Shared {
             front,
             asked: Mutex::default(),
             numbers: AtomicU64::new(0),
             pause: (REQUEST_INTERVAL * u32::try_from(count).unwrap_or(u32::MAX)).max(MIN_PAUSE),
+            deadlines,
             over: AtomicBool::new(false),
         });
         let client = |number: usize| {
@@ -91,7 +91,10 @@
 
 /// Asks once; whether the connection can be used further. Nothing is recorded of a request that was not taken.
 fn ask(shared: &Shared, gateway: usize, client: &mut Client, rng: &mut ChaCha8Rng) -> (Option<Asked>, bool) {
-    let (class, wait) = CLASSES[usize::from(rng.random_ratio(1, WRITES))];
+    let (class, wait) = match rng.random_ratio(1, WRITES) {
+        true => ("order", shared.deadlines.order),
+        false => ("view", shared.deadlines.view),
+    };
     let number = shared.numbers.fetch_add(1, Ordering::SeqCst);
     let id = format!("{gateway:02x}{number:010x}");
     let hints = format!("id={id},d={},cluster=2,c={class}", wait.as_millis());
--- a/crates/rig/src/soak/gateways.rs
+++ b/crates/rig/src/soak/gateways.rs
@@ -13,16 +13,24 @@
 
 use super::checker::GatewayEvent;
 use super::discovery::Discovery;
+use super::plan::{Deadlines, Plan, Signal};
 use crate::clients::Front;
 use crate::{held, own_address, PORTS};
 
-/// From SIGTERM to the earliest SIGKILL: the longest deadline, 3 s, and 0.7 s more.
-pub const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
 /// The front goes on sending new connections to a gateway that was told to end for so long.
 const FRONT_NOTICES_AFTER: Duration = Duration::from_millis(300);
 const READY_WITHIN: Duration = Duration::from_secs(10);
 const SETTINGS: &str = include_str!("../../../../gateway/tests/common/settings.json");
 
+/// The settings, with these deadlines.
+fn settings(deadlines: Deadlines) -> String {
+    let classes = [("1200.0", deadlines.view), ("3000.0", deadlines.order)];
+    classes.into_iter().fold(SETTINGS.to_owned(), |text, (default_ms, deadline)| {
+        let ms = |value: &str| format!("\"DeadlineMs\": {value}");
+        text.replace(&ms(default_ms), &ms(&format!("{}.0", deadline.as_millis())))
+    })
+}
+
 struct Gateway {
     addr: SocketAddr,
     child: Option<Child>,
@@ -36,6 +44,7 @@
     folder: tempfile::TempDir,
     seed: u64,
     shim: Option<PathBuf>,
+    settings: String,
     all: Vec<Gateway>,
     front: Arc<Front>,
     /// When each was moved.
@@ -48,10 +57,11 @@
     pub fn start(
         program: &Path,
         discovery: &Discovery,
-        count: usize,
+        plan: &Plan,
         seed: u64,
         shim: Option<PathBuf>,
     ) -> io::Result<Self> {
+        let count = plan.processes;
         let own = own_address();
         let addr = |n: usize| SocketAddr::from((own, PORTS + u16::try_from(n).unwrap_or(0)));
         for n in 0..count {
@@ -63,6 +73,7 @@
             folder: tempfile::tempdir()?,
             seed,
             shim,
+            settings: settings(plan.deadlines),
             all: (0..count).map(gateway).collect(),
             front: Arc::default(),
             reloads: Vec::new(),
@@ -89,9 +100,10 @@
     fn configure(&self, n: usize, discovery: &Discovery, known: &str) -> io::Result<()> {
         let (listen, at) = (self.all[n].addr, discovery.address(n, self.all[n].discovery));
         let seed = self.seed.wrapping_add(n as u64);
+        let settings = &self.settings;
         let text = format!(
             r#"{{"name":"n{n}","listen":"{listen}","discovery":"{at}","seed":"{seed:016x}",
-            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{known},"settings":{SETTINGS}}}"#
+            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{known},"settings":{settings}}}"#
         );
         fs::write(self.path(n, "json"), text)
     }
@@ -138,6 +150,17 @@
         Ok(())
     }
 
+    /// A further signal.
+    pub fn signal_again(&mut self, n: usize, signal: Signal) {
+        match signal {
+            Signal::Terminate => self.signal(n, "-TERM"),
+            Signal::Reload => {
+                self.reloads.push(GatewayEvent { gateway: n, at: Instant::now() });
+                self.signal(n, "-HUP");
+            }
+        }
+    }
+
     /// Tells it to end. The front notices after a while; clients that are connected go on.
     pub fn terminate(&self, n: usize) {
         self.signal(n, "-TERM");
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -16,9 +16,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-
 pub use checker::{Rule, Violation};
 use clients::Clients;
 use discovery::Discovery;
@@ -60,8 +57,12 @@
     pub served: usize,
     /// Requests that reached db hosts.
     pub arrivals: usize,
+    /// The longest deadline; SIGKILL comes 0.7 s later than that after SIGTERM.
+    pub deadline: Duration,
     /// What befell whom, with its time in seconds.
     pub events: Vec<String>,
+    /// What the rule on drains is judged by: changes, lists that were written, silences, outages, reloads and starts, with times.
+    pub told: Vec<String>,
     /// The gateways' logs.
     pub logs: Vec<String>,
 }
@@ -71,13 +72,12 @@
 /// # Errors
 /// If the system has no ports, files or processes.
 pub fn play(options: &Options) -> io::Result<Report> {
-    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
-    let plan = Plan::draw(&mut rng, options.span, options.processes);
+    let plan = Plan::draw(options.seed, options.span, options.processes);
     let servers = Arc::new(Servers::start());
     let discovery = Discovery::start(plan.processes, servers.entries(), plan.faults, options.seed)?;
     let shim = options.wall_clock_shim.clone();
-    let mut gateways = Gateways::start(&options.program, &discovery, plan.processes, options.seed, shim)?;
-    let clients = Clients::start(gateways.front(), CLIENTS * plan.processes, options.seed);
+    let mut gateways = Gateways::start(&options.program, &discovery, &plan, options.seed, shim)?;
+    let clients = Clients::start(gateways.front(), CLIENTS * plan.processes, plan.deadlines, options.seed);
     let (start, mut crowds, mut events) = (Instant::now(), Vec::new(), Vec::new());
     for (at, event) in &plan.events {
         thread::sleep((start + *at).saturating_duration_since(Instant::now()));
@@ -85,6 +85,7 @@
         match *event {
             Event::Reload(gateway) => gateways.reload(gateway, &discovery)?,
             Event::Terminate(gateway) => gateways.terminate(gateway),
+            Event::Signal(gateway, signal) => gateways.signal_again(gateway, signal),
             Event::Kill(gateway) => gateways.kill(gateway),
             Event::Restart { gateway, wall_clock_off_s } => {
                 gateways.restart(gateway, &discovery, wall_clock_off_s)?;
@@ -114,6 +115,7 @@
         cold_starts: servers.cold_starts(),
         requests,
     };
+    let told = record.told_lines(start);
     let stayed: Vec<_> = record.requests.iter().filter(|request| request.left.is_none()).collect();
     Ok(Report {
         seed: options.seed,
@@ -122,7 +124,9 @@
         requests: stayed.len(),
         served: stayed.iter().filter(|request| request.served()).count(),
         arrivals: record.arrivals.len(),
+        deadline: plan.deadlines.order,
         events,
+        told,
         logs: gateways.logs(),
     })
 }
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
-use rand::Rng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::discovery::Faults;
-use super::gateways::EARLIEST_KILL;
 use super::servers::{Mode, COUNT as SERVERS};
 
 /// Whether a server is listed.
@@ -24,6 +23,8 @@
     /// A gateway is moved to its other address of discovery.
     Reload(usize),
     Terminate(usize),
+    /// A further SIGTERM, or a SIGHUP with an unchanged configuration, to a gateway that was told to end.
+    Signal(usize, Signal),
     Kill(usize),
     Restart {
         gateway: usize,
@@ -37,9 +38,34 @@
     CrowdLeaves,
 }
 
+/// A signal to a gateway that was told to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    Terminate,
+    Reload,
+}
+
+/// How long clients give a request of each class. The order is the longer one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deadlines {
+    pub view: Duration,
+    pub order: Duration,
+}
+
+impl Deadlines {
+    const LONG: Self = Self { view: Duration::from_millis(1_200), order: Duration::from_millis(3_000) };
+    const SHORT: Self = Self { view: Duration::from_millis(600), order: Duration::from_millis(800) };
+
+    /// From SIGTERM to the earliest SIGKILL: the longest deadline and 0.7 s more.
+    pub fn earliest_kill(self) -> Duration {
+        self.order + Duration::from_millis(700)
+    }
+}
+
 /// A plan.
 pub struct Plan {
     pub processes: usize,
+    pub deadlines: Deadlines,
     /// How discovery answers at first.
     pub faults: Faults,
     /// In order.
@@ -47,13 +73,20 @@
 }
 
 const PROCESSES: [usize; 8] = [1, 2, 3, 4, 6, 6, 12, 30];
+const TERMS_SEED: u64 = 0x7e12;
 const WALL_CLOCK_OFF_S: [i64; 5] = [0, 0, -5, -3_600, 3_600];
 
 impl Plan {
-    pub fn draw(rng: &mut ChaCha8Rng, span: Duration, processes: Option<usize>) -> Self {
+    pub fn draw(seed: u64, span: Duration, processes: Option<usize>) -> Self {
+        // Draws of their own, so that a seed's other events stay what they were before there were these.
+        let mut terms_rng = ChaCha8Rng::seed_from_u64(seed ^ TERMS_SEED);
+        let short = terms_rng.random_ratio(1, 3);
+        let deadlines = if short { Deadlines::SHORT } else { Deadlines::LONG };
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let rng = &mut rng;
         let drawn = *PROCESSES.choose(rng).unwrap_or(&1);
         let processes = processes.unwrap_or(drawn);
-        let mut draft = Draft { rng, span, processes, events: Vec::new() };
+        let mut draft = Draft { rng, span, processes, deadlines, events: Vec::new() };
         let faults = draft.faults();
         draft.reloads();
         draft.drains();
@@ -63,8 +96,10 @@
         draft.server_faults();
         draft.crowds();
         let mut events = draft.events;
+        let signals = signals_in_series(&mut terms_rng, &events, deadlines);
+        events.extend(signals);
         events.sort_by_key(|(at, _)| *at);
-        Self { processes, faults, events }
+        Self { processes, deadlines, faults, events }
     }
 }
 
@@ -72,9 +107,34 @@
     rng: &'a mut ChaCha8Rng,
     span: Duration,
     processes: usize,
+    deadlines: Deadlines,
     events: Vec<(Duration, Event)>,
 }
 
+/// Signals in series to gateways that were told to end.
+fn signals_in_series(
+    rng: &mut ChaCha8Rng,
+    events: &[(Duration, Event)],
+    deadlines: Deadlines,
+) -> Vec<(Duration, Event)> {
+    let mut signals = Vec::new();
+    for (begin, event) in events {
+        let Event::Terminate(gateway) = *event else { continue };
+        if rng.random_bool(0.5) {
+            continue;
+        }
+        let mut at = *begin;
+        for _ in 0..rng.random_range(1..6) {
+            at += Duration::from_secs_f64(rng.random_range(0.02..0.6));
+            let signal = if rng.random_bool(0.5) { Signal::Terminate } else { Signal::Reload };
+            if at < *begin + deadlines.earliest_kill() {
+                signals.push((at, Event::Signal(gateway, signal)));
+            }
+        }
+    }
+    signals
+}
+
 impl Draft<'_> {
     /// A time that leaves so many seconds before the end.
     fn time(&mut self, before_end: f64) -> Duration {
@@ -147,10 +207,11 @@
                 continue;
             }
             let at = self.time(8.0);
-            let restart = at + EARLIEST_KILL + self.seconds(0.1, 1.0);
+            let kill = at + self.deadlines.earliest_kill();
+            let restart = kill + self.seconds(0.1, 1.0);
             let wall_clock_off_s = *WALL_CLOCK_OFF_S.choose(self.rng).unwrap_or(&0);
             self.push(at, Event::Terminate(gateway));
-            self.push(at + EARLIEST_KILL, Event::Kill(gateway));
+            self.push(kill, Event::Kill(gateway));
             self.push(restart, Event::Restart { gateway, wall_clock_off_s });
         }
     }
@@ -175,3 +236,6 @@
         self.push(leaves, Event::CrowdLeaves);
     }
 }
+
+#[cfg(test)]
+mod tests;
