--- a/gateway/src/net/hosts/first_byte.rs
+++ b/gateway/src/net/hosts/first_byte.rs
@@ -55,14 +55,16 @@
         }
     }
 
-    /// Spends what was given back, right before the first byte.
+    /// Spends what was given back, right before the first byte; once.
     ///
     /// # Errors
     /// A limit has nothing left.
     pub fn spend(&mut self) -> Result<(), Refused> {
-        let Some(Spending::GivenBack(spent)) = &self.spent else { return Ok(()) };
-        let until = spent.spend_rates_again(Instant::now())?;
-        self.send_by = self.send_by.into_iter().chain(until).min();
+        if let Some(Spending::GivenBack(spent)) = &self.spent {
+            let until = spent.spend_rates_again(Instant::now())?;
+            self.send_by = self.send_by.into_iter().chain(until).min();
+        }
+        // Guards against: spending twice for an attempt that is written once more, as its statement was not there.
         self.spent = None;
         Ok(())
     }
