Soak: date arrivals and answers by the kernel, and keep traffic and hold-ups with each play

Change: db hosts and clients of the stand-ins note when the kernel received what they read (SO_TIMESTAMPNS, as the links of the rig do; the module moves to the stand-ins). An arrival counts from then, an answer to a client as well; a client has left once its connection is closed, not before; a db host has answered once it has written. A watch notes every 20 ms when it woke up late itself, when a gateway waited for a processor or for a device, and when the host of the machine did not run a processor. No rule is judged by it. All requests, arrivals and hold-ups are kept with a play.

--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod outside;
 pub mod plan;
 pub mod play;
-mod receive_time;
 mod relay;
 mod rules;
 pub mod soak;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -115,19 +115,27 @@
     )
 }
 
-/// Events, what counts as told, and logs.
+/// Events, what counts as told, hold-ups by the machine, and logs.
 fn recorded(report: &soak::Report) -> String {
     let logs = report.logs.iter().enumerate().map(|(number, log)| format!("g{number}:\n{log}"));
-    let parts = report.events.iter().chain(&report.told).map(|line| format!("  {line}")).chain(logs);
+    let parts = report
+        .events
+        .iter()
+        .chain(&report.told)
+        .chain(&report.hold_ups)
+        .map(|line| format!("  {line}"))
+        .chain(logs);
     parts.collect::<Vec<_>>().join("\n")
 }
 
-/// Writes all that was recorded of a seed to a file of its own.
+/// Writes all that was recorded of a seed to a file of its own, and its requests and arrivals to another.
 fn keep(report: &soak::Report, folder: &Path) -> io::Result<()> {
     fs::create_dir_all(folder)?;
     let violations: String = report.violations.iter().map(|violation| format!("  {violation}\n")).collect();
     let text = format!("{}\n{violations}{}\n", summary(report), recorded(report));
-    fs::write(folder.join(format!("seed-{}.txt", report.seed)), text)
+    fs::write(folder.join(format!("seed-{}.txt", report.seed)), text)?;
+    let traffic = report.traffic.join("\n");
+    fs::write(folder.join(format!("seed-{}-traffic.txt", report.seed)), traffic)
 }
 
 fn play(args: plays::Args) -> ExitCode {
--- a/crates/rig/src/soak/checker.rs
+++ b/crates/rig/src/soak/checker.rs
@@ -76,7 +76,10 @@
 /// A request that reached a server.
 #[derive(Clone, Debug)]
 pub struct Arrival {
+    /// When the kernel received it.
     pub at: Instant,
+    /// When the server read it.
+    pub read: Instant,
     pub server: usize,
     pub request: String,
     /// How long the gateway says that it will wait.
@@ -211,10 +214,7 @@
 impl Record {
     /// What decides when a change counts as told, a line each, with seconds since the start.
     pub fn told_lines(&self, start: Instant) -> Vec<String> {
-        let seconds = |at: Instant| match at.checked_duration_since(start) {
-            Some(after) => after.as_secs_f64(),
-            None => -start.duration_since(at).as_secs_f64(),
-        };
+        let seconds = |at: Instant| seconds_since(start, at);
         let changes = self.changes.iter().map(|change| {
             let Change { version, server, listed, at } = change;
             (*at, format!("change to version {version}: s-{server} {listed:?}"))
@@ -234,6 +234,28 @@
         all.into_iter().map(|(at, what)| format!("{:.3} {what}", seconds(at))).collect()
     }
 
+    /// All requests of clients and all arrivals at servers, a line each, with seconds since the start.
+    pub fn traffic_lines(&self, start: Instant) -> Vec<String> {
+        let requests = self.requests.iter().map(|asked| {
+            let Asked { id, gateway, sent, wait, end, left } = asked;
+            let after = |at: &Instant| at.saturating_duration_since(*sent);
+            let end = end.as_ref().map(|(at, end)| (after(at), end));
+            let left = left.as_ref().map(after);
+            (*sent, format!("{id} sent to g{gateway}, wait {wait:?}, end {end:?}, left {left:?}"))
+        });
+        let arrivals = self.arrivals.iter().map(|arrival| {
+            let Arrival { at, read, server, request, wait, write, turned_away, answered } = arrival;
+            let after = |later: &Instant| later.saturating_duration_since(*at);
+            let (read, answered) = (after(read), answered.as_ref().map(after));
+            let what =
+                format!("{request} at s-{server}, write {write}, told wait {wait:?}, read after {read:?}");
+            (*at, format!("{what}, turned away {turned_away}, answered after {answered:?}"))
+        });
+        let mut all: Vec<(Instant, String)> = requests.chain(arrivals).collect();
+        all.sort_by_key(|(at, _)| *at);
+        all.into_iter().map(|(at, what)| format!("{:.4} {what}", seconds_since(start, at))).collect()
+    }
+
     /// How long after the grace a request reached a server that drains or is gone.
     fn sent_after_drain(&self, arrival: &Arrival, gateway: usize) -> Option<Duration> {
         let of_server = self.changes.iter().filter(|change| change.server == arrival.server);
@@ -305,6 +327,14 @@
     }
 }
 
+/// Seconds from the start to a moment, negative before it.
+pub fn seconds_since(start: Instant, at: Instant) -> f64 {
+    match at.checked_duration_since(start) {
+        Some(after) => after.as_secs_f64(),
+        None => -start.duration_since(at).as_secs_f64(),
+    }
+}
+
 fn too_long_a_wait(arrival: &Arrival, request: &Asked) -> Option<String> {
     let ends = request.sent + request.wait;
     let told = arrival.at + arrival.wait?;
--- a/crates/rig/src/soak/checker/tests.rs
+++ b/crates/rig/src/soak/checker/tests.rs
@@ -27,6 +27,7 @@
     let end = Some((sent + seconds(0.01), End::Served));
     let arrival = Arrival {
         at: sent,
+        read: sent,
         server,
         request: id.clone(),
         wait: Some(wait),
--- a/crates/rig/src/soak/clients.rs
+++ b/crates/rig/src/soak/clients.rs
@@ -76,21 +76,23 @@
     let mut open: Option<(usize, Client)> = None;
     while !shared.over.load(Ordering::SeqCst) {
         thread::sleep(shared.pause.mul_f64(rng.random_range(0.5..1.5)));
-        let Some((gateway, mut client)) = open.take().or_else(|| connect(&shared.front, &mut rng, None))
-        else {
+        let Some((gateway, client)) = open.take().or_else(|| connect(&shared.front, &mut rng, None)) else {
             continue;
         };
         let _ = client.stream.set_read_timeout(Some(GIVEN_UP));
-        let (asked, stays) = ask(shared, gateway, &mut client, &mut rng);
+        let (asked, client) = ask(shared, gateway, client, &mut rng);
         held(&shared.asked).extend(asked);
-        if stays {
-            open = Some((gateway, client));
-        }
+        open = client.map(|client| (gateway, client));
     }
 }
 
-/// Asks once; whether the connection can be used further. Nothing is recorded of a request that was not taken.
-fn ask(shared: &Shared, gateway: usize, client: &mut Client, rng: &mut ChaCha8Rng) -> (Option<Asked>, bool) {
+/// Asks once; gives the connection if it can be used further. Nothing is recorded of a request that was not taken.
+fn ask(
+    shared: &Shared,
+    gateway: usize,
+    mut client: Client,
+    rng: &mut ChaCha8Rng,
+) -> (Option<Asked>, Option<Client>) {
     let (class, wait) = match rng.random_ratio(1, WRITES) {
         true => ("order", shared.deadlines.order),
         false => ("view", shared.deadlines.view),
@@ -105,18 +107,20 @@
         _ => format!("SELECT doc FROM items WHERE id = '7f3a' /* {hints} */"),
     };
     let leaves = rng.random_ratio(1, LEAVES);
-    let Some((sent, early)) = send(client, &text) else { return (None, false) };
+    let Some((sent, early)) = send(&mut client, &text) else { return (None, None) };
     let asked = Asked { id, gateway, sent, wait, end: None, left: None };
     if leaves {
-        return (Some(Asked { left: Some(Instant::now()), ..asked }), false);
+        drop(client);
+        return (Some(Asked { left: Some(Instant::now()), ..asked }), None);
     }
-    let Some(end) = early.or_else(|| hear(client, sent)) else { return (None, false) };
+    let Some(end) = early.or_else(|| hear(&mut client, sent)) else { return (None, None) };
     let end = match end {
         checks::End::Served => End::Served,
         checks::End::Refused => End::Refused,
         checks::End::Failed => End::Failed,
         checks::End::Lost | checks::End::Silent | checks::End::Twice => End::Lost,
     };
-    let stays = end != End::Lost;
-    (Some(Asked { end: Some((Instant::now(), end)), ..asked }), stays)
+    // The end of a connection is not dated by the kernel.
+    let at = if end == End::Lost { Instant::now() } else { client.received };
+    (Some(Asked { end: Some((at, end)), ..asked }), Some(client).filter(|_| end != End::Lost))
 }
--- a/crates/rig/src/soak/gateways.rs
+++ b/crates/rig/src/soak/gateways.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -47,6 +48,8 @@
     settings: String,
     all: Vec<Gateway>,
     front: Arc<Front>,
+    /// The process of each, for the watch; 0 while there is none.
+    process_ids: Arc<[AtomicU32]>,
     /// When each was moved.
     pub reloads: Vec<GatewayEvent>,
     /// When each process began.
@@ -76,6 +79,7 @@
             settings: settings(plan.deadlines),
             all: (0..count).map(gateway).collect(),
             front: Arc::default(),
+            process_ids: (0..count).map(|_| AtomicU32::new(0)).collect(),
             reloads: Vec::new(),
             starts: Vec::new(),
         };
@@ -93,6 +97,11 @@
         self.all[n].addr
     }
 
+    /// The process of each gateway, 0 while there is none.
+    pub fn process_ids(&self) -> Arc<[AtomicU32]> {
+        Arc::clone(&self.process_ids)
+    }
+
     fn path(&self, n: usize, what: &str) -> PathBuf {
         self.folder.path().join(format!("g{n}.{what}"))
     }
@@ -118,7 +127,9 @@
             command.env("LD_PRELOAD", shim).env("WALL_CLOCK_OFF_S", wall_clock_off_s.to_string());
         }
         self.starts.push(GatewayEvent { gateway: n, at: Instant::now() });
-        self.all[n].child = Some(command.spawn()?);
+        let child = command.spawn()?;
+        self.process_ids[n].store(child.id(), Ordering::SeqCst);
+        self.all[n].child = Some(child);
         self.wait_until_ready(n)?;
         held(&self.front).push((n, self.all[n].addr));
         Ok(())
@@ -173,6 +184,7 @@
 
     pub fn kill(&mut self, n: usize) {
         held(&self.front).retain(|(other, _)| *other != n);
+        self.process_ids[n].store(0, Ordering::SeqCst);
         if let Some(mut child) = self.all[n].child.take() {
             let _ = child.kill();
             let _ = child.wait();
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod discovery;
 mod gateways;
+mod hold_ups;
 mod plan;
 mod servers;
 
@@ -20,6 +21,7 @@
 use clients::Clients;
 use discovery::Discovery;
 use gateways::Gateways;
+use hold_ups::HoldUpWatch;
 use plan::{Event, Plan};
 use servers::Servers;
 
@@ -63,6 +65,10 @@
     pub events: Vec<String>,
     /// What the rule on drains is judged by: changes, lists that were written, silences, outages, reloads and starts, with times.
     pub told: Vec<String>,
+    /// All requests of clients and all arrivals at db hosts, with times.
+    pub traffic: Vec<String>,
+    /// When the machine held up the rig or a gateway.
+    pub hold_ups: Vec<String>,
     /// The gateways' logs.
     pub logs: Vec<String>,
 }
@@ -77,6 +83,7 @@
     let discovery = Discovery::start(plan.processes, servers.entries(), plan.faults, options.seed)?;
     let shim = options.wall_clock_shim.clone();
     let mut gateways = Gateways::start(&options.program, &discovery, &plan, options.seed, shim)?;
+    let watch = HoldUpWatch::start(gateways.process_ids());
     let clients = Clients::start(gateways.front(), CLIENTS * plan.processes, plan.deadlines, options.seed);
     let (start, mut crowds, mut events) = (Instant::now(), Vec::new(), Vec::new());
     for (at, event) in &plan.events {
@@ -115,7 +122,7 @@
         cold_starts: servers.cold_starts(),
         requests,
     };
-    let told = record.told_lines(start);
+    let (told, traffic) = (record.told_lines(start), record.traffic_lines(start));
     let stayed: Vec<_> = record.requests.iter().filter(|request| request.left.is_none()).collect();
     Ok(Report {
         seed: options.seed,
@@ -127,6 +134,8 @@
         deadline: plan.deadlines.order,
         events,
         told,
+        traffic,
+        hold_ups: watch.end(start),
         logs: gateways.logs(),
     })
 }
--- a/crates/rig/src/soak/servers.rs
+++ b/crates/rig/src/soak/servers.rs
@@ -60,6 +60,20 @@
         *slot = Some(begins + service.div_f64(share));
         *slot
     }
+
+    /// Records an arrival; gives its place.
+    fn push(&self, arrival: Arrival) -> usize {
+        let mut arrivals = held(&self.arrivals);
+        arrivals.push(arrival);
+        arrivals.len() - 1
+    }
+
+    /// The request at this place was answered. A late answer may come when its gateway has given it up and repeats the request.
+    fn answered(&self, place: usize, at: Instant) {
+        if let Some(arrival) = held(&self.arrivals).get_mut(place) {
+            arrival.answered = Some(at).filter(|at| *at <= arrival.at + PROMPT);
+        }
+    }
 }
 
 /// The share of its capacity that a server has at this age.
@@ -80,7 +94,7 @@
         let records: Vec<Arc<Record>> = (0..COUNT).map(|_| Arc::default()).collect();
         let host = |server: usize| {
             let record = Arc::clone(&records[server]);
-            Host::start(move |query| act(server, &record, query))
+            Host::dated(move |query, received| act(server, &record, query, received))
         };
         Self { hosts: (0..COUNT).map(host).collect(), records, cold_starts: Mutex::default() }
     }
@@ -125,7 +139,7 @@
     }
 }
 
-fn act(server: usize, record: &Record, query: &str) -> Do {
+fn act(server: usize, record: &Arc<Record>, query: &str, received: Instant) -> Do {
     let primary = server == 0;
     let mode = record.mode.load(Ordering::SeqCst);
     let is = |wanted: Mode| mode == wanted as u8;
@@ -135,22 +149,21 @@
     let Some(hints) = Hints::of(query) else { return Do::Say(served("replica")) };
     let write = hints.class == "order";
     let service = if is(Mode::Slow) { SLOW_SERVICE } else { SERVICE };
-    let at = Instant::now();
+    let read = Instant::now();
     let runs = primary || !write;
-    // A late answer may come when its gateway has given it up and repeats the request.
-    let ends = if runs && (is(Mode::Well) || is(Mode::Slow)) { record.serve(at, service) } else { None };
-    let answered = ends.filter(|ends| is(Mode::Well) && *ends - at <= PROMPT);
+    let ends = if runs && (is(Mode::Well) || is(Mode::Slow)) { record.serve(read, service) } else { None };
     let turned_away = !runs || ends.is_none() && !is(Mode::Hangs) && !is(Mode::Resets);
     let arrival = Arrival {
         turned_away,
-        at,
+        at: received,
+        read,
         server,
         request: hints.id,
         wait: hints.wait_ms.map(Duration::from_millis),
         write,
-        answered,
+        answered: None,
     };
-    held(&record.arrivals).push(arrival);
+    let place = record.push(arrival);
     if is(Mode::Hangs) {
         return Do::Nothing;
     }
@@ -161,7 +174,12 @@
         return Do::Say(error("25006", "this is no primary"));
     }
     match ends {
-        Some(ends) => Do::SayLater(ends - at, served(if primary { "primary" } else { "replica" })),
+        Some(ends) => {
+            let answer = served(if primary { "primary" } else { "replica" });
+            let record = Arc::clone(record);
+            let answered = move |at: Instant| record.answered(place, at);
+            Do::SayLaterAndReport(ends - read, answer, Box::new(answered))
+        }
         None => Do::Say(error("53300", "queue full")),
     }
 }
--- a/crates/rig/src/tcp.rs
+++ b/crates/rig/src/tcp.rs
@@ -12,10 +12,10 @@
 
 use rustix::io::Errno;
 use rustix::net::RecvFlags;
+use yewroute_standin::receive_time;
 
 use crate::held;
 use crate::hints::Hints;
-use crate::receive_time;
 use crate::world::ZONES;
 
 /// How often a relay that waits looks at what it is told.
--- a/crates/standin/src/answers.rs
+++ b/crates/standin/src/answers.rs
@@ -1,7 +1,6 @@
 //! What db hosts say.
 
 use std::io::Read;
-use std::net::TcpStream;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use yewroute_pgwire::frame as wire;
@@ -15,7 +14,7 @@
 }
 
 /// Reads a message; none at the end or on a broken connection.
-pub fn read_frame(stream: &mut TcpStream) -> Option<(u8, Vec<u8>)> {
+pub fn read_frame(stream: &mut impl Read) -> Option<(u8, Vec<u8>)> {
     let mut head = [0; 5];
     stream.read_exact(&mut head).ok()?;
     let len = wire::length(&head[1..], wire::LONGEST_STREAMED).ok()??;
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -2,11 +2,12 @@
 
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use yewroute_pgwire::frame::put_text;
 
 use crate::answers::{frame, read_frame};
+use crate::receive_time::{self, DatedReader};
 
 /// Long enough for anything that comes at all.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -24,6 +25,8 @@
 pub struct Client {
     /// The connection itself.
     pub stream: TcpStream,
+    /// When the kernel received what was read last.
+    pub received: Instant,
     /// The body of the last ErrorResponse, with bars in place of zero bytes.
     pub error: String,
     /// The bodies of the rows of the last answer.
@@ -39,7 +42,8 @@
         let stream = TcpStream::connect(addr)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(PATIENCE))?;
-        Ok(Self { stream, error: String::new(), rows: Vec::new() })
+        receive_time::enable(&stream);
+        Ok(Self { stream, received: Instant::now(), error: String::new(), rows: Vec::new() })
     }
 
     /// Connects and says nothing; for tests.
@@ -67,7 +71,7 @@
     /// The type of the next message that is no notice or parameter.
     pub fn message(&mut self) -> Option<u8> {
         loop {
-            let (kind, body) = read_frame(&mut self.stream)?;
+            let (kind, body) = read_frame(&mut DatedReader::new(&self.stream, &mut self.received))?;
             match kind {
                 b'E' => self.error = String::from_utf8_lossy(&body).replace('\0', "|"),
                 b'D' => self.rows.push(body),
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -6,13 +6,14 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use yewroute_pgwire::frame::take_text;
 use yewroute_pgwire::lexer::lex;
 use yewroute_pgwire::{backend, bind};
 
 use crate::answers::{columns, error, frame, read_frame, report, served};
+use crate::receive_time::{self, DatedReader};
 
 /// What a db host does with a query.
 pub enum Do {
@@ -20,6 +21,8 @@
     Say(Vec<u8>),
     /// Says this after a while.
     SayLater(Duration, Vec<u8>),
+    /// Says this after a while, and reports when it had been written.
+    SayLaterAndReport(Duration, Vec<u8>, Box<dyn FnOnce(Instant)>),
     /// Says this in pieces of so many bytes, with a pause after each.
     SayInPieces(Vec<u8>, usize, Duration),
     /// Says this and breaks the connection.
@@ -67,7 +70,8 @@
     seen: Arc<Seen>,
 }
 
-type Act = dyn Fn(&str) -> Do + Send + Sync;
+/// What is done with a query that the kernel received at a time.
+type Act = dyn Fn(&str, Instant) -> Do + Send + Sync;
 
 impl Host {
     /// A db host with this script, which is handed each query.
@@ -75,6 +79,11 @@
         Self::slow(Duration::ZERO, act)
     }
 
+    /// The same with a script that is told as well when the kernel received the query.
+    pub fn dated(act: impl Fn(&str, Instant) -> Do + Send + Sync + 'static) -> Self {
+        Self::listen(Duration::ZERO, Arc::new(act))
+    }
+
     /// A db host that says at once what others keep until a Sync or Flush.
     pub fn eager(act: impl Fn(&str) -> Do + Send + Sync + 'static) -> Self {
         let host = Self::start(act);
@@ -87,6 +96,10 @@
     /// # Panics
     /// If the system has no port.
     pub fn slow(welcome: Duration, act: impl Fn(&str) -> Do + Send + Sync + 'static) -> Self {
+        Self::listen(welcome, Arc::new(move |query: &str, _| act(query)))
+    }
+
+    fn listen(welcome: Duration, act: Arc<Act>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let addr = listener.local_addr().expect("bound");
         let host = Self {
@@ -98,7 +111,6 @@
         };
         let (connections, open) = (Arc::clone(&host.connections), Arc::clone(&host.open));
         let (asked, seen) = (Arc::clone(&host.asked), Arc::clone(&host.seen));
-        let act: Arc<Act> = Arc::new(act);
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 connections.fetch_add(1, Ordering::SeqCst);
@@ -106,9 +118,11 @@
                 let (act, asked, open, seen) =
                     (Arc::clone(&act), Arc::clone(&asked), Arc::clone(&open), Arc::clone(&seen));
                 thread::spawn(move || {
+                    receive_time::enable(&stream);
                     let forgotten = seen.forgotten.load(Ordering::SeqCst);
                     let mut connection = Connection {
                         stream,
+                        received: Instant::now(),
                         out: Vec::new(),
                         act: &*act,
                         asked: &asked,
@@ -185,6 +199,8 @@
 
 struct Connection<'a> {
     stream: TcpStream,
+    /// When the kernel received what was read last.
+    received: Instant,
     /// What is said at the next Sync, Flush or end of a simple query.
     out: Vec<u8>,
     act: &'a Act,
@@ -209,7 +225,7 @@
         self.say(&[frame(b'R', &[0; 4]), frame(b'Z', b"I")].concat())?;
         self.flush()?;
         loop {
-            let (kind, body) = read_frame(&mut self.stream)?;
+            let (kind, body) = read_frame(&mut DatedReader::new(&self.stream, &mut self.received))?;
             let forgotten = self.seen.forgotten.load(Ordering::SeqCst);
             if std::mem::replace(&mut self.forgotten, forgotten) != forgotten {
                 self.statements.clear();
@@ -343,7 +359,7 @@
         if query != "SHOW load" {
             self.asked.lock().ok()?.push(query.to_owned());
         }
-        let act = self.act;
+        let (act, received) = (self.act, self.received);
         let mut say = |bytes: Vec<u8>| {
             if !extended {
                 return self.say(&bytes);
@@ -364,12 +380,19 @@
             said.extend(rest);
             self.say(&said)
         };
-        match act(query) {
+        match act(query, received) {
             Do::Say(bytes) => say(bytes),
             Do::SayLater(wait, bytes) => {
                 thread::sleep(wait);
                 say(bytes)
             }
+            Do::SayLaterAndReport(wait, bytes, report) => {
+                thread::sleep(wait);
+                say(bytes)?;
+                self.flush()?;
+                report(Instant::now());
+                Some(())
+            }
             Do::SayInPieces(bytes, size, pause) => {
                 for piece in bytes.chunks(size.max(1)) {
                     self.stream.write_all(piece).ok()?;
--- a/crates/standin/src/receive_time.rs
+++ b/crates/standin/src/receive_time.rs
@@ -1,6 +1,6 @@
 //! When the kernel received the bytes of a connection, which does not depend on when a thread gets to read them.
 
-use std::io::{self, IoSliceMut};
+use std::io::{self, IoSliceMut, Read};
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -30,6 +30,28 @@
     Ok((message.bytes, stamp.and_then(|stamp| monotonic(now, stamp)).unwrap_or(now)))
 }
 
+/// Reads a connection, and knows when the last bytes that were read had been received.
+pub struct DatedReader<'a> {
+    stream: &'a TcpStream,
+    received: &'a mut Instant,
+}
+
+impl<'a> DatedReader<'a> {
+    /// Reads this connection, for which receive times have been enabled, and notes them here.
+    #[must_use]
+    pub const fn new(stream: &'a TcpStream, received: &'a mut Instant) -> Self {
+        Self { stream, received }
+    }
+}
+
+impl Read for DatedReader<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let (len, received) = read(self.stream, buffer)?;
+        *self.received = received;
+        Ok(len)
+    }
+}
+
 /// A moment of the wall clock as one of the monotonic clock; none if it has not come yet, as after a step of the clock.
 fn monotonic(now: Instant, stamp: Duration) -> Option<Instant> {
     let age = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.checked_sub(stamp)?;
