--- a/gateway/tests/db_hosts.rs
+++ b/gateway/tests/db_hosts.rs
@@ -18,6 +18,8 @@
 const ERROR: &[u8] = b"EZ";
 /// How much later than its time an answer may come, on a busy machine.
 const ANSWER_SLACK: Duration = Duration::from_millis(300);
+/// What a db host is told may be over what is left to the client by this much.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 
 const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -106,6 +108,51 @@
     assert!(link.is_silent(), "a send that was waiting for its connection");
 }
 
+// Guards against: a time that counts from when a starved gateway reads a request, not from when it came.
+#[test]
+fn db_host_is_told_no_time_that_a_request_lay_unread() {
+    let (gateway, _primary, mut link) = warmed(&[]);
+    let mut client = gateway.client();
+    at_one_wake_up(&gateway, || {
+        client.send(&statement("order", 3000, ",k=unread"));
+        thread::sleep(ms(1000));
+    });
+    let told = told(&link.query_with("k=unread"));
+    assert!(told <= ms(2000) + DEADLINE_SLACK, "{told:?} of 3 s, 1 s later");
+    assert!(told >= ms(1000), "{told:?} of 3 s, 1 s later");
+    link.say(&served("primary"));
+    assert_eq!(client.answer(), SERVED);
+}
+
+// The same of a connection that is made while the gateway does not run.
+#[test]
+fn db_host_is_told_no_time_that_the_first_request_of_a_connection_lay_unread() {
+    let (gateway, _primary, mut link) = warmed(&[]);
+    let mut client = None;
+    at_one_wake_up(&gateway, || {
+        let mut opened = Client::raw(gateway.addr);
+        opened.write(&startup());
+        opened.send(&statement("order", 3000, ",k=first-unread"));
+        thread::sleep(ms(1000));
+        client = Some(opened);
+    });
+    let told = told(&link.query_with("k=first-unread"));
+    assert!(told <= ms(2000) + DEADLINE_SLACK, "{told:?} of 3 s, 1 s later");
+    link.say(&served("primary"));
+}
+
+#[test]
+fn nothing_begins_for_a_request_whose_time_ran_out_unread() {
+    let (gateway, _primary, mut link) = warmed(&[]);
+    let mut client = gateway.client();
+    at_one_wake_up(&gateway, || {
+        client.send(&statement("order", 500, ",k=over"));
+        thread::sleep(ms(800));
+    });
+    assert_eq!(client.answer(), ERROR);
+    assert!(link.is_silent());
+}
+
 #[test]
 fn nothing_begins_for_a_client_whose_reset_came_at_the_same_wake_up() {
     let primary = Scripted::start();
