Count a request's time from when the kernel received it, not from when it was read

Cause: the time that a request lies behind others on its connection was counted, from the read on; what it lies in the kernel before that was not. A gateway that stands still for a second reads a second late.

Change: clients' connections are read with SO_TIMESTAMPNS, in a crate that stand-ins and rig use as well. The stamp is of the wall clock, so it counts only within what the monotonic clock allows: after the poller was asked the last time but one, which did not report these bytes, or for a connection's first bytes after that moment before it was accepted.

--- a/crates/rig/src/tcp.rs
+++ b/crates/rig/src/tcp.rs
@@ -12,7 +12,7 @@
 
 use rustix::io::Errno;
 use rustix::net::RecvFlags;
-use yewroute_standin::receive_time;
+use yewroute_receive_time::{self as receive_time, Receiver};
 
 use crate::held;
 use crate::hints::Hints;
@@ -194,10 +194,10 @@
     if forth {
         receive_time::enable(&from);
     }
-    let mut buffer = vec![0; 64 * 1024];
+    let (mut receiver, mut buffer) = (Receiver::default(), vec![0; 64 * 1024]);
     while !shared.over.load(Ordering::SeqCst) && resets() == before {
         let read = if forth {
-            receive_time::read(&from, &mut buffer)
+            receiver.read(&from, &mut buffer)
         } else {
             from.read(&mut buffer).map(|len| (len, Instant::now()))
         };
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use yewroute_pgwire::frame::put_text;
+use yewroute_receive_time::{self as receive_time, DatedReader};
 
 use crate::answers::{frame, read_frame};
-use crate::receive_time::{self, DatedReader};
 
 /// Long enough for anything that comes at all.
 const PATIENCE: Duration = Duration::from_secs(10);
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -11,9 +11,9 @@
 use yewroute_pgwire::frame::take_text;
 use yewroute_pgwire::lexer::lex;
 use yewroute_pgwire::{backend, bind};
+use yewroute_receive_time::{self as receive_time, DatedReader};
 
 use crate::answers::{columns, error, frame, read_frame, report, served};
-use crate::receive_time::{self, DatedReader};
 
 /// What a db host does with a query.
 pub enum Do {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod client;
 pub mod discovery;
 pub mod host;
-pub mod receive_time;
 
 pub use answers::{error, frame, read_frame, report, rows, rows_at, served, served_value, unix_ms};
 pub use client::{startup, Client};
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -90,6 +90,8 @@
     pub(super) last_command: bool,
     pub(super) interest: Interest,
     pub(super) accepted: Instant,
+    /// Nothing that is read first can have come before.
+    pub(super) opened_after: Instant,
     /// A query has come whole; and one that was a request, not only an empty one or a parameter's.
     pub(super) asked: bool,
     pub(super) requested: bool,
@@ -107,7 +109,7 @@
 
 impl Client {
     /// One that has just connected.
-    pub(super) fn new(now: Instant, wire: Wire, terms: Terms, key: CancelKey) -> Self {
+    pub(super) fn new(now: Instant, opened_after: Instant, wire: Wire, terms: Terms, key: CancelKey) -> Self {
         Self {
             wire,
             phase: Phase::Opening,
@@ -122,6 +124,7 @@
             last_command: false,
             interest: Interest::READ,
             accepted: now,
+            opened_after,
             asked: false,
             requested: false,
             passing: false,
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -12,6 +12,7 @@
 use tracing::warn;
 use yewroute_ledger::Ledger;
 use yewroute_lifecycle::Leaving;
+use yewroute_receive_time::Receiver;
 
 use super::cancel::CancelKeys;
 use super::client::{Client, LongMessage, Phase, PRESENCE_PROBE_INTERVAL};
@@ -66,6 +67,11 @@
     room: Ledger,
     admission: Admission,
     scratch: Vec<u8>,
+    receiver: Receiver,
+    /// Since before the poller was asked the last time but one, which told nothing of what it tells now: that has come since.
+    unread_since: Instant,
+    /// Since before it was asked the last time.
+    polled: Instant,
     /// The statements of all clients.
     table: Table,
     protocol: ClientProtocol,
@@ -120,6 +126,9 @@
             room: Ledger::new(long_bytes(statement_bytes)),
             admission: Admission { leaving: Leaving::None, yes: true, accepts: true, listens: true },
             scratch: vec![0; CHUNK],
+            receiver: Receiver::default(),
+            unread_since: now,
+            polled: now,
             table: Table::new(protocol.table_bytes),
             protocol,
         }
@@ -142,6 +151,11 @@
         };
     }
 
+    /// The poller has been asked again, at this time or a little later.
+    pub fn polled(&mut self, at: Instant) {
+        self.unread_since = std::mem::replace(&mut self.polled, at);
+    }
+
     /// How clients are served from now on. Those that are connected keep the terms that they were welcomed with.
     pub fn set_protocol(&mut self, protocol: ClientProtocol) {
         self.table.limit(protocol.table_bytes);
@@ -236,15 +250,20 @@
         }
         if client.reads() {
             let before = client.buffer.len();
-            match client.wire.read(&mut self.scratch, &mut client.buffer) {
-                Ok(Taken::Some) => {
+            let unheard = client.heard == client.accepted;
+            let earliest = if unheard { client.opened_after } else { self.unread_since };
+            let (receiver, scratch) = (&mut self.receiver, &mut self.scratch);
+            match client.wire.read_dated(receiver, earliest, scratch, &mut client.buffer) {
+                Ok((Taken::Some, received)) => {
                     client.heard = now;
-                    client.arrivals.append(now, client.buffer.len() - before);
+                    // Guards against: the time that a request lay unread, as while this process got no processor, passed on to db
+                    // hosts as if its client would wait that long again.
+                    client.arrivals.append(received.min(now), client.buffer.len() - before);
                 }
-                Ok(Taken::Nothing) => {}
+                Ok((Taken::Nothing, _)) => {}
                 // It may have closed one direction only, and still wait for its answers; or it has gone, and
                 // then the answer to these bytes is a reset.
-                Ok(Taken::End) => client.ended = true,
+                Ok((Taken::End, _)) => client.ended = true,
                 Err(_) => {
                     self.remove(number, inbox);
                     return;
--- a/gateway/src/net/clients/listener.rs
+++ b/gateway/src/net/clients/listener.rs
@@ -50,12 +50,19 @@
                     let number = self.accepted + 1;
                     self.accepted = number;
                     let wire = Wire::accepted(stream).and_then(|wire| {
+                        wire.note_receive_times();
                         poller.add(&wire, Token::Client(number), Interest::READ)?;
                         Ok(wire)
                     });
                     match wire {
                         Ok(wire) => {
-                            let client = Client::new(now, wire, self.protocol.terms, self.keys.of(number));
+                            let client = Client::new(
+                                now,
+                                self.unread_since,
+                                wire,
+                                self.protocol.terms,
+                                self.keys.of(number),
+                            );
                             self.clients.insert(number, client);
                         }
                         Err(error) => warn!(%error, "cannot take a client's connection"),
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -6,12 +6,15 @@
 use std::ops::Range;
 use std::os::fd::{AsFd, BorrowedFd};
 use std::rc::Rc;
+use std::time::Instant;
 
 use rustix::io::Errno;
 use rustix::net::{
     connect, ipproto, send, socket_with, sockopt, AddressFamily, SendFlags, SocketFlags, SocketType,
 };
 
+use yewroute_receive_time::{self as receive_time, Receiver};
+
 /// Bytes read at a time.
 pub const CHUNK: usize = 32 * 1024;
 
@@ -191,6 +194,36 @@
         }
     }
 
+    /// From now on the kernel notes when bytes come, for [`Self::read_dated`].
+    pub fn note_receive_times(&self) {
+        receive_time::enable(&self.stream);
+    }
+
+    /// The same as [`Self::read`], and when the last of the bytes came. The kernel dates them by the wall clock; what it says counts
+    /// only if it lies between `earliest`, before which nothing unread can have come, and now.
+    pub fn read_dated(
+        &mut self,
+        receiver: &mut Receiver,
+        earliest: Instant,
+        scratch: &mut [u8],
+        buffer: &mut Vec<u8>,
+    ) -> io::Result<(Taken, Instant)> {
+        loop {
+            match receiver.read(&self.stream, scratch) {
+                Ok((0, received)) => return Ok((Taken::End, received)),
+                Ok((n, received)) => {
+                    buffer.extend(&scratch[..n]);
+                    // Guards against: a step of the wall clock, by which a request that has just come would be over.
+                    let received = if received < earliest { Instant::now() } else { received };
+                    return Ok((Taken::Some, received));
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok((Taken::Nothing, Instant::now())),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     /// Neither closed by the other side nor with anything to read.
     pub fn quiet(&self) -> bool {
         matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
