Ask a client that may have gone before its request is taken late

Callers saw: an attempt begun up to a second after its client had closed, where a gateway had got no processor. An attempt that begins more than 0.1 s after the client has closed is a lost request.

Cause: the end of a connection lies behind the request, and does not tell whether the client has closed or only ended its sending. The question that tells it, a notice that a closed connection answers with a reset, was asked only while a request is out.

Change: where a request lay unread for 50 ms or more and the end of its connection lies behind it, the notice is written first and the request is taken 20 ms later unless the reset has come. Requests that are read in time are not touched, and the answer to a client that ended its sending comes 20 ms later at the most.

--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -38,6 +38,10 @@
 /// How often a client that is not read from is asked whether it is still there, while a request of it is out. Nothing may
 /// be sent for one that has been gone for 0.1 s.
 pub(super) const PRESENCE_PROBE_INTERVAL: Duration = Duration::from_millis(40);
+/// A client whose request lay unread for less cannot have been gone for 0.1 s when it is taken, a wait for its reset included.
+const CERTAIN_PRESENCE: Duration = Duration::from_millis(50);
+/// How long the reset of a client that has gone may take.
+pub(super) const RESET_TIMEOUT: Duration = Duration::from_millis(20);
 /// How long a closed connection is given to take its last bytes.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// While clients leave, a connection is given so long to say what it came for.
@@ -86,6 +90,8 @@
     pub(super) ended: bool,
     /// It has been asked whether it is still there, within [`PRESENCE_PROBE_INTERVAL`].
     pub(super) probed: bool,
+    /// It may have gone, and has been asked: nothing of it is taken before a reset could have come.
+    pub(super) presence_unsure: bool,
     /// No further command is read: it is closed behind the answer that is out.
     pub(super) last_command: bool,
     pub(super) interest: Interest,
@@ -121,6 +127,7 @@
             arrivals: Arrivals::default(),
             ended: false,
             probed: false,
+            presence_unsure: false,
             last_command: false,
             interest: Interest::READ,
             accepted: now,
@@ -268,6 +275,20 @@
         true
     }
 
+    /// What it has sent lay unread for so long that it may have closed its connection long ago, or only its sending. Asks which, as
+    /// [`Self::probe_presence`] does; true if an answer is to be waited for.
+    ///
+    /// Guards against: requests sent for a client that had gone while this process got no processor.
+    pub(super) fn doubt_presence(&mut self, lay_unread: Duration) -> bool {
+        let may_have_gone = lay_unread >= CERTAIN_PRESENCE && self.wire.is_ended();
+        if self.presence_unsure || !may_have_gone || !matches!(self.phase, Phase::Idle(_)) {
+            return false;
+        }
+        frontend::put_notice(self.wire.out(), "the request is taken late");
+        self.presence_unsure = true;
+        true
+    }
+
     /// More bytes are wanted.
     pub(super) fn reads(&self) -> bool {
         let most = match (self.phase, self.long) {
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -15,7 +15,7 @@
 use yewroute_receive_time::Receiver;
 
 use super::cancel::CancelKeys;
-use super::client::{Client, LongMessage, Phase, PRESENCE_PROBE_INTERVAL};
+use super::client::{Client, LongMessage, Phase, PRESENCE_PROBE_INTERVAL, RESET_TIMEOUT};
 use super::poller::{Poller, Ready};
 use super::wire::{Taken, CHUNK};
 use super::Input;
@@ -193,7 +193,7 @@
                 TimerEvent::Close(by) => self.close_listener(now, by, poller),
                 TimerEvent::Probe(number) => {
                     if let Some(client) = self.clients.get_mut(&number) {
-                        client.probed = false;
+                        (client.probed, client.presence_unsure) = (false, false);
                         self.work(now, number, poller, inbox);
                     }
                 }
@@ -259,6 +259,9 @@
                     // Guards against: the time that a request lay unread, as while this process got no processor, passed on to db
                     // hosts as if its client would wait that long again.
                     client.arrivals.append(received.min(now), client.buffer.len() - before);
+                    if client.doubt_presence(now.saturating_duration_since(received)) {
+                        self.timers.set(now + RESET_TIMEOUT, TimerEvent::Probe(number));
+                    }
                 }
                 Ok((Taken::Nothing, _)) => {}
                 // It may have closed one direction only, and still wait for its answers; or it has gone, and
@@ -299,7 +302,8 @@
     fn work_on(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) -> bool {
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return false };
-            let stalled = client.take_messages(now, number, self.admission.yes, &mut self.table, inbox);
+            let stalled = !client.presence_unsure
+                && client.take_messages(now, number, self.admission.yes, &mut self.table, inbox);
             if let Some(key) = client.cancels.take() {
                 self.cancel(key, inbox);
                 continue;
@@ -307,7 +311,7 @@
             if client.probe_presence() {
                 self.timers.set(now + PRESENCE_PROBE_INTERVAL, TimerEvent::Probe(number));
             }
-            let idle = client.takes() && !stalled;
+            let idle = client.takes() && !stalled && !client.presence_unsure;
             let leaves = self.admission.leaving >= Leaving::Answered && client.answered_last();
             if (client.ended || leaves) && idle {
                 client.phase = Phase::Closing;
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -224,6 +224,11 @@
         }
     }
 
+    /// The other side sends no more, and all that it has sent has been read.
+    pub fn is_ended(&self) -> bool {
+        matches!(self.stream.peek(&mut [0]), Ok(0))
+    }
+
     /// Neither closed by the other side nor with anything to read.
     pub fn quiet(&self) -> bool {
         matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
