--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -41,11 +41,18 @@
 
 impl FaultyDiscovery {
     fn start(hosts: &RecordedPair, broken: fn(&mut TcpStream, &str)) -> Self {
+        Self::start_late(hosts, Duration::ZERO, broken)
+    }
+
+    /// One that sends the first list so long after it was asked.
+    fn start_late(hosts: &RecordedPair, wait: Duration, broken: fn(&mut TcpStream, &str)) -> Self {
         let (silent_at, mended) = (Arc::new(Mutex::new(None)), Arc::new(AtomicBool::new(false)));
         let (first, whole) = (watch(&[&list(41, false, &[])]), hosts.list(42, false, "Terminating"));
         let (silence, now_whole) = (Arc::clone(&silent_at), Arc::clone(&mended));
         let calls = Calls::start(move |_, stream| {
-            let begins = silence.lock().unwrap().is_none().then(Instant::now);
+            let first_call = silence.lock().unwrap().is_none();
+            thread::sleep(if first_call { wait } else { Duration::ZERO });
+            let begins = first_call.then(Instant::now);
             if begins.is_some() {
                 say(stream, &first);
                 *silence.lock().unwrap() = begins;
@@ -148,6 +155,20 @@
     ]);
 }
 
+// Guards against: a lease of the list that counts from when a starved gateway reads the list, not from when it came.
+#[test]
+fn drained_servers_get_nothing_after_a_list_that_was_read_late() {
+    const STOPPED_AFTER_LIST: Duration = Duration::from_secs(2);
+    let hosts = RecordedPair::new();
+    let discovery = FaultyDiscovery::start_late(&hosts, Duration::from_secs(1), break_off);
+    let gateway = hosts.gateway(discovery.calls.addr, SETTINGS);
+    gateway.signal("-STOP");
+    let list_came = discovery.silent_at();
+    thread::sleep((list_came + STOPPED_AFTER_LIST).saturating_duration_since(Instant::now()));
+    gateway.signal("-CONT");
+    nothing_is_sent_without_a_list(&hosts, &discovery, &gateway);
+}
+
 #[test]
 fn drained_servers_get_nothing_after_reloads_in_a_row() {
     side_by_side(&[
