Date lists of discovery by the kernel as well, by what the poller has told

Callers saw: reads sent to db hosts that drain for as much longer as the gateway had stood still before it read its list.

Cause: the lease of the list was renewed from the read. Change: connections to discovery are read with receive times as clients' are; the poller keeps since when what it tells of now can have come, in place of the clients' own note.

--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -68,10 +68,6 @@
     admission: Admission,
     scratch: Vec<u8>,
     receiver: Receiver,
-    /// Since before the poller was asked the last time but one, which told nothing of what it tells now: that has come since.
-    unread_since: Instant,
-    /// Since before it was asked the last time.
-    polled: Instant,
     /// The statements of all clients.
     table: Table,
     protocol: ClientProtocol,
@@ -127,8 +123,6 @@
             admission: Admission { leaving: Leaving::None, yes: true, accepts: true, listens: true },
             scratch: vec![0; CHUNK],
             receiver: Receiver::default(),
-            unread_since: now,
-            polled: now,
             table: Table::new(protocol.table_bytes),
             protocol,
         }
@@ -151,11 +145,6 @@
         };
     }
 
-    /// The poller has been asked again, at this time or a little later.
-    pub fn polled(&mut self, at: Instant) {
-        self.unread_since = std::mem::replace(&mut self.polled, at);
-    }
-
     /// How clients are served from now on. Those that are connected keep the terms that they were welcomed with.
     pub fn set_protocol(&mut self, protocol: ClientProtocol) {
         self.table.limit(protocol.table_bytes);
@@ -251,7 +240,7 @@
         if client.reads() {
             let before = client.buffer.len();
             let unheard = client.heard == client.accepted;
-            let earliest = if unheard { client.opened_after } else { self.unread_since };
+            let earliest = if unheard { client.opened_after } else { poller.unread_since() };
             let (receiver, scratch) = (&mut self.receiver, &mut self.scratch);
             match client.wire.read_dated(receiver, earliest, scratch, &mut client.buffer) {
                 Ok((Taken::Some, received)) => {
--- a/gateway/src/net/clients/listener.rs
+++ b/gateway/src/net/clients/listener.rs
@@ -58,7 +58,7 @@
                         Ok(wire) => {
                             let client = Client::new(
                                 now,
-                                self.unread_since,
+                                poller.unread_since(),
                                 wire,
                                 self.protocol.terms,
                                 self.keys.of(number),
--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -153,7 +153,7 @@
         }
         // Guards against: news that the old one has written, and that are closed unread.
         for link in &mut self.links {
-            context.inbox.extend(link.read_rest(context.now).into_iter().map(Input::Members));
+            context.inbox.extend(link.read_rest(context.now, context.poller).into_iter().map(Input::Members));
         }
         self.addr = addr;
         self.links.clear();
@@ -203,7 +203,7 @@
         if self.outdated(at, &lists) {
             // The next call is answered with what counts; what came behind the list that is out of date counts already.
             let mut behind = lists;
-            behind.extend(self.links[at].read_rest(now));
+            behind.extend(self.links[at].read_rest(now, context.poller));
             self.take_newer(at, behind, context);
             end = Some(CallEnd::Outdated);
         } else {
--- a/gateway/src/net/discovery/link.rs
+++ b/gateway/src/net/discovery/link.rs
@@ -6,6 +6,7 @@
 
 use thiserror::Error;
 use yewroute::interface::ListObservation;
+use yewroute_receive_time::Receiver;
 
 use super::super::poller::{Interest, Poller, Ready, Token};
 use super::super::wire::{Taken, Wire, CHUNK};
@@ -52,7 +53,7 @@
     pub listed: bool,
     /// Bytes since its last whole line.
     pub begun: usize,
-    /// When the first bytes of the line that is coming were read; none between lines.
+    /// When the first bytes of the line that is coming came, or others that were read with them; none between lines.
     pub line_began: Option<Instant>,
     /// Bytes in all.
     pub received: usize,
@@ -60,6 +61,7 @@
     /// Whom the call was made to.
     pub addr: SocketAddr,
     wire: Wire,
+    receiver: Receiver,
     lines: Lines,
     lists: Lists,
     connected: bool,
@@ -88,6 +90,7 @@
         poller: &Poller,
     ) -> io::Result<Self> {
         let mut wire = Wire::dial(addr)?;
+        wire.note_receive_times();
         let path = format!("/catalog/members?follow=1&since={since}");
         wire.out().extend(http::get(&path, &addr.to_string()));
         poller.add(&wire, Token::Watch(number), Interest::WRITE)?;
@@ -100,6 +103,7 @@
             received: 0,
             addr,
             wire,
+            receiver: Receiver::default(),
             lines: Lines::default(),
             lists: Lists::default(),
             connected: false,
@@ -114,7 +118,7 @@
             received.end = Some(if connecting { CallEnd::Connect(error) } else { CallEnd::Broken(error) });
             return received;
         }
-        self.read(now)
+        self.read(now, poller)
     }
 
     /// What a call that has waited for so long without an answer tells of discovery.
@@ -146,11 +150,11 @@
     }
 
     /// Reads all that has come so far, for the last time.
-    pub fn read_rest(&mut self, now: Instant) -> Vec<Members> {
+    pub fn read_rest(&mut self, now: Instant, poller: &Poller) -> Vec<Members> {
         let mut lists = Vec::new();
         for _ in 0..Lists::LONGEST / CHUNK {
             let before = self.begun;
-            let received = self.read(now);
+            let received = self.read(now, poller);
             let progress = received.line_began.is_some() || self.begun > before;
             lists.extend(received.lists);
             if received.end.is_some() || !progress {
@@ -160,9 +164,9 @@
         lists
     }
 
-    fn read(&mut self, now: Instant) -> Received {
+    fn read(&mut self, now: Instant, poller: &Poller) -> Received {
         let mut received = Received::default();
-        received.end = self.read_into(now, &mut received).err();
+        received.end = self.read_into(now, poller.unread_since(), &mut received).err();
         received
     }
 
@@ -177,12 +181,21 @@
         Ok(())
     }
 
-    fn read_into(&mut self, now: Instant, received: &mut Received) -> Result<(), CallEnd> {
+    fn read_into(
+        &mut self,
+        now: Instant,
+        unread_since: Instant,
+        received: &mut Received,
+    ) -> Result<(), CallEnd> {
         let (mut scratch, mut bytes, mut lines) = (vec![0; CHUNK], Vec::new(), Vec::new());
-        let taken = self.wire.read(&mut scratch, &mut bytes).map_err(CallEnd::Broken)?;
+        let earliest = unread_since.max(self.called);
+        let read = self.wire.read_dated(&mut self.receiver, earliest, &mut scratch, &mut bytes);
+        let (taken, came) = read.map_err(CallEnd::Broken)?;
+        // Guards against: a list that passes for new as a process that got no processor has read it late.
+        let came = came.min(now);
         received.answer_begun = self.received == 0 && !bytes.is_empty();
         if !bytes.is_empty() {
-            self.line_began.get_or_insert(now);
+            self.line_began.get_or_insert(came);
         }
         self.begun += bytes.len();
         self.received += bytes.len();
@@ -198,7 +211,7 @@
                 News::Empty => {}
             }
             // The first line of a watch holds what was missed before: until then it has brought nothing.
-            let began = self.line_began.take().unwrap_or(now);
+            let began = self.line_began.take().unwrap_or(came);
             if self.listed {
                 received.line_began = Some(began);
             }
@@ -207,7 +220,7 @@
         if self.listed && self.lines.between_lines() && self.lists.between_lists() {
             self.line_began = None;
         } else if !bytes.is_empty() {
-            self.line_began.get_or_insert(now);
+            self.line_began.get_or_insert(came);
         }
         fed?;
         if taken == Taken::End || self.lines.ended() {
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -131,7 +131,6 @@
     gateway.settle(now);
     while !gateway.life.done(now, gateway.clients.len(), || gateway.clients.owes_answers()) {
         gateway.poller.wait(now, gateway.next(now), &mut ready)?;
-        gateway.clients.polled(now);
         now = Instant::now();
         gateway.all_ready(now, &mut ready);
         gateway.tick(now);
--- a/gateway/src/net/poller.rs
+++ b/gateway/src/net/poller.rs
@@ -100,11 +100,15 @@
 pub struct Poller {
     epoll: OwnedFd,
     events: Vec<Event>,
+    /// When it was asked the last time, or a little before, and the last time but one.
+    asked: Instant,
+    asked_before: Instant,
 }
 
 impl Poller {
     pub fn new() -> io::Result<Self> {
-        Ok(Self { epoll: epoll::create(CreateFlags::CLOEXEC)?, events: Vec::with_capacity(EVENTS) })
+        let (epoll, now) = (epoll::create(CreateFlags::CLOEXEC)?, Instant::now());
+        Ok(Self { epoll, events: Vec::with_capacity(EVENTS), asked: now, asked_before: now })
     }
 
     pub fn add(&self, fd: impl AsFd, token: Token, interest: Interest) -> io::Result<()> {
@@ -119,9 +123,15 @@
         Ok(epoll::delete(&self.epoll, fd)?)
     }
 
+    /// What can be read now and has not been read has come since then: the time before, it was not ready yet.
+    pub const fn unread_since(&self) -> Instant {
+        self.asked_before
+    }
+
     /// Waits until something is ready or `until` has come, to the nanosecond.
     pub fn wait(&mut self, now: Instant, until: Option<Instant>, ready: &mut Vec<Ready>) -> io::Result<()> {
         let timeout = until.map(|until| timespec(until.saturating_duration_since(now)));
+        self.asked_before = std::mem::replace(&mut self.asked, now);
         self.events.clear();
         match epoll::wait(&self.epoll, spare_capacity(&mut self.events), timeout.as_ref()) {
             Ok(_) | Err(rustix::io::Errno::INTR) => {}
