--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -178,9 +178,9 @@
         self.phase == Phase::Busy && self.session.open() && !self.prompt && little && self.stuck.is_none()
     }
 
-    /// An answer is owed to it, or has not been written whole.
+    /// An answer is owed to it, or will be unless it has gone, or has not been written whole.
     pub(super) fn awaits_answer(&self) -> bool {
-        self.phase == Phase::Busy || self.wire.unwritten() > 0
+        self.phase == Phase::Busy || self.presence_unsure || self.wire.unwritten() > 0
     }
 
     /// Nothing is owed on either side.
@@ -478,3 +478,6 @@
         body: wanted.body,
     }
 }
+
+#[cfg(test)]
+mod tests;
