--- a/crates/federation/src/verdicts/measure.rs
+++ b/crates/federation/src/verdicts/measure.rs
@@ -39,6 +39,11 @@
     asks: JoinSet<Measured>,
 }
 
+/// Milliseconds from one moment to another.
+fn milliseconds(began: Instant, at: Instant) -> u64 {
+    u64::try_from(at.saturating_duration_since(began).as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Measurements {
     pub fn new(began: Instant) -> Self {
         Self { clocks: PeerClocks::default(), began, asking: BTreeMap::new(), asks: JoinSet::new() }
@@ -46,7 +51,7 @@
 
     /// A moment as this process tells it to others.
     pub fn time(&self, at: Instant) -> u64 {
-        u64::try_from(at.saturating_duration_since(self.began).as_millis()).unwrap_or(u64::MAX)
+        milliseconds(self.began, at)
     }
 
     /// Asks a gateway for its time, unless it is being asked.
@@ -57,12 +62,9 @@
         self.asking.insert(name.into(), Vec::new());
         let (peers, began, name) = (context.peers.clone(), self.began, Box::<str>::from(name));
         self.asks.spawn(async move {
-            let ms = |at: Instant| {
-                u64::try_from(at.saturating_duration_since(began).as_millis()).unwrap_or(u64::MAX)
-            };
-            let asked_ms = ms(now());
+            let asked_ms = milliseconds(began, now());
             let answer = peers.ask(&name, &Say::AskTime, patience).await;
-            let answered_ms = ms(now());
+            let answered_ms = milliseconds(began, now());
             let trip = answer.ok().map(|Time { incarnation, now_ms }| RoundTrip {
                 incarnation,
                 asked_ms,
