Test of receive times: wait until the kernel notes them

Cause: the test. The kernel begins to note times by deferred work after the first socket of the machine has asked (net_enable_timestamp); nothing else ran then, and the test wrote at once. It waits for the first note now, 5 s at most; its assertion is as before. Where no time is noted the read counts, as documented; of a gateway that is the first moment after its first connection.

--- a/crates/receive-time/src/lib.rs
+++ b/crates/receive-time/src/lib.rs
@@ -13,7 +13,8 @@
 use nix::sys::socket::{recvmsg, setsockopt, sockopt::ReceiveTimestampns, ControlMessageOwned, MsgFlags};
 use nix::sys::time::TimeSpec;
 
-/// Asks the kernel to note receive times from now on. Where it does not, [`Receiver::read`] gives the time of the read.
+/// Asks the kernel to note receive times. It begins a moment after the first socket of the machine has asked; until then, and where
+/// it does not at all, [`Receiver::read`] gives the time of the read.
 pub fn enable(stream: &TcpStream) {
     let _ = setsockopt(stream, ReceiveTimestampns, &true);
 }
--- a/crates/receive-time/src/tests.rs
+++ b/crates/receive-time/src/tests.rs
@@ -11,10 +11,25 @@
     (near, listener.accept().unwrap().0)
 }
 
+/// The kernel begins to note times a moment after the first socket of the machine has asked it to.
+fn wait_until_noted(near: &mut TcpStream, far: &TcpStream) {
+    const UNREAD: Duration = Duration::from_millis(20);
+    const ATTEMPTS: usize = 250;
+    let noted = (0..ATTEMPTS).any(|_| {
+        near.write_all(b"?").unwrap();
+        let sent = Instant::now();
+        thread::sleep(UNREAD);
+        let (_, received) = Receiver::default().read(far, &mut [0; 16]).unwrap();
+        received < sent + UNREAD / 2
+    });
+    assert!(noted, "the kernel notes no times");
+}
+
 #[test]
 fn bytes_are_dated_when_they_came_and_not_when_they_are_read() {
     let (mut near, far) = connected();
     enable(&far);
+    wait_until_noted(&mut near, &far);
     let before = Instant::now();
     near.write_all(b"request").unwrap();
     let after = Instant::now();
