--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -35,6 +35,7 @@
 /// Discovery whose first watch falls silent after its list; later calls are answered in a broken way until it is mended.
 struct FaultyDiscovery {
     calls: Calls,
+    called: Arc<AtomicBool>,
     silent_at: Arc<Mutex<Option<Instant>>>,
     mended: Arc<AtomicBool>,
 }
@@ -49,7 +50,10 @@
         let (silent_at, mended) = (Arc::new(Mutex::new(None)), Arc::new(AtomicBool::new(false)));
         let (first, whole) = (watch(&[&list(41, false, &[])]), hosts.list(42, false, "Terminating"));
         let (silence, now_whole) = (Arc::clone(&silent_at), Arc::clone(&mended));
+        let called = Arc::new(AtomicBool::new(false));
+        let has_called = Arc::clone(&called);
         let calls = Calls::start(move |_, stream| {
+            has_called.store(true, Ordering::SeqCst);
             let first_call = silence.lock().unwrap().is_none();
             thread::sleep(if first_call { wait } else { Duration::ZERO });
             let begins = first_call.then(Instant::now);
@@ -63,7 +67,7 @@
             }
             hang();
         });
-        Self { calls, silent_at, mended }
+        Self { calls, called, silent_at, mended }
     }
 
     /// Another address that is broken from the first call on.
@@ -162,6 +166,7 @@
     let hosts = RecordedPair::new();
     let discovery = FaultyDiscovery::start_late(&hosts, Duration::from_secs(1), break_off);
     let gateway = hosts.gateway(discovery.calls.addr, SETTINGS);
+    until(|| discovery.called.load(Ordering::SeqCst), || "no call".to_owned());
     gateway.signal("-STOP");
     let list_came = discovery.silent_at();
     thread::sleep((list_came + STOPPED_AFTER_LIST).saturating_duration_since(Instant::now()));
