Test of lists without discovery: keep the unused address from others

Seen: reads_are_served_while_discovery_is_out_of_reach failed once with two test suites side by side, no read for 1.75 s. Cause: the test. It freed the port at which nobody was to listen, and a console of the other suite took it: the gateway's log has 'status 404' from that address, a sign of life, by which the lease of the list runs. The port is bound now and not listened on, so that connections are refused throughout; what is asserted is as before.

--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::OwnedFd;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -13,6 +14,7 @@
 use common::calls::{hang, say, unanswering, Calls};
 use common::pair::{read_until, RecordedPair};
 use common::*;
+use rustix::net::{bind, getsockname, socket, AddressFamily, SocketType};
 
 const SETTINGS: &str = include_str!("common/settings.json");
 /// From a change on.
@@ -196,9 +198,17 @@
     assert!(without.len() as u128 <= most, "no read in spans {without:?}: {}", gateway.log());
 }
 
+/// An address at which nobody listens, and the socket that keeps it from others.
+fn unused_address() -> (OwnedFd, SocketAddr) {
+    let socket = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    bind(&socket, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let addr = getsockname(&socket).unwrap().try_into().unwrap();
+    (socket, addr)
+}
+
 fn connections_refused() {
     let hosts = RecordedPair::new();
-    let unused = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (_kept, unused) = unused_address();
     served_without_discovery(unused, &hosts, 100);
 }
 
