Tests of a discovery that comes back with too many callers: drained hosts get requests

In its log a call that waited as discovery came back is turned away after 272 ms, the next one waits out 2 s in the queue, and the lease goes on as if discovery were still down.

Two cases in the module and one on processes, with the return at eight moments of the outage.

--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::OwnedFd;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -34,10 +34,26 @@
     whole[..whole.len() - list.len() / 2].to_owned()
 }
 
+const UNAVAILABLE: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+/// A call that waits longer fails.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long discovery is up in a test of its return, so that the first call of the outage is not delayed by the one before.
+const FIRST_WATCH: Duration = Duration::from_secs(4);
+
+/// An empty line on a watch each second.
+fn say_empty_lines(stream: &mut TcpStream, until: Instant) {
+    while Instant::now() < until {
+        thread::sleep(until.saturating_duration_since(Instant::now()).min(Duration::from_secs(1)));
+        say(stream, "1\r\n\n\r\n");
+    }
+}
+
 /// Discovery whose first watch falls silent after its list; later calls are answered in a broken way until it is mended.
 struct FaultyDiscovery {
     calls: Calls,
     called: Arc<AtomicBool>,
+    /// From when on the change counts that it has not told.
     silent_at: Arc<Mutex<Option<Instant>>>,
     mended: Arc<AtomicBool>,
 }
@@ -72,6 +88,34 @@
         Self { calls, called, silent_at, mended }
     }
 
+    /// One that goes down a while after its first list, and comes back with too many callers after so long: of the calls
+    /// made then every third one is turned away at once, and all others wait in vain.
+    fn start_down(hosts: &RecordedPair, outage: Duration) -> Self {
+        let (first, whole) = (watch(&[&list(41, false, &[])]), hosts.list(42, false, "Terminating"));
+        let down_at = Instant::now() + FIRST_WATCH;
+        let back_at = down_at + outage;
+        let (called, mended) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(false)));
+        let (now_whole, calls_since_back) = (Arc::clone(&mended), AtomicUsize::new(0));
+        let calls = Calls::start(move |number, stream| {
+            if number == 0 {
+                say(stream, &first);
+                return say_empty_lines(stream, down_at);
+            }
+            if now_whole.load(Ordering::SeqCst) {
+                say(stream, &watch(&[&whole]));
+                return hang();
+            }
+            let until_back = back_at.saturating_duration_since(Instant::now());
+            let back = until_back.is_zero();
+            let turned_away = back && calls_since_back.fetch_add(1, Ordering::SeqCst) % 3 == 1;
+            if !turned_away {
+                thread::sleep(if back { CALL_TIMEOUT } else { until_back.min(CALL_TIMEOUT) });
+            }
+            say(stream, UNAVAILABLE);
+        });
+        Self { calls, called, silent_at: Arc::new(Mutex::new(Some(back_at))), mended }
+    }
+
     /// Another address that is broken from the first call on.
     fn another(&self, hosts: &RecordedPair, broken: fn(&mut TcpStream, &str)) -> SocketAddr {
         let whole = hosts.list(42, false, "Terminating");
@@ -184,6 +228,29 @@
     ]);
 }
 
+/// Discovery comes back after so long.
+fn back_and_crowded<const OUTAGE_MS: u64>() {
+    let hosts = RecordedPair::new();
+    let discovery = FaultyDiscovery::start_down(&hosts, Duration::from_millis(OUTAGE_MS));
+    let gateway = hosts.gateway(discovery.calls.addr, SETTINGS);
+    nothing_is_sent_without_a_list(&hosts, &discovery, &gateway);
+}
+
+// Guards against: a discovery with too many callers that passes for one that is still down.
+#[test]
+fn drained_servers_get_nothing_when_discovery_comes_back_crowded() {
+    side_by_side(&[
+        ("back after 2.4 s", back_and_crowded::<2_400>),
+        ("back after 3.2 s", back_and_crowded::<3_200>),
+        ("back after 4.0 s", back_and_crowded::<4_000>),
+        ("back after 4.8 s", back_and_crowded::<4_800>),
+        ("back after 5.6 s", back_and_crowded::<5_600>),
+        ("back after 6.4 s", back_and_crowded::<6_400>),
+        ("back after 7.2 s", back_and_crowded::<7_200>),
+        ("back after 8.0 s", back_and_crowded::<8_000>),
+    ]);
+}
+
 /// Reads are sent on in at least so many of a hundred spans of 250 ms.
 fn served_without_discovery(discovery: SocketAddr, hosts: &RecordedPair, percent: usize) {
     const SPAN: Duration = Duration::from_millis(250);
@@ -226,8 +293,8 @@
 fn calls_that_wait_and_fail() {
     let hosts = RecordedPair::new();
     let discovery = Calls::start(|_, stream| {
-        thread::sleep(Duration::from_secs(2));
-        say(stream, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        thread::sleep(CALL_TIMEOUT);
+        say(stream, UNAVAILABLE);
     });
     served_without_discovery(discovery.addr, &hosts, MIN_SERVED_PERCENT);
 }
--- a/src/policy/list_lease/tests.rs
+++ b/src/policy/list_lease/tests.rs
@@ -93,6 +93,30 @@
     }
 }
 
+/// Guards against: a discovery with too many callers that passes for one that is down.
+#[test]
+fn calls_that_wait_in_vain_after_one_was_turned_away_extend_nothing() {
+    let start = Instant::now();
+    let mut lease = asked(start);
+    lease.observe(start, ListObservation::WatchEnded { at: start });
+    lease.observe(start + seconds(1.0), ListObservation::AnswerBegun);
+    for call in 1..4 {
+        lease.observe(start + seconds(1.0) + seconds(2.0) * call, ListObservation::WaitedOut);
+    }
+    assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER);
+}
+
+/// Guards against: a discovery that came back between two calls, the second of which waited for its turn in vain.
+#[test]
+fn a_call_that_waits_in_vain_shows_nothing_of_the_time_after_the_one_before_it() {
+    let start = Instant::now();
+    let mut lease = asked(start);
+    lease.observe(start, ListObservation::WatchEnded { at: start });
+    lease.observe(start + seconds(2.5), ListObservation::WaitedOut);
+    lease.observe(start + seconds(5.5), ListObservation::WaitedOut);
+    assert_eq!(lease.expires(), start + seconds(2.5) + CHANGE_VISIBLE_AFTER);
+}
+
 #[test]
 fn an_agent_that_is_called_anew_has_told_all_that_it_has() {
     let start = Instant::now();
