Soak: a gateway that was told late to end is left alive as long as the protocol says

Cause: the rig. It was behind its plan by 0.8 s (its process starts were slow), sent SIGTERM at 12.9 s instead of 12.1 s, and SIGKILL at the planned 13.6 s: 0.7 s after SIGTERM where the protocol has at least 1.5 s for these deadlines. Both requests ended with the kill, 187 and 290 ms after they were sent.

The kill waits now until the deadline and 0.7 s after the moment at which SIGTERM had been sent; plays record with an event when it had been planned. A case of the plan has the moment that was seen.

--- a/crates/rig/src/soak/gateways.rs
+++ b/crates/rig/src/soak/gateways.rs
@@ -35,6 +35,8 @@
 struct Gateway {
     addr: SocketAddr,
     child: Option<Child>,
+    /// When SIGTERM had been sent to this process.
+    told_to_end: Option<Instant>,
     /// Which of its two addresses of discovery it has.
     discovery: usize,
 }
@@ -46,6 +48,7 @@
     seed: u64,
     shim: Option<PathBuf>,
     settings: String,
+    deadlines: Deadlines,
     all: Vec<Gateway>,
     front: Arc<Front>,
     /// The process of each, for the watch; 0 while there is none.
@@ -70,13 +73,14 @@
         for n in 0..count {
             drop(TcpListener::bind(addr(n))?);
         }
-        let gateway = |n: usize| Gateway { addr: addr(n), child: None, discovery: 0 };
+        let gateway = |n: usize| Gateway { addr: addr(n), child: None, told_to_end: None, discovery: 0 };
         let mut gateways = Self {
             program: program.to_owned(),
             folder: tempfile::tempdir()?,
             seed,
             shim,
             settings: settings(plan.deadlines),
+            deadlines: plan.deadlines,
             all: (0..count).map(gateway).collect(),
             front: Arc::default(),
             process_ids: (0..count).map(|_| AtomicU32::new(0)).collect(),
@@ -129,7 +133,7 @@
         self.starts.push(GatewayEvent { gateway: n, at: Instant::now() });
         let child = command.spawn()?;
         self.process_ids[n].store(child.id(), Ordering::SeqCst);
-        self.all[n].child = Some(child);
+        (self.all[n].child, self.all[n].told_to_end) = (Some(child), None);
         self.wait_until_ready(n)?;
         held(&self.front).push((n, self.all[n].addr));
         Ok(())
@@ -173,8 +177,9 @@
     }
 
     /// Tells it to end. The front notices after a while; clients that are connected go on.
-    pub fn terminate(&self, n: usize) {
+    pub fn terminate(&mut self, n: usize) {
         self.signal(n, "-TERM");
+        self.all[n].told_to_end = Some(Instant::now());
         let front = self.front();
         thread::spawn(move || {
             thread::sleep(FRONT_NOTICES_AFTER);
@@ -182,7 +187,15 @@
         });
     }
 
-    pub fn kill(&mut self, n: usize) {
+    /// Kills it, but not before the protocol allows, however late it was told to end.
+    pub fn kill_when_allowed(&mut self, n: usize) {
+        if let Some(told_to_end) = self.all[n].told_to_end {
+            thread::sleep(self.deadlines.until_kill(told_to_end, Instant::now()));
+        }
+        self.kill(n);
+    }
+
+    fn kill(&mut self, n: usize) {
         held(&self.front).retain(|(other, _)| *other != n);
         self.process_ids[n].store(0, Ordering::SeqCst);
         if let Some(mut child) = self.all[n].child.take() {
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -27,6 +27,8 @@
 
 /// Requests end, and lists arrive, before the checker looks.
 const SETTLE: Duration = Duration::from_secs(2);
+/// An event that is later than this is recorded with the time for which it was planned.
+const NOTABLE_LATENESS: Duration = Duration::from_millis(100);
 /// Clients of each gateway.
 const CLIENTS: usize = 4;
 
@@ -61,7 +63,7 @@
     pub arrivals: usize,
     /// The longest deadline; SIGKILL comes 0.7 s later than that after SIGTERM.
     pub deadline: Duration,
-    /// What befell whom, with its time in seconds.
+    /// What befell whom, with its time in seconds, and the planned one if it was late.
     pub events: Vec<String>,
     /// What the rule on drains is judged by: changes, lists that were written, silences, outages, reloads and starts, with times.
     pub told: Vec<String>,
@@ -73,6 +75,14 @@
     pub logs: Vec<String>,
 }
 
+fn event_line(happened: Duration, planned: Duration, event: &Event) -> String {
+    let (happened, late) = (happened.as_secs_f64(), happened.saturating_sub(planned));
+    match late < NOTABLE_LATENESS {
+        true => format!("{happened:.1} {event:?}"),
+        false => format!("{happened:.1} {event:?}, planned at {:.1}", planned.as_secs_f64()),
+    }
+}
+
 /// Plays one seed.
 ///
 /// # Errors
@@ -88,12 +98,12 @@
     let (start, mut crowds, mut events) = (Instant::now(), Vec::new(), Vec::new());
     for (at, event) in &plan.events {
         thread::sleep((start + *at).saturating_duration_since(Instant::now()));
-        events.push(format!("{:.1} {event:?}", start.elapsed().as_secs_f64()));
+        events.push(event_line(start.elapsed(), *at, event));
         match *event {
             Event::Reload(gateway) => gateways.reload(gateway, &discovery)?,
             Event::Terminate(gateway) => gateways.terminate(gateway),
             Event::Signal(gateway, signal) => gateways.signal_again(gateway, signal),
-            Event::Kill(gateway) => gateways.kill(gateway),
+            Event::Kill(gateway) => gateways.kill_when_allowed(gateway),
             Event::Restart { gateway, wall_clock_off_s } => {
                 gateways.restart(gateway, &discovery, wall_clock_off_s)?;
             }
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -1,6 +1,6 @@
 //! What befalls whom, and when: drawn from the seed.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -60,6 +60,11 @@
     pub fn earliest_kill(self) -> Duration {
         self.order + Duration::from_millis(700)
     }
+
+    /// How long a gateway that was told to end at `told_to_end` must still be left alive.
+    pub fn until_kill(self, told_to_end: Instant, now: Instant) -> Duration {
+        (told_to_end + self.earliest_kill()).saturating_duration_since(now)
+    }
 }
 
 /// A plan.
--- a/crates/rig/src/soak/plan/tests.rs
+++ b/crates/rig/src/soak/plan/tests.rs
@@ -28,6 +28,21 @@
     assert!(ends > 50 && signals * 3 > ends, "{signals} of {ends} with signals in series");
 }
 
+// Guards against: a SIGTERM that a busy rig sends late, and a SIGKILL that follows it at the planned time.
+#[test]
+fn a_gateway_that_is_told_late_to_end_is_left_alive_for_as_long() {
+    for deadlines in [Deadlines::SHORT, Deadlines::LONG] {
+        let told_to_end = Instant::now();
+        let left = |after_ms: u64| {
+            deadlines.until_kill(told_to_end, told_to_end + Duration::from_millis(after_ms)).as_millis()
+        };
+        let whole = deadlines.order.as_millis() + 700;
+        assert_eq!(left(0), whole);
+        assert_eq!(left(690), whole - 690, "the moment at which a kill was seen");
+        assert_eq!(left(4_000), 0);
+    }
+}
+
 #[test]
 fn deadlines_are_short_in_some_seeds_and_crowds_come_in_some() {
     let plans: Vec<Plan> = (1..=50).map(|seed| Plan::draw(seed, SPAN, None)).collect();
