Test of the fleet: with a way cut and a third lost, one that lives is declared dead

On the fleet's parts alone, on a clock of their own, it comes in 5 of 400 plays of ten seconds (a trial): each time the one whose way from the suspect is cut is the first to declare it dead, 2 s after it suspected it.

--- a/crates/fleet/src/tests.rs
+++ b/crates/fleet/src/tests.rs
@@ -304,6 +304,23 @@
     }
 }
 
+// Guards against: a refutation that those who gossip have told often enough, though not to the one that suspects.
+#[test]
+fn refutations_reach_the_one_that_suspects_by_others_if_their_way_is_cut_and_a_third_is_lost() {
+    const PLAYS: u64 = 300;
+    for seed in 0..PLAYS {
+        let mut net = Net::new(6);
+        net.rng = ChaCha8Rng::seed_from_u64(seed);
+        let all: Vec<usize> = (0..6).collect();
+        net.until(secs(5), |net| net.all_see(Health::Alive, &all));
+        net.passes = |from, to| (from, to) != (1, 2);
+        net.loss = 0.3;
+        net.run(secs(10));
+        let gone = net.events.iter().find(|(_, _, event)| matches!(event, Event::Gone(..)));
+        assert!(gone.is_none(), "seed {seed}: {gone:?}");
+    }
+}
+
 #[test]
 fn one_that_was_stopped_doubts_itself_and_accuses_nobody() {
     let mut net = Net::new(9);
