Fleet: pass suspicions and refutations on where the way between the two is cut

Callers: a gateway that lives is declared dead by all, loses its part in limits and decisions, and returns under a new incarnation.

Cause: the suspect answered the one that suspects it directly, over the way that is cut, and its refutation reached that one by gossip alone, which each member passes on only so many times, to members drawn at random.

Change: at each beat the one that suspects asks three others as well. One that knows of a refutation passes it on, another one tells the suspect, which answers directly.

--- a/crates/fleet/src/body.rs
+++ b/crates/fleet/src/body.rs
@@ -27,9 +27,9 @@
     Decided { from: SocketAddr, after: u64 },
     /// A message that is only carried.
     Carried(&'a [u8]),
-    /// The receiver is suspected, by the protocol's count of its refutations.
+    /// A member is suspected, by the protocol's count of its refutations: the receiver, or one whose refutation it may know.
     Suspected { id: Id, count: u16, from: SocketAddr },
-    /// The sender lives, and has refuted up to this count.
+    /// This member lives, and has refuted up to this count.
     Lives { id: Id, count: u16 },
     /// Hashes of the members that the sender knows, by parts of their numbers: whom does the receiver know besides?
     Whom { from: SocketAddr, parts: Vec<u16> },
--- a/crates/fleet/src/doubt.rs
+++ b/crates/fleet/src/doubt.rs
@@ -59,11 +59,8 @@
             .map(|(member, _)| foca::Member::new(member.id().clone(), member.incarnation(), State::Down))
             .collect();
         self.suspects = suspects.iter().map(|(m, since)| (m.id().addr, (m.incarnation(), *since))).collect();
-        // Each is told so by some directly, at every beat. Guards against: a refutation that is lost on its way through others.
-        let from = self.me().addr;
         for (member, _) in suspects.iter().choose_multiple(&mut self.rng, ASK) {
-            let (id, count) = (member.id().clone(), member.incarnation());
-            self.put(id.addr, &Body::Suspected { id: id.clone(), count, from });
+            self.ask_about(member);
         }
         if !dead.is_empty() {
             let mut outlet = Outlet::default();
@@ -71,4 +68,42 @@
             self.take(now, outlet);
         }
     }
+
+    /// Tells a member that it is suspected, also by way of others, who pass on its refutation if they know of one. Guards
+    /// against: a refutation that gossip has not brought, where datagrams of the two do not reach each other.
+    fn ask_about(&mut self, suspect: &foca::Member<Id>) {
+        let (id, count, from) = (suspect.id(), suspect.incarnation(), self.me().addr);
+        let alive = self.swim.iter_members().filter(|member| member.state() == State::Alive);
+        let others = alive.map(|member| member.id().addr).choose_multiple(&mut self.rng, ASK);
+        for addr in others.into_iter().chain([id.addr]) {
+            self.put(addr, &Body::Suspected { id: id.clone(), count, from });
+        }
+    }
+
+    /// A member is suspected by the one at `from`: passes on its refutation, or else the suspicion to that member.
+    pub(super) fn on_suspected(
+        &mut self,
+        now: Instant,
+        suspect: Id,
+        count: u16,
+        from: SocketAddr,
+    ) -> Result<(), Dropped> {
+        member::bounded(&suspect).map_err(|_| Dropped::Malformed)?;
+        if suspect == *self.me() {
+            self.apply(now, foca::Member::new(suspect.clone(), count, State::Suspect))?;
+            self.refuted_to = self.refuted_to.max(count.saturating_add(1));
+            self.put(from, &Body::Lives { id: suspect, count: self.refuted_to });
+            return Ok(());
+        }
+        let known = self.swim.iter_members().find(|member| *member.id() == suspect);
+        let Some((state, refuted_to)) = known.map(|member| (member.state(), member.incarnation())) else {
+            return Ok(());
+        };
+        if state == State::Alive && refuted_to > count {
+            self.put(from, &Body::Lives { id: suspect, count: refuted_to });
+        } else {
+            self.put(suspect.addr, &Body::Suspected { id: suspect, count, from });
+        }
+        Ok(())
+    }
 }
--- a/crates/fleet/src/receive.rs
+++ b/crates/fleet/src/receive.rs
@@ -93,15 +93,7 @@
                 self.events.push_back(Event::Carried(message.to_vec()));
                 Ok(())
             }
-            Body::Suspected { id, count, from } => {
-                if id == *self.me() {
-                    let suspicion = foca::Member::new(id.clone(), count, State::Suspect);
-                    self.apply(now, suspicion)?;
-                    self.refuted_to = self.refuted_to.max(count.saturating_add(1));
-                    self.put(from, &Body::Lives { id, count: self.refuted_to });
-                }
-                Ok(())
-            }
+            Body::Suspected { id, count, from } => self.on_suspected(now, id, count, from),
             Body::Whom { from, parts } => {
                 let own = self.parts();
                 if parts.len() != PARTS {
