Lease of the list: take discovery for down until an earlier failed call, not beyond

Two causes, both in the inference that discovery is down.

Two calls that waited out their 2 s renewed the lease from the end of the second one, though the first alone shows until when discovery was down: it may have come back between the two. It counts from the end of the first one now; the 8.5 s rule likewise. A call that discovery turned away changed nothing in it, and one turned away later than 250 ms passed for one that waited. Any 503 but at the end of a call's 2 s is a sign of life now, and after it calls that wait in vain are taken for a crowd.

--- a/gateway/src/net/discovery.rs
+++ b/gateway/src/net/discovery.rs
@@ -39,6 +39,8 @@
 /// given up before it is answered.
 const OLDEST_CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// A call made longer ago ends with none that is made now.
+const RECENT_CALL: Duration = Duration::from_secs(5);
 /// Reads of a connection in a row: as much as the longest list.
 const MAX_READS: usize = Lists::LONGEST / CHUNK;
 
@@ -54,6 +56,8 @@
     heard: Option<Heard>,
     /// When a list or a whole line of a watch came last; before that, when it began.
     last_line: Instant,
+    /// When the last calls to this address were made.
+    recent_calls: Vec<Instant>,
     /// When calls that wait are looked at next.
     check_at: Instant,
     /// The present expiry of the lease has been logged.
@@ -115,6 +119,7 @@
             state,
             heard: None,
             last_line: now,
+            recent_calls: Vec::new(),
             check_at: now,
             expiry_logged: false,
             opened: 0,
@@ -158,6 +163,7 @@
         self.addr = addr;
         self.links.clear();
         self.heard = None;
+        self.recent_calls.clear();
         self.state = WatchState::Opening(Schedule::at_once(context.now, Urgency::Failed));
         context.observe(ListObservation::Moved);
         self.tick(context);
@@ -196,7 +202,8 @@
         let Some(at) = self.links.iter().position(|link| link.number == number) else { return };
         let Received { lists, line_began, answer_begun, mut end } =
             self.links[at].ready(now, event, context.poller);
-        let observed_at_end = end.as_ref().and_then(|end| self.links[at].observed_at_end(now, end));
+        let observed_at_end =
+            end.as_ref().and_then(|end| self.links[at].observed_at_end(now, end, &self.recent_calls));
         if answer_begun && observed_at_end.is_none() {
             context.observe(ListObservation::AnswerBegun);
         }
@@ -349,6 +356,8 @@
             self.make_room(context.now);
         }
         self.opened += 1;
+        self.recent_calls.retain(|call| context.now < *call + RECENT_CALL);
+        self.recent_calls.push(context.now);
         let since = context.version;
         info!(call = self.opened, addr = %self.addr, since, "calling discovery");
         self.links.push(Link::open(context.now, self.opened, self.addr, since, context.poller)?);
--- a/gateway/src/net/discovery/link.rs
+++ b/gateway/src/net/discovery/link.rs
@@ -15,10 +15,10 @@
 
 /// A connection that is not up by then does not come up, for all that is known.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// A call that is turned away within this time was turned away by discovery itself.
-const PROMPT_ANSWER: Duration = Duration::from_millis(250);
-/// A call that waits for discovery in vain fails after 2 s; between the two it may have shared the end of an earlier one.
-const FULL_WAIT: Duration = Duration::from_millis(1_900);
+/// A call that waits for discovery in vain fails after this time (protocol page, "Discovery").
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// How far from that time its end may be seen.
+const TIMEOUT_SLACK: Duration = Duration::from_millis(100);
 
 /// Why a call is of no more use. The texts are what operators see as `why`.
 #[derive(Debug, Error)]
@@ -127,23 +127,41 @@
         if self.received > 0 || waited < CONNECT_TIMEOUT {
             return None;
         }
-        Some(if self.connected { ListObservation::Unanswered } else { ListObservation::Unreachable })
+        let called = self.called;
+        Some(if self.connected {
+            ListObservation::Unanswered { called }
+        } else {
+            ListObservation::Unreachable
+        })
     }
 
-    /// What the end of the call tells of discovery. An answer that came late and turns the call away may be that of a proxy
-    /// or of a queue that leads nowhere.
-    pub fn observed_at_end(&self, now: Instant, end: &CallEnd) -> Option<ListObservation> {
-        let waited = now.saturating_duration_since(self.called);
-        let unanswered =
-            if waited < FULL_WAIT { ListObservation::Unanswered } else { ListObservation::WaitedOut };
-        match end {
-            CallEnd::Connect(_) => Some(ListObservation::Unreachable),
-            CallEnd::Answer(http::Malformed::Status(_)) if waited >= PROMPT_ANSWER => Some(unanswered),
-            CallEnd::Broken(_) | CallEnd::Closed if self.received == 0 => Some(unanswered),
-            _ => None,
+    /// What the end of the call tells of discovery, after calls that were made at these moments, this one among them. A
+    /// discovery that lets its callers wait in vain ends all calls of one with the first whose wait is over; one that turns
+    /// a call away at another moment is there, or has just come back.
+    pub fn observed_at_end(&self, now: Instant, end: &CallEnd, calls: &[Instant]) -> Option<ListObservation> {
+        let called = self.called;
+        let timed_out = calls.iter().any(|call| self.ends_with(*call, now));
+        let answered = match end {
+            CallEnd::Connect(_) => return Some(ListObservation::Unreachable),
+            CallEnd::Answer(http::Malformed::Status(_)) => !timed_out,
+            CallEnd::Broken(_) | CallEnd::Closed => self.received > 0,
+            _ => true,
+        };
+        match (answered, timed_out) {
+            (true, _) => None,
+            (false, true) => Some(ListObservation::WaitedOut { called }),
+            (false, false) => Some(ListObservation::Unanswered { called }),
         }
     }
 
+    /// The end of this call at `now` may be that of the wait of one that was made at `call`.
+    fn ends_with(&self, call: Instant, now: Instant) -> bool {
+        let timeout = call + CALL_TIMEOUT;
+        let own = call == self.called && now >= timeout;
+        let off = now.saturating_duration_since(timeout).max(timeout.saturating_duration_since(now));
+        own || self.called < timeout && off <= TIMEOUT_SLACK
+    }
+
     /// The connection is up.
     pub fn is_connected(&self) -> bool {
         self.connected
--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -299,11 +299,30 @@
     served_without_discovery(discovery.addr, &hosts, MIN_SERVED_PERCENT);
 }
 
+/// The end of the wait of one call ends all that have been made since.
+fn calls_that_end_together() {
+    let hosts = RecordedPair::new();
+    let made = Mutex::new(Vec::new());
+    let discovery = Calls::start(move |_, stream| {
+        let called = Instant::now();
+        let ends = {
+            let mut made = made.lock().unwrap();
+            made.push(called);
+            let ends = made.iter().map(|call| *call + CALL_TIMEOUT);
+            ends.filter(|end| *end > called).min().unwrap()
+        };
+        thread::sleep(ends.saturating_duration_since(Instant::now()));
+        say(stream, UNAVAILABLE);
+    });
+    served_without_discovery(discovery.addr, &hosts, MIN_SERVED_PERCENT);
+}
+
 #[test]
 fn reads_are_served_while_discovery_is_out_of_reach() {
     side_by_side(&[
         ("connections that are refused", connections_refused),
         ("connections that do not come up", connections_that_do_not_come_up),
         ("calls that wait and fail", calls_that_wait_and_fail),
+        ("calls that end together", calls_that_end_together),
     ]);
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -251,9 +251,15 @@
     /// No connection to it can be had.
     Unreachable,
     /// A call waits without an answer, or has ended without one of its own.
-    Unanswered,
+    Unanswered {
+        /// When it was made.
+        called: Instant,
+    },
     /// A call has ended without an answer of its own, after as long a wait as discovery gives it.
-    WaitedOut,
+    WaitedOut {
+        /// When it was made.
+        called: Instant,
+    },
     /// It is elsewhere from now on.
     Moved,
 }
--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -22,8 +22,8 @@
 /// one with too many
 /// callers answers nothing for a while either.
 const OUT_OF_REACH_AFTER: Duration = Duration::from_millis(8_500);
-/// After a watch that ended, so many calls in a row that wait in vain show the same.
-const WAITED_OUT_CALLS: u32 = 2;
+/// Calls that end within this time end together, and count as one.
+const SAME_END: Duration = Duration::from_millis(250);
 /// So long no connection can be had before it is taken for out of reach.
 const UNREACHABLE_AFTER: Duration = Duration::from_secs(1);
 /// An agent on this machine answers at once, unless discovery is down and it learns nothing.
@@ -42,10 +42,10 @@
     out_of_reach_after: Duration,
     /// Since when no connection can be had.
     unreachable_since: Option<Instant>,
-    /// Discovery itself ended the watch, or there was none before.
+    /// Discovery itself ended the watch, or there was none before, and it has given no sign of life since.
     watch_ended: bool,
-    /// Calls in a row that waited as long as discovery lets them.
-    waited_out: u32,
+    /// When the last call ended that waited as long as discovery lets it, since the last sign of life.
+    waited_out_at: Option<Instant>,
 }
 
 impl ListLease {
@@ -62,7 +62,7 @@
             out_of_reach_after,
             unreachable_since: None,
             watch_ended: true,
-            waited_out: 0,
+            waited_out_at: None,
         }
     }
 
@@ -77,15 +77,11 @@
             ListObservation::WatchEnded { at } => self.watch_ended(now, at),
             ListObservation::AnswerBegun => self.alive(now),
             ListObservation::Unreachable => self.unreachable(now),
-            ListObservation::Unanswered => self.unanswered(now),
-            ListObservation::WaitedOut => {
-                self.waited_out += 1;
-                self.unanswered(now);
-            }
+            ListObservation::Unanswered { called } => self.unanswered(now, called),
+            ListObservation::WaitedOut { called } => self.waited_out(now, called),
             ListObservation::Moved => {
                 self.expires = self.expires.min(now + CHANGE_VISIBLE_AFTER_MOVE);
                 self.alive(now);
-                self.watch_ended = false;
             }
         }
     }
@@ -93,12 +89,14 @@
     fn current(&mut self, now: Instant, at: Instant) {
         self.expires = self.expires.max(at + CHANGE_VISIBLE_AFTER);
         self.alive(now);
-        self.watch_ended = false;
     }
 
+    /// Guards against: a discovery with too many callers that passes for one that is down, as it turned a call away
+    /// and lets those after it wait in vain.
     fn alive(&mut self, now: Instant) {
         self.alive_at = now;
-        self.waited_out = 0;
+        self.watch_ended = false;
+        self.waited_out_at = None;
         self.unreachable_since = None;
     }
 
@@ -107,7 +105,7 @@
     fn unreachable(&mut self, now: Instant) {
         let since = *self.unreachable_since.get_or_insert(now);
         if now >= since + UNREACHABLE_AFTER {
-            self.out_of_reach(now);
+            self.out_of_reach(now, now);
         }
     }
 
@@ -123,17 +121,30 @@
 
     /// A discovery that goes down ends its watches and lets calls wait for nothing; one with too many callers
     /// turns them away at once. A watch that fell silent says neither.
-    fn unanswered(&mut self, now: Instant) {
+    fn waited_out(&mut self, now: Instant, called: Instant) {
+        if self.waited_out_at.is_some_and(|ended| now < ended + SAME_END) {
+            return;
+        }
+        if let Some(earlier) = self.waited_out_at.filter(|_| self.watch_ended) {
+            self.out_of_reach(now, earlier);
+        }
+        self.unanswered(now, called);
+        self.waited_out_at = Some(now);
+    }
+
+    /// Discovery may have come back as soon as an earlier call had ended, and this one may wait for its turn.
+    fn unanswered(&mut self, now: Instant, called: Instant) {
         self.unreachable_since = None;
-        let down = self.watch_ended && self.waited_out >= WAITED_OUT_CALLS;
-        if down || now >= self.alive_at + self.out_of_reach_after {
-            self.out_of_reach(now);
+        if now >= self.alive_at + self.out_of_reach_after {
+            let earlier = self.waited_out_at.unwrap_or(called);
+            self.out_of_reach(now, earlier.min(called));
         }
     }
 
-    fn out_of_reach(&mut self, now: Instant) {
-        let span = if self.pushed { AGENT_CALL_INTERVAL } else { CHANGE_VISIBLE_AFTER };
-        self.expires = self.expires.max(now + span);
+    /// At `now` discovery is known to have been out of reach at `until`. An agent that answers nothing learns nothing.
+    fn out_of_reach(&mut self, now: Instant, until: Instant) {
+        let expires = if self.pushed { now + AGENT_CALL_INTERVAL } else { until + CHANGE_VISIBLE_AFTER };
+        self.expires = self.expires.max(expires);
     }
 }
 
--- a/src/policy/list_lease/tests.rs
+++ b/src/policy/list_lease/tests.rs
@@ -4,6 +4,15 @@
     Duration::from_secs_f64(seconds)
 }
 
+fn unanswered(called: Instant) -> ListObservation {
+    ListObservation::Unanswered { called }
+}
+
+/// What is observed at `now` of a call that has waited as long as discovery lets it.
+fn waited_out(now: Instant) -> ListObservation {
+    ListObservation::WaitedOut { called: now - seconds(2.0) }
+}
+
 /// The lease of a list that was current at `start`, where discovery is asked.
 fn asked(start: Instant) -> ListLease {
     let mut lease = ListLease::begin(start, false);
@@ -17,7 +26,7 @@
     let mut lease = asked(start);
     for reload in 0..30 {
         lease.observe(start + seconds(0.4) * reload, ListObservation::Moved);
-        lease.observe(start + seconds(0.4) * reload, ListObservation::Unanswered);
+        lease.observe(start + seconds(0.4) * reload, unanswered(start + seconds(0.4) * reload));
     }
     assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER_MOVE);
 }
@@ -29,7 +38,7 @@
     for call in 1..60 {
         let now = start + seconds(0.5) * call;
         lease.observe(now, ListObservation::AnswerBegun);
-        lease.observe(now + seconds(0.3), ListObservation::Unanswered);
+        lease.observe(now + seconds(0.3), unanswered(now));
     }
     assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER);
 }
@@ -62,14 +71,15 @@
 fn one_without_any_sign_of_life_is_out_of_reach_after_the_lease_and_a_while() {
     let start = Instant::now();
     let mut lease = asked(start);
-    lease.observe(start + seconds(8.4), ListObservation::Unanswered);
+    lease.observe(start + seconds(8.4), unanswered(start + seconds(7.4)));
     assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER);
-    lease.observe(start + OUT_OF_REACH_AFTER, ListObservation::Unanswered);
-    assert_eq!(lease.expires(), start + OUT_OF_REACH_AFTER + CHANGE_VISIBLE_AFTER);
+    let called = start + OUT_OF_REACH_AFTER - seconds(1.0);
+    lease.observe(start + OUT_OF_REACH_AFTER, unanswered(called));
+    assert_eq!(lease.expires(), called + CHANGE_VISIBLE_AFTER, "the call may have waited for its turn");
     // A reload to another discovery starts anew: nothing is known of that one.
-    let moved = start + seconds(10.0);
+    let moved = start + seconds(9.0);
     lease.observe(moved, ListObservation::Moved);
-    lease.observe(moved + seconds(8.0), ListObservation::Unanswered);
+    lease.observe(moved + seconds(8.0), unanswered(moved + seconds(7.0)));
     assert_eq!(lease.expires(), moved + CHANGE_VISIBLE_AFTER_MOVE);
 }
 
@@ -81,14 +91,15 @@
         if ended {
             lease.observe(start, ListObservation::WatchEnded { at: start });
         }
-        lease.observe(start + seconds(2.0), ListObservation::WaitedOut);
+        lease.observe(start + seconds(2.0), waited_out(start + seconds(2.0)));
         assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER, "one call");
-        lease.observe(start + seconds(4.0), ListObservation::WaitedOut);
-        let from = if ended { start + seconds(4.0) } else { start };
+        lease.observe(start + seconds(4.0), waited_out(start + seconds(4.0)));
+        // The first call has shown that discovery was down until it ended, the second one nothing after that.
+        let from = if ended { start + seconds(2.0) } else { start };
         assert_eq!(lease.expires(), from + CHANGE_VISIBLE_AFTER, "ended: {ended}");
         // It turns a call away: it is there, and the lease runs on from what is known.
         lease.observe(start + seconds(5.0), ListObservation::AnswerBegun);
-        lease.observe(start + seconds(7.0), ListObservation::WaitedOut);
+        lease.observe(start + seconds(7.0), waited_out(start + seconds(7.0)));
         assert_eq!(lease.expires(), from + CHANGE_VISIBLE_AFTER, "ended: {ended}");
     }
 }
@@ -101,7 +112,8 @@
     lease.observe(start, ListObservation::WatchEnded { at: start });
     lease.observe(start + seconds(1.0), ListObservation::AnswerBegun);
     for call in 1..4 {
-        lease.observe(start + seconds(1.0) + seconds(2.0) * call, ListObservation::WaitedOut);
+        let now = start + seconds(1.0) + seconds(2.0) * call;
+        lease.observe(now, waited_out(now));
     }
     assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER);
 }
@@ -112,11 +124,22 @@
     let start = Instant::now();
     let mut lease = asked(start);
     lease.observe(start, ListObservation::WatchEnded { at: start });
-    lease.observe(start + seconds(2.5), ListObservation::WaitedOut);
-    lease.observe(start + seconds(5.5), ListObservation::WaitedOut);
+    lease.observe(start + seconds(2.5), waited_out(start + seconds(2.5)));
+    lease.observe(start + seconds(5.5), waited_out(start + seconds(5.5)));
     assert_eq!(lease.expires(), start + seconds(2.5) + CHANGE_VISIBLE_AFTER);
 }
 
+#[test]
+fn calls_that_end_together_count_as_one() {
+    let start = Instant::now();
+    let mut lease = asked(start);
+    lease.observe(start, ListObservation::WatchEnded { at: start });
+    for late in [0.0, 0.01, 0.1] {
+        lease.observe(start + seconds(2.5 + late), waited_out(start + seconds(2.5 + late)));
+    }
+    assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER);
+}
+
 #[test]
 fn an_agent_that_is_called_anew_has_told_all_that_it_has() {
     let start = Instant::now();
@@ -125,10 +148,10 @@
     lease.observe(start, ListObservation::Current { at: start });
     let ended = start + seconds(1.0);
     lease.observe(ended, ListObservation::WatchEnded { at: ended });
-    lease.observe(ended + seconds(0.1), ListObservation::Unanswered);
+    lease.observe(ended + seconds(0.1), unanswered(ended));
     assert_eq!(lease.expires(), ended);
     let silent = ended + AGENT_OUT_OF_REACH_AFTER;
-    lease.observe(silent, ListObservation::Unanswered);
+    lease.observe(silent, unanswered(ended));
     assert_eq!(lease.expires(), silent + AGENT_CALL_INTERVAL);
     lease.observe(silent + seconds(0.2), ListObservation::Current { at: silent });
     assert_eq!(lease.expires(), silent + CHANGE_VISIBLE_AFTER);
@@ -137,6 +160,6 @@
     while now < silent + seconds(30.0) {
         assert!(now < lease.expires(), "{:?} after the last line", now - silent);
         now += seconds(0.5);
-        lease.observe(now, ListObservation::Unanswered);
+        lease.observe(now, unanswered(now - seconds(1.0)));
     }
 }
