Test of the log: requests wait for as long as nobody takes the log

With standard error a pipe whose reader stands still and that is full, the next line of the log stops the gateway: no request is answered until the reader goes on (none in 10 s, the client's patience).

--- /dev/null
+++ b/gateway/tests/log.rs
@@ -0,0 +1,94 @@
+//! A log that nobody takes any more costs lines, not service.
+
+mod common;
+
+use std::fs::File;
+use std::io::{ErrorKind, Write};
+use std::os::unix::fs::{OpenOptionsExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use common::*;
+use rustix::fs::OFlags;
+
+/// How long the log is not taken.
+const STALL: Duration = Duration::from_secs(2);
+const RELOADED: &str = "SIGHUP: configuration read again";
+
+/// The gateway's program, its log taken by a collector of its own: a `cat` whose process id is kept in the folder.
+fn program(folder: &Path) -> PathBuf {
+    let script = folder.join("yewroute");
+    let made = Command::new("mkfifo").arg(folder.join("log")).status().unwrap();
+    assert!(made.success());
+    let text = format!(
+        "#!/bin/sh\ncat {0}/log >&2 &\necho $! > {0}/collector\nexec {1} \"$@\" 2> {0}/log\n",
+        folder.display(),
+        env!("CARGO_BIN_EXE_yewroute")
+    );
+    std::fs::write(&script, text).unwrap();
+    std::fs::set_permissions(&script, std::fs::Permissions::from_mode(0o755)).unwrap();
+    script
+}
+
+/// The collector, which stands still for as long as this exists.
+struct StoppedCollector(String);
+
+impl StoppedCollector {
+    fn of(folder: &Path) -> Self {
+        let id = std::fs::read_to_string(folder.join("collector")).unwrap();
+        let collector = Self(id.trim().to_owned());
+        collector.signal("-STOP");
+        collector
+    }
+
+    fn signal(&self, signal: &str) {
+        assert!(Command::new("kill").args([signal, &self.0]).status().unwrap().success());
+    }
+}
+
+impl Drop for StoppedCollector {
+    fn drop(&mut self) {
+        self.signal("-CONT");
+    }
+}
+
+/// Fills the way to the collector.
+fn fill(folder: &Path) {
+    let nonblocking = i32::try_from(OFlags::NONBLOCK.bits()).unwrap();
+    let mut log: File =
+        File::options().write(true).custom_flags(nonblocking).open(folder.join("log")).unwrap();
+    loop {
+        match log.write(&[b'\n'; 4_096]) {
+            Ok(_) => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+            Err(error) => panic!("{error}"),
+        }
+    }
+}
+
+// Guards against: a collector of the log that stands still, and a gateway that waits for it in the middle of its work.
+#[test]
+fn requests_are_served_while_nobody_takes_the_log() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let folder = tempfile::tempdir().unwrap();
+    let gateway = Gateway::of(&program(folder.path()), &pair(&primary, &replica));
+    let stopped = StoppedCollector::of(folder.path());
+    fill(folder.path());
+    let (mut client, start, mut served) = (gateway.client(), Instant::now(), 0);
+    gateway.signal("-HUP");
+    while start.elapsed() < STALL {
+        assert_eq!(client.ask(&statement("view", 1_000, "")), b"TDCZ", "after {served} requests");
+        served += 1;
+    }
+    assert!(!gateway.log().contains(RELOADED), "the log was not taken: {}", gateway.log());
+    drop(stopped);
+    until(
+        || {
+            gateway.signal("-HUP");
+            std::thread::sleep(Duration::from_millis(100));
+            gateway.log().contains(RELOADED)
+        },
+        || format!("taken again: {}", gateway.log()),
+    );
+}
