Log: lose lines instead of waiting while standard error is full

Callers: no request is answered for as long as the reader of standard error stands still and its pipe is full.

Cause: each line was written with a write that waits, on the thread that does all the gateway's work. A line is written now only where standard error has room for it at once; else it is lost and counted by svc_log_lines_dropped.

--- a/gateway/src/log.rs
+++ b/gateway/src/log.rs
@@ -3,9 +3,12 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::io::{self, Write};
+use std::os::fd::AsFd;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use tracing::callsite::Identifier;
 use tracing::field::{Field, Visit};
 use tracing::{Event, Metadata, Subscriber};
@@ -74,13 +77,28 @@
     }
 }
 
-/// Standard error. A log that nobody reads any more is no reason to stop, so unlike `eprintln` it does not fail when
-/// standard error is closed.
+/// A pipe with room has room for so many bytes at once.
+const PIECE: usize = 4_096;
+
+/// Lines that were left out or cut off, as standard error took nothing.
+static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Lines of the log that were lost since the start.
+pub fn dropped_lines() -> u64 {
+    DROPPED_LINES.load(Ordering::Relaxed)
+}
+
+/// Standard error. A log that nobody reads any more is no reason to stop: unlike `eprintln` it neither fails when standard
+/// error is closed nor waits while that is full.
 struct Stderr;
 
 impl Write for Stderr {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let _ = io::stderr().lock().write_all(line);
+        let mut stderr = io::stderr().lock();
+        let written = line.chunks(PIECE).all(|piece| has_room(&stderr) && stderr.write_all(piece).is_ok());
+        if !written {
+            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+        }
         Ok(line.len())
     }
 
@@ -89,6 +107,16 @@
     }
 }
 
+/// Whether a write would not wait. Where that cannot be told, as of a file, it is written.
+fn has_room(stderr: &impl AsFd) -> bool {
+    let at_once = Timespec::default();
+    let mut stderr = [PollFd::new(stderr, PollFlags::OUT)];
+    match poll(&mut stderr, Some(&at_once)) {
+        Ok(ready) => ready > 0,
+        Err(_) => true,
+    }
+}
+
 impl<'a> MakeWriter<'a> for Stderr {
     type Writer = Self;
 
--- a/gateway/src/net/operations.rs
+++ b/gateway/src/net/operations.rs
@@ -8,6 +8,7 @@
 
 use super::{console, Gateway};
 use crate::core::Results;
+use crate::log;
 use crate::proto::console::{self as calls, Call, Figures, ListFigures};
 
 impl Gateway {
@@ -107,6 +108,7 @@
             discovered: self.core.directory().held(),
             ejected: self.core.ejected(now),
             list: self.list_figures(now),
+            log_lines_dropped: log::dropped_lines(),
             fleet: {
                 let fleet = self.fleet.iter().flat_map(|fleet| fleet.figures(now));
                 fleet.chain(self.federation.iter().flat_map(|link| link.figures(now))).collect()
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -366,6 +366,8 @@
     pub ejected: usize,
     /// The list of db hosts that is held.
     pub list: ListFigures,
+    /// Lines of the log that were lost, as standard error took nothing.
+    pub log_lines_dropped: u64,
     /// Names and values of the fleet's, none while it is off.
     pub fleet: Vec<(String, u64)>,
 }
@@ -410,6 +412,7 @@
         ("refused_without_list", refused),
         ("discovery_calls", calls),
         ("discovery_calls_ended", calls_ended),
+        ("log_lines_dropped", figures.log_lines_dropped),
     ];
     for (name, value) in counters {
         let _ = writeln!(body, "# TYPE svc_{name} counter\nsvc_{name} {value}");
@@ -589,6 +592,7 @@
                 calls: 3,
                 calls_ended: 2,
             },
+            log_lines_dropped: 7,
             fleet: vec![("svc_fleet_members{state=\"alive\"}".to_owned(), 3)],
         };
         let mut out = Vec::new();
@@ -616,6 +620,7 @@
                 "svc_refused_without_list 6",
                 "svc_discovery_calls 3",
                 "svc_discovery_calls_ended 2",
+                "svc_log_lines_dropped 7",
                 r#"svc_fleet_members{state="alive"} 3"#,
             ]
         );
--- a/gateway/tests/log.rs
+++ b/gateway/tests/log.rs
@@ -7,6 +7,7 @@
 use std::os::unix::fs::{OpenOptionsExt, PermissionsExt};
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use common::*;
@@ -14,6 +15,9 @@
 
 /// How long the log is not taken.
 const STALL: Duration = Duration::from_secs(2);
+const READ_INTERVAL: Duration = Duration::from_millis(10);
+/// As long as the class allows: less marks a repeat, which may be refused.
+const READ_WAIT_MS: u32 = 1_200;
 const RELOADED: &str = "SIGHUP: configuration read again";
 
 /// The gateway's program, its log taken by a collector of its own: a `cat` whose process id is kept in the folder.
@@ -78,15 +82,16 @@
     let (mut client, start, mut served) = (gateway.client(), Instant::now(), 0);
     gateway.signal("-HUP");
     while start.elapsed() < STALL {
-        assert_eq!(client.ask(&statement("view", 1_000, "")), b"TDCZ", "after {served} requests");
+        assert_eq!(client.ask(&statement("view", READ_WAIT_MS, "")), b"TDCZ", "after {served} requests");
         served += 1;
+        thread::sleep(READ_INTERVAL);
     }
     assert!(!gateway.log().contains(RELOADED), "the log was not taken: {}", gateway.log());
     drop(stopped);
     until(
         || {
             gateway.signal("-HUP");
-            std::thread::sleep(Duration::from_millis(100));
+            thread::sleep(Duration::from_millis(100));
             gateway.log().contains(RELOADED)
         },
         || format!("taken again: {}", gateway.log()),
