--- a/crates/rig/src/soak/gateways.rs
+++ b/crates/rig/src/soak/gateways.rs
@@ -49,6 +49,7 @@
     shim: Option<PathBuf>,
     settings: String,
     deadlines: Deadlines,
+    wall_clock_step_s: i64,
     all: Vec<Gateway>,
     front: Arc<Front>,
     /// The process of each, for the watch; 0 while there is none.
@@ -81,6 +82,7 @@
             shim,
             settings: settings(plan.deadlines),
             deadlines: plan.deadlines,
+            wall_clock_step_s: plan.wall_clock_step_s,
             all: (0..count).map(gateway).collect(),
             front: Arc::default(),
             process_ids: (0..count).map(|_| AtomicU32::new(0)).collect(),
@@ -127,8 +129,11 @@
         let log = File::options().create(true).append(true).open(self.path(n, "log"))?;
         let mut command = Command::new(&self.program);
         command.env_clear().env("EDGE_CONFIG", self.path(n, "json")).stderr(log);
-        if let Some(shim) = self.shim.as_ref().filter(|_| wall_clock_off_s != 0) {
-            command.env("LD_PRELOAD", shim).env("WALL_CLOCK_OFF_S", wall_clock_off_s.to_string());
+        let wall_clock_step_s = if n % 2 == 1 { self.wall_clock_step_s } else { 0 };
+        if let Some(shim) = self.shim.as_ref().filter(|_| (wall_clock_off_s, wall_clock_step_s) != (0, 0)) {
+            command.env("LD_PRELOAD", shim);
+            command.env("WALL_CLOCK_OFF_S", wall_clock_off_s.to_string());
+            command.env("WALL_CLOCK_STEP_S", wall_clock_step_s.to_string());
         }
         self.starts.push(GatewayEvent { gateway: n, at: Instant::now() });
         let child = command.spawn()?;
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -73,6 +73,8 @@
     pub deadlines: Deadlines,
     /// How discovery answers at first.
     pub faults: Faults,
+    /// By how much the wall clocks of every other gateway are stepped to and fro.
+    pub wall_clock_step_s: i64,
     /// In order.
     pub events: Vec<(Duration, Event)>,
 }
@@ -80,6 +82,8 @@
 const PROCESSES: [usize; 8] = [1, 2, 3, 4, 6, 6, 12, 30];
 const TERMS_SEED: u64 = 0x7e12;
 const WALL_CLOCK_OFF_S: [i64; 5] = [0, 0, -5, -3_600, 3_600];
+/// In every other second, at every other gateway of a seed.
+const WALL_CLOCK_STEP_S: [i64; 4] = [0, 2, -5, 3_600];
 
 impl Plan {
     pub fn draw(seed: u64, span: Duration, processes: Option<usize>) -> Self {
@@ -104,7 +108,8 @@
         let signals = signals_in_series(&mut terms_rng, &events, deadlines);
         events.extend(signals);
         events.sort_by_key(|(at, _)| *at);
-        Self { processes, deadlines, faults, events }
+        let wall_clock_step_s = *WALL_CLOCK_STEP_S.choose(&mut terms_rng).unwrap_or(&0);
+        Self { processes, deadlines, faults, wall_clock_step_s, events }
     }
 }
 
