--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -1,9 +1,9 @@
 //! Until when the held list may be routed by.
 //!
-//! A change of the list counts as known 6 s after it was made, whether or not it has arrived. So a list is good
-//! for that long after the last moment at which it was known to be current: its lease. Past it, requests wait
-//! until a list has come, each within its own time. Discovery that cannot be reached starts no clock, as nothing
-//! counts before it is back.
+//! A change of the list counts as known 6 s after it was made, whether or not it has arrived. So a list is
+//! good for that long after the last moment at which it was known to be current: its lease. Past it, requests
+//! wait until a list has come, each within its own time. Discovery that cannot be reached starts no clock, as
+//! nothing counts before it is back.
 //!
 //! The lease belongs to the list, not to the calls for it: a reload, a reconnection or a failed call never
 //! extends it.
@@ -16,8 +16,8 @@
 const CHANGE_VISIBLE_AFTER: Duration = Duration::from_secs(6);
 /// After a move to another discovery, what that one has counts so much later.
 const CHANGE_VISIBLE_AFTER_MOVE: Duration = Duration::from_secs(4);
-/// Discovery that gives no sign of life for so long is taken to be out of reach: longer than the lease, as one
-/// with too many callers answers nothing for a while either.
+/// Discovery that gives no sign of life for so long is taken to be out of reach: longer than the lease, as
+/// one with too many callers answers nothing for a while either.
 const OUT_OF_REACH_AFTER: Duration = Duration::from_millis(8_500);
 /// Calls that end within this time end together, and count as one.
 const SAME_END: Duration = Duration::from_millis(250);
@@ -88,8 +88,8 @@
         self.alive(now);
     }
 
-    /// Guards against: a discovery with too many callers that passes for one that is down, as it turned a call away
-    /// and lets those after it wait in vain.
+    /// Guards against: a discovery with too many callers that passes for one that is down, as it turned a call
+    /// away and lets those after it wait in vain.
     fn alive(&mut self, now: Instant) {
         self.alive_at = now;
         self.watch_ended = false;
@@ -138,7 +138,8 @@
         }
     }
 
-    /// At `now` discovery is known to have been out of reach at `until`. An agent that answers nothing learns nothing.
+    /// At `now` discovery is known to have been out of reach at `until`. An agent that answers nothing learns
+    /// nothing.
     fn out_of_reach(&mut self, now: Instant, until: Instant) {
         let expires = if self.pushed { now + AGENT_CALL_INTERVAL } else { until + CHANGE_VISIBLE_AFTER };
         self.expires = self.expires.max(expires);
