--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -88,8 +88,8 @@
         self.alive(now);
     }
 
-    /// Guards against: a discovery with too many callers that passes for one that is down, as it turned a call
-    /// away and lets those after it wait in vain.
+    /// Guards against: a discovery with too many callers that passes for one that is down, as it turned a
+    /// call away and lets those after it wait in vain.
     fn alive(&mut self, now: Instant) {
         self.alive_at = now;
         self.watch_ended = false;
