--- a/crates/rig/src/soak/gateways.rs
+++ b/crates/rig/src/soak/gateways.rs
@@ -10,6 +10,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::process;
 use yewroute_standin::Client;
 
 use super::checker::GatewayEvent;
@@ -155,9 +156,10 @@
         Err(io::Error::other(format!("g{n} is not ready: {}", fs::read_to_string(self.path(n, "log"))?)))
     }
 
-    fn signal(&self, n: usize, signal: &str) {
+    /// Guards against: a rig that falls behind its plan by starting a process for each signal.
+    fn signal(&self, n: usize, signal: process::Signal) {
         if let Some(child) = &self.all[n].child {
-            let _ = Command::new("kill").args([signal, &child.id().to_string()]).status();
+            let _ = process::kill_process(process::Pid::from_child(child), signal);
         }
     }
 
@@ -166,24 +168,24 @@
         self.all[n].discovery += 1;
         self.configure(n, discovery, &discovery.known(n))?;
         self.reloads.push(GatewayEvent { gateway: n, at: Instant::now() });
-        self.signal(n, "-HUP");
+        self.signal(n, process::Signal::HUP);
         Ok(())
     }
 
     /// A further signal.
     pub fn signal_again(&mut self, n: usize, signal: Signal) {
         match signal {
-            Signal::Terminate => self.signal(n, "-TERM"),
+            Signal::Terminate => self.signal(n, process::Signal::TERM),
             Signal::Reload => {
                 self.reloads.push(GatewayEvent { gateway: n, at: Instant::now() });
-                self.signal(n, "-HUP");
+                self.signal(n, process::Signal::HUP);
             }
         }
     }
 
     /// Tells it to end. The front notices after a while; clients that are connected go on.
     pub fn terminate(&mut self, n: usize) {
-        self.signal(n, "-TERM");
+        self.signal(n, process::Signal::TERM);
         self.all[n].told_to_end = Some(Instant::now());
         let front = self.front();
         thread::spawn(move || {
