Review case 1: whole requests wait unread behind long values written slowly

A statement over 64 KiB is read on only when its length is set aside, in the order of coming; slow writers hold that room, and what waits has no deadline.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+CASE=1
+. "$(dirname "$0")/../standins/run.sh"
