--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -91,9 +91,14 @@
     // A short request meanwhile.
     let Ok(mut client) = Client::connect(addr) else { record.verdict(2, "cannot connect") };
     let begun = Instant::now();
-    let read = "SELECT doc FROM items WHERE id = 'a' /* id=5e1ec70000000001,c=flight-view,d=1200,cluster=2 */";
+    let read =
+        "SELECT doc FROM items WHERE id = 'a' /* id=5e1ec70000000001,c=flight-view,d=1200,cluster=2 */";
     let answer = client.ask(read);
-    record.say(&format!("a short read meanwhile: {} after {} ms", text(&answer), begun.elapsed().as_millis()));
+    record.say(&format!(
+        "a short read meanwhile: {} after {} ms",
+        text(&answer),
+        begun.elapsed().as_millis()
+    ));
     clients.into_iter().for_each(|client| drop(client.join()));
     long_clients.into_iter().for_each(|client| drop(client.join()));
     let (served, ended, lost) = *ends.lock().expect("whole");
@@ -164,7 +169,11 @@
             return error("25006", primary, unix_ms());
         }
         sleep_ms(WORK_MS);
-        record.say(&format!("{name}: has run {id}, {} bytes, told d={:?}", statement.len(), told(&statement, "d")));
+        record.say(&format!(
+            "{name}: has run {id}, {} bytes, told d={:?}",
+            statement.len(),
+            told(&statement, "d")
+        ));
         served(write, b"done", primary, unix_ms())
     })
 }
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -114,17 +114,25 @@
     }
     let written = Instant::now();
     let took = (written - begun).as_millis();
-    record.say(&format!("client {number}: {id}, {} bytes, last byte written after {took} ms", statement.len()));
+    record
+        .say(&format!("client {number}: {id}, {} bytes, last byte written after {took} ms", statement.len()));
     let _ = client.stream.set_read_timeout(Some(Duration::from_millis(TRY_MS + SLACK_MS)));
     let answer = client.answer();
     let ms = written.elapsed().as_millis() as u64;
     let lost = answer == Answer::Closed || ms >= TRY_MS + SLACK_MS;
-    record.say(&format!("client {number}: {id} after {ms} ms: {}", if lost { "no answer".into() } else { text(&answer) }));
+    record.say(&format!(
+        "client {number}: {id} after {ms} ms: {}",
+        if lost { "no answer".into() } else { text(&answer) }
+    ));
     // It waits on, to see what becomes of the connection.
     if lost {
         let _ = client.stream.set_read_timeout(Some(Duration::from_secs(10)));
         let later = client.answer();
-        record.say(&format!("client {number}: {id} after {} ms: {}", written.elapsed().as_millis(), text(&later)));
+        record.say(&format!(
+            "client {number}: {id} after {} ms: {}",
+            written.elapsed().as_millis(),
+            text(&later)
+        ));
     }
     match answer {
         _ if lost => End::Lost,
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -118,7 +118,9 @@
     record.say(&figures);
     match ended {
         Some(how) => record.verdict(1, &format!("the gateway was {how}; {figures}")),
-        None if count(&served) + count(&left) < u64::from(CLIENTS) * ROUNDS * 9 / 10 => record.verdict(2, &format!("too little load; {figures}")),
+        None if count(&served) + count(&left) < u64::from(CLIENTS) * ROUNDS * 9 / 10 => {
+            record.verdict(2, &format!("too little load; {figures}"))
+        }
         None => record.verdict(0, &figures),
     }
 }
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -271,7 +271,9 @@
         let listed = listed.lock().expect("whole");
         (listed.version, list(listed.version, true, &listed.whole))
     };
-    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")?;
+    stream.write_all(
+        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n",
+    )?;
     stream.write_all(&chunk(&first))?;
     record.say(&format!("discovery: call {number} told version {version}, whole"));
     let mut said = Instant::now();
@@ -505,7 +507,9 @@
 pub fn call(console: SocketAddr, call: &str) -> Option<u16> {
     let mut stream = TcpStream::connect(console).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-    stream.write_all(format!("{call} HTTP/1.1\r\nHost: gateway\r\nConnection: close\r\n\r\n").as_bytes()).ok()?;
+    stream
+        .write_all(format!("{call} HTTP/1.1\r\nHost: gateway\r\nConnection: close\r\n\r\n").as_bytes())
+        .ok()?;
     let mut text = String::new();
     let _ = stream.read_to_string(&mut text);
     text.split(' ').nth(1)?.parse().ok()
