--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -11,7 +11,7 @@
 use common::*;
 
 /// "32 to 192 MB depending on language and day".
-const MEMORY_MB: u64 = 64;
+const MEMORY_MB: u64 = 32;
 /// "Values as large as 4 MiB occur".
 const VALUE: usize = 4 * 1024 * 1024;
 /// A db host of kind std-3c has so many cores.
@@ -20,8 +20,8 @@
 const WORK_MS: u64 = 94;
 /// Clients, each of which sends one request in each round; with the disruption and without it.
 const CLIENTS: u32 = 24;
-const ROUNDS: u64 = 8;
-const ROUND_MS: u64 = 2_000;
+const ROUNDS: u64 = 6;
+const ROUND_MS: u64 = 3_000;
 /// A client that gives up early leaves so long after its request was sent.
 const LEAVES_AFTER_MS: u64 = 20;
 
