Memory for a statement is a permit that lives with it; clients wait for none of their own

Cause: bytes were set aside by client number and given back by hand. At an answer the next statement's head asked for its bytes before those of the first were given back, and waited for them at the front of a queue in which nobody overtakes.

The request itself was over and db hosts were idle meanwhile.

Change: crates/ledger hands out owned permits; a statement carries its own from its head to its last use, in the client's buffer, the request and each attempt. The core's byte count is replaced by permits of the same budget. Three tests of the core now check that the bytes stay set aside while an attempt still has the statement, and come back when it drops it; the ledger's tests are rewritten for permits and check what they checked before.

--- /dev/null
+++ b/crates/ledger/src/queue.rs
@@ -0,0 +1,108 @@
+//! Who waits until bytes can be set aside for a long message.
+
+use std::collections::VecDeque;
+
+use crate::{long_share, Kind, MemoryBudget, MemoryPermit};
+
+/// What became of a question for bytes.
+#[derive(Debug)]
+pub enum Grant {
+    /// They are set aside.
+    Given(MemoryPermit),
+    /// They will be, in turn.
+    Waits,
+    /// There will never be so many.
+    Never,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    who: u64,
+    bytes: usize,
+}
+
+/// Those that wait, in the order of asking. Nobody overtakes, so a long one is not passed over for ever by shorter ones.
+#[derive(Debug)]
+pub struct PermitQueue {
+    budget: MemoryBudget,
+    waiting: VecDeque<Waiter>,
+}
+
+impl PermitQueue {
+    /// A queue in which nobody waits.
+    #[must_use]
+    pub fn new(budget: MemoryBudget) -> Self {
+        Self { budget, waiting: VecDeque::new() }
+    }
+
+    /// Nobody waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// How many wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Asks for bytes for `who`, who does not wait yet.
+    pub fn reserve(&mut self, who: u64, bytes: usize) -> Grant {
+        if bytes > self.longest() {
+            return Grant::Never;
+        }
+        let waiter = Waiter { who, bytes };
+        if let Some(permit) = self.try_give(waiter, self.waiting.len()) {
+            return Grant::Given(permit);
+        }
+        self.waiting.push_back(waiter);
+        self.note_waiting();
+        Grant::Waits
+    }
+
+    /// `who` waits no more.
+    pub fn cancel(&mut self, who: u64) {
+        let before = self.waiting.len();
+        self.waiting.retain(|waiter| waiter.who != who);
+        if self.waiting.len() < before {
+            self.note_waiting();
+        }
+    }
+
+    /// The next of those waiting whose turn has come; or one for which there will never be enough any more.
+    pub fn next_turn(&mut self) -> Option<(u64, Grant)> {
+        if self.waiting.is_empty() || !self.budget.0.changed.get() {
+            return None;
+        }
+        let turn = (0..self.waiting.len()).find_map(|place| {
+            let waiter = self.waiting[place];
+            let never = (waiter.bytes > self.longest()).then_some(Grant::Never);
+            let grant = never.or_else(|| self.try_give(waiter, place).map(Grant::Given))?;
+            Some((place, waiter.who, grant))
+        });
+        let Some((place, who, grant)) = turn else {
+            self.budget.0.changed.set(false);
+            return None;
+        };
+        self.waiting.remove(place);
+        self.note_waiting();
+        Some((who, grant))
+    }
+
+    /// The longest message that there may ever be bytes for.
+    fn longest(&self) -> usize {
+        long_share(self.budget.0.limits.get().widest)
+    }
+
+    fn note_waiting(&self) {
+        self.budget.0.nobody_waits.set(self.waiting.is_empty());
+        self.budget.0.changed.set(true);
+    }
+
+    /// Gives one its bytes that has so many others before it.
+    fn try_give(&self, Waiter { bytes, .. }: Waiter, place: usize) -> Option<MemoryPermit> {
+        let account = &self.budget.0;
+        (place == 0 && account.long_fits(bytes)).then(|| account.give(bytes, Kind::Long))
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/tests.rs
@@ -0,0 +1,131 @@
+//! Permits and the queue for them.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::*;
+
+/// A budget of which long messages may take ten bytes.
+const TOTAL: usize = 11;
+const LONG: usize = 10;
+
+fn queue() -> (MemoryBudget, PermitQueue) {
+    let budget = MemoryBudget::new(Limits::fixed(TOTAL));
+    (budget.clone(), PermitQueue::new(budget))
+}
+
+fn given(grant: Grant) -> MemoryPermit {
+    match grant {
+        Grant::Given(permit) => permit,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn waits(grant: Grant) -> bool {
+    matches!(grant, Grant::Waits)
+}
+
+#[test]
+fn those_beyond_the_budget_wait_in_order_and_get_their_bytes_when_a_permit_is_dropped() {
+    let (budget, mut queue) = queue();
+    let first = given(queue.reserve(1, 8));
+    assert!(waits(queue.reserve(2, 6)) && waits(queue.reserve(3, 1)), "nobody overtakes");
+    assert!(matches!(queue.reserve(4, LONG + 1), Grant::Never));
+    assert!(queue.next_turn().is_none());
+    drop(first);
+    let (who, second) = queue.next_turn().expect("its turn");
+    let (next, third) = queue.next_turn().expect("there is room for both");
+    assert_eq!((who, next, budget.held()), (2, 3, 7));
+    drop((second, third));
+    assert_eq!(budget.held(), 0);
+}
+
+// Guards against: a client that waits for bytes which only its own next message could give back.
+#[test]
+fn one_who_asks_again_waits_for_its_first_permit_and_gets_its_turn_when_that_is_dropped() {
+    let (_, mut queue) = queue();
+    let first = given(queue.reserve(1, 8));
+    assert!(waits(queue.reserve(1, 8)));
+    drop(first);
+    assert_eq!(queue.next_turn().expect("its turn").0, 1);
+}
+
+#[test]
+fn one_that_leaves_the_queue_frees_those_behind_it_and_a_smaller_budget_ends_a_wait() {
+    let (budget, mut queue) = queue();
+    let first = given(queue.reserve(1, 5));
+    assert!(waits(queue.reserve(2, 9)) && waits(queue.reserve(3, 5)));
+    queue.cancel(2);
+    let (who, third) = queue.next_turn().expect("its turn");
+    assert_eq!(who, 3);
+    assert!(waits(queue.reserve(4, 9)));
+    budget.limit(Limits { total: 7, widest: TOTAL });
+    assert!(queue.next_turn().is_none(), "narrowed for a while only");
+    budget.limit(Limits::fixed(7));
+    assert!(matches!(queue.next_turn(), Some((4, Grant::Never))));
+    assert_eq!(budget.held(), 10, "what is set aside stays so");
+    drop((first, third));
+    assert_eq!(budget.held(), 0);
+}
+
+#[test]
+fn short_statements_have_an_eighth_whatever_long_ones_hold_and_no_more_while_one_waits() {
+    let budget = MemoryBudget::new(Limits::fixed(80));
+    let mut queue = PermitQueue::new(budget.clone());
+    let long = given(queue.reserve(1, 70));
+    let short = budget.short(10).expect("their eighth");
+    assert!(budget.short(1).is_none());
+    drop((long, short));
+    let most = budget.short(60).expect("nobody else wants it");
+    assert!(waits(queue.reserve(2, 70)));
+    assert!(budget.short(1).is_none(), "the long one would wait for ever");
+    drop(most);
+    assert_eq!(queue.next_turn().expect("its turn").0, 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, rng_seed: RngSeed::Fixed(5),
+        ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_byte_is_lost_and_everybody_gets_a_turn(steps in prop::collection::vec((any::<bool>(), 1_usize..13), 1..80)) {
+        let (budget, mut queue) = queue();
+        let (mut have, mut wait) = (BTreeMap::<u64, MemoryPermit>::new(), VecDeque::new());
+        for (number, (asks, bytes)) in steps.into_iter().enumerate() {
+            let who = number as u64;
+            if asks {
+                match queue.reserve(who, bytes) {
+                    Grant::Given(permit) => drop(have.insert(who, permit)),
+                    Grant::Waits => wait.push_back((who, bytes)),
+                    Grant::Never => prop_assert!(bytes > LONG),
+                }
+            } else {
+                // The one that came first leaves, whether it has its bytes or waits.
+                let first = have.keys().chain(wait.iter().map(|(who, _)| who)).min().copied();
+                first.into_iter().for_each(|who| {
+                    have.remove(&who);
+                    queue.cancel(who);
+                    wait.retain(|(other, _)| *other != who);
+                });
+            }
+            while let Some((who, grant)) = queue.next_turn() {
+                have.insert(who, given(grant));
+                wait.retain(|(other, _)| *other != who);
+            }
+            prop_assert_eq!(budget.held(), have.values().map(MemoryPermit::bytes).sum::<usize>());
+            prop_assert!(budget.held() <= LONG);
+            prop_assert_eq!(queue.len(), wait.len());
+            prop_assert!(wait.front().is_none_or(|(_, bytes)| budget.held() + bytes > LONG), "no needless wait");
+        }
+        have.clear();
+        while let Some((who, grant)) = queue.next_turn() {
+            drop(given(grant));
+            wait.retain(|(other, _)| *other != who);
+        }
+        prop_assert!(wait.is_empty());
+        drop(have);
+        prop_assert_eq!(budget.held(), 0);
+    }
+}
--- a/gateway/src/core/admit.rs
+++ b/gateway/src/core/admit.rs
@@ -8,7 +8,11 @@
 
 impl<B: Payload> Core<B> {
     /// The class and group of a request that is let in, or the answer to one that is not and its class if it has one.
-    pub(super) fn admit(&self, now: Instant, ask: &Ask<B>) -> Result<(usize, u64), (Option<usize>, Answer)> {
+    pub(super) fn admit(
+        &self,
+        now: Instant,
+        ask: &mut Ask<B>,
+    ) -> Result<(usize, u64), (Option<usize>, Answer)> {
         let (limits, classes) = (&self.deployment.module.limits, &self.deployment.module.classes);
         let retry_after = limits.retry_after.then_some(limits.max_retry_after);
         let placed = match &ask.scope {
@@ -27,10 +31,8 @@
                 Ok((class, group))
             }
         };
-        // Guards against: running out of memory in a jam. Refusing is harmless, nothing has been sent.
-        let full =
-            self.held.len() >= self.deployment.max_open || self.bytes + ask.body.bytes() > self.most_bytes;
         let (class, group) = placed?;
+        let full = self.held.len() >= self.deployment.max_open;
         let turned_away = match () {
             // Guards against: attempts spent on what no db host can use.
             () if ask.writes != (classes[class].freshness == Freshness::Write) => {
@@ -42,8 +44,20 @@
             () if full => Answer::Refused { retry_after },
             // Another gateway may serve it at once.
             () if self.answers_by.is_some_and(|by| now >= by) => Answer::Refused { retry_after: None },
+            // Guards against: running out of memory in a jam. Refusing is harmless, nothing has been sent.
+            () if !self.pay(&mut ask.body) => Answer::Refused { retry_after },
             () => return Ok((class, group)),
         };
         Err((Some(class), turned_away))
     }
+
+    /// Sees that a statement has a permit; false if there are not enough bytes. A long one has had its own since its head came.
+    fn pay(&self, body: &mut B) -> bool {
+        let bytes = body.bytes();
+        let permit = body.permit();
+        if permit.is_none() {
+            *permit = self.budget.short(bytes);
+        }
+        permit.is_some()
+    }
 }
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -36,6 +36,7 @@
 use yewroute_federation::limits::{Refused, Spent};
 use yewroute_federation::permit::Permit;
 use yewroute_fleet::{Loads, Subject, Value};
+use yewroute_ledger::{MemoryBudget, MemoryPermit};
 use yewroute_settings::Deployment;
 
 use crate::clock::{Clock, ClockCheck};
@@ -57,6 +58,8 @@
 pub trait Payload {
     /// Bytes that it keeps in memory.
     fn bytes(&self) -> usize;
+    /// The permit for these bytes, which lives as long as they do, whoever has them.
+    fn permit(&mut self) -> &mut Option<MemoryPermit>;
 }
 
 /// A client's request, whatever protocol it came by.
@@ -314,9 +317,8 @@
     taken: u128,
     /// Once the process ends: what is taken in has its answer by then.
     answers_by: Option<Instant>,
-    /// Bytes of held requests, and the most there may be.
-    bytes: usize,
-    most_bytes: usize,
+    /// What requests are paid out of that have no permit yet.
+    budget: MemoryBudget,
     tally: Tally,
     /// What other gateways are told; nothing is counted while there are none.
     loads: Option<Loads>,
@@ -343,7 +345,7 @@
         clock: Clock,
         deployment: Deployment,
         seed: u64,
-        most_bytes: usize,
+        budget: MemoryBudget,
         known: Known,
         effects: &mut Vec<Effect<B>>,
     ) -> Result<Self, SettingsError> {
@@ -364,8 +366,7 @@
             actions: Vec::new(),
             taken: 0,
             answers_by: None,
-            bytes: 0,
-            most_bytes,
+            budget,
             tally,
             loads: None,
             near: None,
@@ -445,11 +446,6 @@
         &self.tally
     }
 
-    /// Bytes of the requests held.
-    pub fn held_bytes(&self) -> usize {
-        self.bytes
-    }
-
     /// Requests held.
     pub fn outstanding(&self) -> usize {
         self.held.len()
@@ -495,11 +491,6 @@
     pub fn answer_by(&mut self, by: Option<Instant>) {
         self.answers_by = by;
     }
-
-    /// Bytes that held requests may take from now on.
-    pub fn limit(&mut self, most_bytes: usize) {
-        self.most_bytes = most_bytes;
-    }
 }
 
 impl Directory {
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -76,13 +76,12 @@
         self.route(now, Event::Gone(id), effects);
     }
 
-    /// A request has ended: it is counted and its room is free.
+    /// A request has ended: it is counted, and its statement is dropped unless an attempt still has it.
     pub(super) fn release(&mut self, id: RequestId, end: End) -> Option<Held<B>> {
         let held = self.held.remove(&id)?;
         self.tally.count(Some(held.class), end);
         self.by_client.remove(&held.client);
         self.names.remove(&held.name);
-        self.bytes -= held.body.bytes();
         Some(held)
     }
 }
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -17,10 +17,10 @@
         &mut self,
         now: Instant,
         client: ClientId,
-        ask: Ask<B>,
+        mut ask: Ask<B>,
         effects: &mut Vec<Effect<B>>,
     ) {
-        let (class, group) = match self.admit(now, &ask) {
+        let (class, group) = match self.admit(now, &mut ask) {
             Ok(placed) => placed,
             Err((class, answer)) => {
                 self.tally.count(class, answer.end());
@@ -62,7 +62,6 @@
             sees: None,
             near: self.asked_first(now, class, group),
         };
-        self.bytes += ask.body.bytes();
         if !ask.name.is_empty() {
             self.names.insert(ask.name.clone());
         }
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -7,6 +7,7 @@
 
 use yewroute_federation::limits::meter::Grant;
 use yewroute_federation::limits::Meters;
+use yewroute_ledger::{Limits, MemoryBudget, MemoryPermit};
 
 use super::*;
 use crate::proto::catalog::{Member, Role as ListedRole, State};
@@ -17,13 +18,23 @@
 const REPLICA: ServerId = ServerId(1);
 
 /// So many bytes of a protocol that the core does not know.
-#[derive(Debug, PartialEq, Eq)]
-struct Body(usize);
+#[derive(Debug)]
+struct Body(usize, Option<MemoryPermit>);
+
+impl PartialEq for Body {
+    fn eq(&self, other: &Self) -> bool {
+        self.0 == other.0
+    }
+}
 
 impl Payload for Body {
     fn bytes(&self) -> usize {
         self.0
     }
+
+    fn permit(&mut self) -> &mut Option<MemoryPermit> {
+        &mut self.1
+    }
 }
 
 type Effect = super::Effect<Body>;
@@ -58,7 +69,7 @@
         resent: false,
         channel: None,
         number: None,
-        body: Body(40),
+        body: Body(40, None),
     }
 }
 
@@ -74,8 +85,16 @@
         };
         let deployment = Deployment::from_json(SETTINGS).unwrap();
         let mut effects = Vec::new();
-        let core = Core::new(start, clock, deployment, 7, 1000, Known { members, near: None }, &mut effects)
-            .unwrap();
+        let core = Core::new(
+            start,
+            clock,
+            deployment,
+            7,
+            MemoryBudget::new(Limits::fixed(1000)),
+            Known { members, near: None },
+            &mut effects,
+        )
+        .unwrap();
         (Self { core, start, now: start }, effects)
     }
 
@@ -245,14 +264,15 @@
     let (mut b, _) = Bench::new();
     let long = |client: u64| {
         let mut ask = Ask { name: client.to_string().into_bytes(), ..ask("order", 3000) };
-        ask.body = Body(600);
+        ask.body = Body(600, None);
         ask
     };
-    let effects = b.give(Input::Ask(ClientId(1), long(1)));
-    let (attempt, _) = starts(&effects)[0];
+    let started = b.give(Input::Ask(ClientId(1), long(1)));
+    let (attempt, _) = starts(&started)[0];
     let effects = b.give(Input::Ask(ClientId(2), long(2)));
     assert!(matches!(answers(&effects)[..], [(2, Answer::Refused { .. })]), "{effects:?}");
     b.end(attempt, Status::Good);
+    drop(started);
     let effects = b.give(Input::Ask(ClientId(2), long(2)));
     assert_eq!(answers(&effects), []);
 }
@@ -261,11 +281,13 @@
 fn a_client_that_cancels_has_one_answer_at_once_that_tells_whether_its_request_may_have_run() {
     for (class, answer) in [("order", Answer::Failed), ("view", Answer::Cancelled)] {
         let (mut b, _) = Bench::new();
-        let effects = b.ask(1, class, 1000);
-        let (attempt, _) = starts(&effects)[0];
+        let started = b.ask(1, class, 1000);
+        let (attempt, _) = starts(&started)[0];
         let expected = [Effect::Answer(ClientId(1), answer), Effect::Withdraw(attempt)];
         assert_eq!(b.give(Input::Cancel(ClientId(1))), expected);
-        assert_eq!((b.core.bytes, b.core.outstanding()), (0, 0));
+        assert_eq!((b.core.budget.held(), b.core.outstanding()), (40, 0), "the attempt still has it");
+        drop(started);
+        assert_eq!(b.core.budget.held(), 0);
         assert_eq!(b.give(Input::Cancel(ClientId(1))), [], "it has had its answer");
         let effects = b.end(attempt, Status::Reset);
         assert!(answers(&effects).is_empty() && starts(&effects).is_empty(), "{effects:?}");
@@ -280,10 +302,12 @@
 #[test]
 fn a_client_that_leaves_is_owed_nothing_and_its_room_is_free_again() {
     let (mut b, _) = Bench::new();
-    let effects = b.ask(1, "order", 3000);
-    let (attempt, _) = starts(&effects)[0];
+    let started = b.ask(1, "order", 3000);
+    let (attempt, _) = starts(&started)[0];
     assert_eq!(b.give(Input::ClientGone(ClientId(1))), [Effect::Withdraw(attempt)]);
-    assert_eq!(b.core.bytes, 0);
+    assert_eq!(b.core.budget.held(), 40, "the attempt still has it");
+    drop(started);
+    assert_eq!(b.core.budget.held(), 0);
     assert_eq!(answers(&b.end(attempt, Status::Good)), []);
     assert_eq!(b.give(Input::ClientGone(ClientId(1))), []);
 }
@@ -378,7 +402,7 @@
     assert_eq!(answers(&b.end(attempt, Status::Good)), [(1, &Answer::Served(b"row".to_vec()))]);
     assert_eq!((b.core.tally().classes()[0].succeeded, b.core.outstanding()), (1, 0));
     assert_eq!(b.give(Input::Full(ClientId(1))), [], "nothing to pause any more");
-    assert_eq!(b.core.bytes, 0);
+    assert_eq!(b.core.budget.held(), 0);
 }
 
 #[test]
@@ -388,7 +412,7 @@
     let effects = b.end(attempt, Status::Reset);
     assert_eq!(effects, [Effect::BreakOff(ClientId(1))]);
     assert_eq!(b.core.tally().classes()[0], Results { aborted: 1, ..Results::default() });
-    assert_eq!((b.core.bytes, b.core.names.len(), b.core.attempts.len()), (0, 0, 0));
+    assert_eq!((b.core.budget.held(), b.core.names.len(), b.core.attempts.len()), (0, 0, 0));
     assert_eq!(b.pass(Duration::from_secs(4)), []);
 }
 
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -4,17 +4,19 @@
 use std::time::{Duration, Instant};
 
 use tracing::warn;
+use yewroute_ledger::MemoryPermit;
 use yewroute_lifecycle::Leaving;
 
 use super::arrivals::Arrivals;
 use super::poller::{Interest, Poller, Token};
+use super::statement::Statement;
 use super::wire::{Taken, Wire, CHUNK};
 use super::Input;
 use crate::core::{Ask, ClientId, Scope};
 use crate::proto::pg::code;
 use crate::proto::pg::frame::LONGEST_QUERY;
 use crate::proto::pg::frontend::{self, CancelKey, Local, Opening};
-use crate::proto::pg::request::{Body, Wanted};
+use crate::proto::pg::request::Wanted;
 use crate::proto::pg::session::{Session, Terms, Took};
 use crate::proto::pg::table::Table;
 
@@ -68,7 +70,7 @@
     Announced(usize),
     /// It waits for room, and is not read on.
     AwaitsMemory(usize),
-    /// All its bytes are set aside, until its request has its answer.
+    /// All its bytes are set aside.
     Reserved(usize),
 }
 
@@ -104,8 +106,9 @@
     /// A value is being passed on to it; and so much of it waits that no more is wanted.
     pub(super) passing: bool,
     pub(super) full: bool,
-    /// A message is coming for which bytes must be set aside, or are.
+    /// A message is coming for which bytes must be set aside, or are; and the permit for them, which goes on with it.
     pub(super) long: Option<LongMessage>,
+    permit: Option<MemoryPermit>,
     /// When bytes came last.
     pub(super) heard: Instant,
     /// Since when a message lies unfinished, and since when the client has taken none of its answers.
@@ -137,6 +140,7 @@
             passing: false,
             full: false,
             long: None,
+            permit: None,
             heard: now,
             unfinished: None,
             stuck: None,
@@ -216,8 +220,9 @@
     }
 
     /// Bytes are set aside for its long message. The buffer gets them at once, so that growing never takes twice as much.
-    pub(super) fn hold(&mut self, now: Instant, len: usize) {
-        (self.long, self.heard) = (Some(LongMessage::Reserved(len)), now);
+    pub(super) fn hold(&mut self, now: Instant, permit: MemoryPermit) {
+        let len = permit.bytes();
+        (self.long, self.permit, self.heard) = (Some(LongMessage::Reserved(len)), Some(permit), now);
         self.unfinished = Some(now);
         // A read may bring what lies behind it as well.
         self.buffer.reserve_exact((len + CHUNK).saturating_sub(self.buffer.len()));
@@ -227,10 +232,26 @@
     pub(super) fn close_with_error(&mut self, sqlstate: &str, why: &str) {
         frontend::put_error(self.wire.out(), "FATAL", sqlstate, why, None);
         self.buffer = Vec::new();
-        (self.unfinished, self.long) = (None, None);
+        self.unfinished = None;
+        self.end_long_message();
         self.phase = Phase::Closing;
     }
 
+    /// Its long message is over: what was set aside is given back, unless a request has it.
+    pub(super) fn end_long_message(&mut self) {
+        (self.long, self.permit) = (None, None);
+    }
+
+    /// The head of a long message has come, and no bytes have been asked for.
+    pub(super) fn is_announced(&self) -> bool {
+        matches!(self.long, Some(LongMessage::Announced(_)))
+    }
+
+    /// Its long message waits for memory.
+    pub(super) fn awaits_memory(&self) -> bool {
+        matches!(self.long, Some(LongMessage::AwaitsMemory(_)))
+    }
+
     /// Nothing has come that is not read yet, or it would not be taken anyway.
     pub(super) fn silent(&self) -> bool {
         matches!(self.phase, Phase::Lingering(_)) || self.wire.quiet()
@@ -399,7 +420,8 @@
             inbox.push_back(Input::Unreadable);
         }
         let waited = self.arrivals.age(now, from + len);
-        self.took(now, number, took?, Origin { query, waited }, inbox);
+        self.end_long_message();
+        self.took(now, number, took?, Origin { query, waited, permit: None }, inbox);
         Ok(Some(from + len))
     }
 
@@ -427,19 +449,17 @@
         }
         let waited = self.arrivals.age(now, from + len);
         self.arrivals.remove(from + len);
-        self.took(now, number, took?, Origin { query: true, waited }, inbox);
+        let permit = self.permit.take();
+        self.end_long_message();
+        self.took(now, number, took?, Origin { query: true, waited, permit }, inbox);
         Ok(Some(0))
     }
 
     fn took(&mut self, now: Instant, number: u64, took: Took, origin: Origin, inbox: &mut VecDeque<Input>) {
-        // What has been set aside for a request stays so until its answer.
-        if !matches!(took, Took::Ask(_)) {
-            self.long = None;
-        }
         match took {
             Took::Close => self.phase = Phase::Closing,
             Took::Ask(wanted) => {
-                inbox.push_back(Input::Ask(ClientId(number), ask(wanted, origin.waited)));
+                inbox.push_back(Input::Ask(ClientId(number), ask(wanted, origin)));
                 self.phase = Phase::Busy;
                 (self.asked, self.requested) = (true, true);
             }
@@ -460,22 +480,24 @@
     query: bool,
     /// How long ago its last byte came.
     waited: Duration,
+    /// What was set aside for it, if it is long.
+    permit: Option<MemoryPermit>,
 }
 
 /// A request as the core has it, with how long it lay behind others on its connection.
-fn ask(wanted: Wanted, waited: Duration) -> Ask<Body> {
+fn ask(wanted: Wanted, origin: Origin) -> Ask<Statement> {
     Ask {
         name: wanted.id,
         writes: wanted.writes,
         scope: wanted.scope.map_or(Scope::Anyone, |(class, group)| Scope::Class(class, group)),
         wait: wanted.wait,
-        waited,
+        waited: origin.waited,
         key: wanted.key,
         after: wanted.after,
         resent: wanted.resent,
         channel: wanted.channel,
         number: wanted.number,
-        body: wanted.body,
+        body: Statement::new(wanted.body, origin.permit),
     }
 }
 
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -3,14 +3,14 @@
 mod answers;
 mod leaving;
 mod listener;
-mod room;
+mod long_messages;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
 use tracing::warn;
-use yewroute_ledger::Ledger;
+use yewroute_ledger::{MemoryBudget, PermitQueue};
 use yewroute_lifecycle::Leaving;
 use yewroute_receive_time::Receiver;
 
@@ -25,7 +25,6 @@
 use crate::proto::pg::session::Terms;
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
-use room::long_bytes;
 
 /// Bytes of a long value that may wait for a client, at the least and at the most.
 const MIN_VALUE_WINDOW: usize = 16 * 1024;
@@ -63,8 +62,8 @@
     /// How long a connection may send no request where there are `most`.
     silent: Duration,
     most_bytes: usize,
-    /// Bytes set aside for long messages, from their heads to their answers.
-    room: Ledger,
+    /// Long messages that wait for memory.
+    waiting_messages: PermitQueue,
     admission: Admission,
     scratch: Vec<u8>,
     receiver: Receiver,
@@ -98,13 +97,13 @@
 }
 
 impl Clients {
-    /// At most `most` connections that have read at most `most_bytes` ahead together, and hold at most
-    /// `statement_bytes` of long statements.
+    /// At most `most` connections that have read at most `most_bytes` ahead together, and whose long messages are paid for
+    /// out of `statement_memory`.
     pub fn new(
         now: Instant,
         most: usize,
         most_bytes: usize,
-        statement_bytes: usize,
+        statement_memory: MemoryBudget,
         protocol: ClientProtocol,
     ) -> Self {
         let mut timers = Timers::new();
@@ -119,7 +118,7 @@
             most,
             silent: UNUSED_CONNECTION_TIMEOUT,
             most_bytes,
-            room: Ledger::new(long_bytes(statement_bytes)),
+            waiting_messages: PermitQueue::new(statement_memory),
             admission: Admission { leaving: Leaving::None, yes: true, accepts: true, listens: true },
             scratch: vec![0; CHUNK],
             receiver: Receiver::default(),
@@ -128,11 +127,9 @@
         }
     }
 
-    /// Connections that may be open, bytes read ahead, and bytes of statements from now on; and the most bytes of
-    /// statements that there may be again.
-    pub fn limit(&mut self, most: usize, most_bytes: usize, statement_bytes: usize, widest: usize) {
+    /// Connections that may be open, and bytes read ahead, from now on.
+    pub fn limit(&mut self, most: usize, most_bytes: usize) {
         (self.most, self.most_bytes) = (most, most_bytes);
-        self.room.limit(long_bytes(statement_bytes), long_bytes(widest));
     }
 
     /// Whether another process of this gateway holds a part of its descriptors for the moment. Guards against: closing,
@@ -151,10 +148,10 @@
         self.protocol = protocol;
     }
 
-    /// Bytes that are held for clients: set aside for long messages, come ahead, or not taken yet.
+    /// Bytes that are held for clients beside their statements: come ahead, or not taken yet.
     pub fn held_bytes(&self) -> usize {
         let ahead = |client: &Client| if client.long.is_none() { client.buffer.len() } else { 0 };
-        self.room.held() + self.unwritten() + self.clients.values().map(ahead).sum::<usize>()
+        self.unwritten() + self.clients.values().map(ahead).sum::<usize>()
     }
 
     /// Clients wait for an answer, or for the rest of one.
@@ -276,18 +273,18 @@
 
     /// Does what there is to do for a client, and for those whose turn comes by that.
     fn work(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
-        let long = self.work_on(now, number, poller, inbox);
-        if !long && self.room.is_unused() {
+        while self.work_on(now, number, poller, inbox) && self.reserve(now, number) {}
+        if self.waiting_messages.is_empty() {
             return;
         }
-        if self.settle_reservation(now, number) {
-            // Its message was let in at once.
-            self.work_on(now, number, poller, inbox);
+        if !self.clients.get(&number).is_some_and(Client::awaits_memory) {
+            self.waiting_messages.cancel(number);
         }
         self.admit_waiting_messages(now, poller, inbox);
     }
 
-    /// Takes the messages that have come, writes what there is and sees what is next; true if a long message comes.
+    /// Takes the messages that have come, writes what there is and sees what is next; true if bytes are to be set aside for a
+    /// long message.
     fn work_on(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) -> bool {
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return false };
@@ -308,15 +305,15 @@
                     client.wire.end_with_last();
                 }
             }
-            let (full, long) = (client.full, client.long.is_some());
+            let (full, announced) = (client.full, client.is_announced());
             if !self.settle(now, number, poller) {
                 self.remove(number, inbox);
                 return false;
             }
             if !stalled && !full {
-                return long;
+                return announced;
             }
-            let Some(client) = self.clients.get_mut(&number) else { return long };
+            let Some(client) = self.clients.get_mut(&number) else { return false };
             let waits = client.wire.unwritten();
             if full && waits <= MIN_VALUE_WINDOW / 2 {
                 client.full = false;
@@ -325,7 +322,7 @@
             // Guards against: messages left lying when the answers before them could be written at once, as
             // nothing would wake for them.
             if !(stalled && waits == 0) {
-                return long;
+                return announced;
             }
         }
     }
@@ -362,7 +359,8 @@
             // Guards against: an answer lost to a reset, which closing with unread bytes would cause.
             client.wire.end_sending();
             client.phase = Phase::Lingering(now);
-            (client.buffer, client.long) = (Vec::new(), None);
+            client.buffer = Vec::new();
+            client.end_long_message();
         }
         if matches!(client.phase, Phase::Lingering(_)) {
             client.buffer.clear();
@@ -375,7 +373,7 @@
     }
 
     fn remove(&mut self, number: u64, inbox: &mut VecDeque<Input>) {
-        self.room.release(number);
+        self.waiting_messages.cancel(number);
         if self.clients.remove(&number).is_some_and(|client| client.phase == Phase::Busy) {
             inbox.push_back(Input::ClientGone(ClientId(number)));
         }
--- a/gateway/src/net/clients/answers.rs
+++ b/gateway/src/net/clients/answers.rs
@@ -51,7 +51,7 @@
         client.session.answered(answer, &mut self.table, client.wire.out());
         client.prompt = true;
         client.phase = Phase::Idle(now);
-        (client.passing, client.full, client.long) = (false, false, None);
+        (client.passing, client.full) = (false, false);
         self.work(now, number, poller, inbox);
     }
 
--- /dev/null
+++ b/gateway/src/net/clients/long_messages.rs
@@ -0,0 +1,50 @@
+//! Memory for clients' long messages, which is set aside before those are read on.
+
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use yewroute_ledger::Grant;
+
+use super::Clients;
+use crate::net::client::LongMessage;
+use crate::net::poller::Poller;
+use crate::net::Input;
+use crate::proto::pg::code;
+
+impl Clients {
+    /// Sets bytes aside for a client's long message; true if it may go on reading.
+    pub(super) fn reserve(&mut self, now: Instant, number: u64) -> bool {
+        let Some(client) = self.clients.get_mut(&number) else { return false };
+        let Some(LongMessage::Announced(len)) = client.long else { return false };
+        match self.waiting_messages.reserve(number, len) {
+            Grant::Given(permit) => client.hold(now, permit),
+            Grant::Waits => {
+                client.long = Some(LongMessage::AwaitsMemory(len));
+                return false;
+            }
+            Grant::Never => {
+                client.close_with_error(code::LIMIT, "a statement beyond the memory for statements")
+            }
+        }
+        true
+    }
+
+    /// Lets those in whose turn has come. Guards against: a message that waits on when a permit was dropped or the limit was
+    /// raised, of which nothing else tells it. So it is called in each turn of the loop as well.
+    pub(in crate::net) fn admit_waiting_messages(
+        &mut self,
+        now: Instant,
+        poller: &Poller,
+        inbox: &mut VecDeque<Input>,
+    ) {
+        while let Some((number, grant)) = self.waiting_messages.next_turn() {
+            let waits = self.clients.get_mut(&number).filter(|client| client.awaits_memory());
+            let Some(client) = waits else { continue };
+            match grant {
+                Grant::Given(permit) => client.hold(now, permit),
+                _ => client.close_with_error(code::LIMIT, "a statement beyond the memory for statements"),
+            }
+            while self.work_on(now, number, poller, inbox) && self.reserve(now, number) {}
+        }
+    }
+}
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -12,11 +12,11 @@
 use yewroute::interface::{ServerId, Status};
 
 use super::poller::Poller;
+use super::statement::Statement;
 use super::wire::CHUNK;
 use super::Input;
 use crate::core::{AttemptId, Core, Ended};
 use crate::proto::pg::exchange::Dialect;
-use crate::proto::pg::request::Body;
 use crate::timers::Timers;
 use connection::{HostConnection, JobId, State};
 use first_byte::FirstByteLimit;
@@ -33,7 +33,7 @@
     server: ServerId,
     leave: FirstByteLimit,
     /// None for a probe.
-    body: Option<Rc<Body>>,
+    statement: Option<Rc<Statement>>,
     cut_at: Instant,
     conn: Option<u64>,
     /// It has been written once more, as its statement was not there.
@@ -110,7 +110,7 @@
 pub struct HostsContext<'a> {
     pub now: Instant,
     pub poller: &'a Poller,
-    pub core: &'a Core<Body>,
+    pub core: &'a Core<Statement>,
     pub inbox: &'a mut VecDeque<Input>,
 }
 
@@ -171,14 +171,14 @@
         &mut self,
         attempt: AttemptId,
         server: ServerId,
-        body: Rc<Body>,
+        statement: Rc<Statement>,
         (begin_by, cut_at, leave): (Option<Instant>, Instant, FirstByteLimit),
     ) {
         let id = JobId::Attempt(attempt);
         if let Some(by) = begin_by {
             self.timers.set(by, TimerEvent::Begin(id));
         }
-        self.take(id, server, Some(body), (cut_at, leave));
+        self.take(id, server, Some(statement), (cut_at, leave));
     }
 
     /// Starts a probe.
@@ -198,14 +198,14 @@
         &mut self,
         id: JobId,
         server: ServerId,
-        body: Option<Rc<Body>>,
+        statement: Option<Rc<Statement>>,
         (cut_at, leave): (Instant, FirstByteLimit),
     ) {
         self.started += 1;
         let number = self.started;
         self.timers.set(cut_at, TimerEvent::Cut(id, number));
         let (conn, again, withdrawn) = (None, false, false);
-        self.jobs.insert(id, Job { server, leave, body, cut_at, conn, again, withdrawn, number });
+        self.jobs.insert(id, Job { server, leave, statement, cut_at, conn, again, withdrawn, number });
         self.pools.entry(server).or_default().waiting.push_back(id);
         self.servable.insert(server);
     }
--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -172,18 +172,16 @@
         // An attempt that is written once more, as its statement was not there, is the same one.
         conn.forwarding = matches!(id, JobId::Attempt(_)) && !job.again;
         let wait = job.cut_at.saturating_duration_since(a.now.max(Instant::now()));
-        let body = job.body.clone();
+        let statement = job.statement.clone();
         conn.sent = Sent::default();
-        match &body {
+        match statement.as_ref().map(|statement| (statement, &statement.body)) {
             // A long statement is one buffer from its client to every db host that it is written to.
-            Some(body) if body.bytes() > CHUNK && matches!(**body, Body::Simple(_)) => {
-                if let Body::Simple(simple) = &**body {
-                    simple.put_head(conn.wire.out(), wait);
-                    conn.wire.share(Rc::clone(body) as Rc<dyn Shared>, 0..simple.wait_at.start);
-                    simple.put_tail(conn.wire.out(), wait);
-                }
+            Some((statement, Body::Simple(simple))) if simple.text.len() > CHUNK => {
+                simple.put_head(conn.wire.out(), wait);
+                conn.wire.share(Rc::clone(statement) as Rc<dyn Shared>, 0..simple.wait_at.start);
+                simple.put_tail(conn.wire.out(), wait);
             }
-            Some(body) => {
+            Some((_, body)) => {
                 let HostProtocol { dialect, statements } = self.protocol;
                 let (out, gather) = (conn.wire.out(), &mut conn.gather);
                 conn.sent = conn.prepared.put(out, gather, body, wait, dialect, statements);
--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -4,6 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::Instant;
 
+use yewroute_ledger::{Limits, MemoryBudget};
 use yewroute_settings::Deployment;
 use yewroute_standin::{error, frame, read_frame, served};
 
@@ -14,7 +15,7 @@
 use crate::net::wire::Wire;
 use crate::proto::catalog::{Member, Members, Role, State as Listed};
 use crate::proto::pg::bind::{Bind, Bound};
-use crate::proto::pg::request::Wanted;
+use crate::proto::pg::request::{Body, Wanted};
 use crate::proto::pg::table::Table;
 
 /// A connection whose system buffer for what it sends is as small as the system allows, and its other end.
@@ -58,7 +59,7 @@
 /// Connections to one db host, a primary of which the test does each step, with the core and times that are made up.
 struct Bench {
     poller: Poller,
-    core: Core<Body>,
+    core: Core<Statement>,
     hosts: Hosts,
     listener: TcpListener,
     now: Instant,
@@ -86,7 +87,16 @@
         let deployment = Deployment::from_json(settings).unwrap();
         let (now, known) = (Instant::now(), Known { members, near: None });
         let (clock, most_bytes) = (Clock::start(), 1 << 24);
-        let core = Core::new(now, clock, deployment, 7, most_bytes, known, &mut Vec::new()).unwrap();
+        let core = Core::new(
+            now,
+            clock,
+            deployment,
+            7,
+            MemoryBudget::new(Limits::fixed(most_bytes)),
+            known,
+            &mut Vec::new(),
+        )
+        .unwrap();
         let protocol = HostProtocol { dialect, statements: 8 };
         let timeout = Duration::from_secs(5);
         let hosts = Hosts::new(now, 16, most_bytes, protocol, timeout, Duration::from_secs(30));
@@ -113,7 +123,7 @@
             resent: false,
             channel: None,
             number: None,
-            body,
+            body: Statement::new(body, None),
         };
         let mut effects = Vec::new();
         self.now = Instant::now();
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -18,6 +18,7 @@
 mod replacement;
 pub(crate) mod signals;
 mod startup;
+mod statement;
 pub(crate) mod wire;
 
 use std::collections::VecDeque;
@@ -30,12 +31,12 @@
 use tracing::{info, warn};
 use yewroute::interface::SettingsError;
 use yewroute_federation::bridge::Wish;
+use yewroute_ledger::MemoryBudget;
 use yewroute_lifecycle::{Lifecycle, Means};
 
 use crate::config::Config;
-use crate::core::{self, Core, Payload};
+use crate::core::{self, Core};
 use crate::proto::console as calls;
-use crate::proto::pg::request::Body;
 use clients::{Admission, Clients};
 use console::Console;
 use discovery::{Discovery, DiscoveryContext};
@@ -47,24 +48,10 @@
 use poller::{Poller, Ready, Token};
 use signals::Signals;
 use startup::StartConditions;
+use statement::Statement;
 
-type Input = core::Input<Body>;
-type Effect = core::Effect<Body>;
-
-impl wire::Shared for Body {
-    fn bytes(&self) -> &[u8] {
-        match self {
-            Self::Simple(simple) => &simple.text,
-            Self::Execute(_) | Self::Describe(_) => &[],
-        }
-    }
-}
-
-impl Payload for Body {
-    fn bytes(&self) -> usize {
-        self.bytes()
-    }
-}
+type Input = core::Input<Statement>;
+type Effect = core::Effect<Statement>;
 
 /// Descriptors kept for the listener, the poller, the watch, signals and the standard streams.
 const RESERVED_DESCRIPTORS: usize = 16;
@@ -100,7 +87,9 @@
     fleet: Option<FleetLink>,
     /// What all of them do by one table, where it says so.
     federation: Option<FederationLink>,
-    core: Core<Body>,
+    core: Core<Statement>,
+    /// What statements may take of the memory.
+    statement_memory: MemoryBudget,
     life: Lifecycle,
     /// The older and the newer process of this gateway, where it can be replaced.
     handover: Option<Handover>,
--- a/gateway/src/net/replacement.rs
+++ b/gateway/src/net/replacement.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use tracing::{info, warn};
+use yewroute_ledger::Limits;
 use yewroute_lifecycle::Means;
 
 use super::console::Console;
@@ -31,9 +32,9 @@
         }
         let Budgets { most_bytes, statement_bytes } = Budgets::of(means.kib);
         let widest = Budgets::of(self.limits.kib).statement_bytes;
-        self.clients.limit(most_clients, most_bytes, statement_bytes, widest);
+        self.clients.limit(most_clients, most_bytes);
         self.hosts.limit(most_hosts, most_bytes);
-        self.core.limit(statement_bytes);
+        self.statement_memory.limit(Limits { total: statement_bytes, widest });
     }
 
     /// Shares the limits with a successor: it gets what this process does not need.
@@ -44,7 +45,7 @@
         let callers = self.console.as_ref().map_or(0, Console::len);
         let held = Means {
             sockets: self.clients.len() + self.hosts.len() + RESERVED_DESCRIPTORS + callers,
-            kib: (self.clients.held_bytes() + self.core.held_bytes()) / 1024,
+            kib: (self.clients.held_bytes() + self.statement_memory.held()) / 1024,
         };
         let (own, left) = self.limits.divide(held, self.life.is_handed());
         handover.leave(left);
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -10,6 +10,7 @@
 use yewroute::interface::ListObservation;
 use yewroute_edge::Edge;
 use yewroute_federation::bridge::Reader;
+use yewroute_ledger::{Limits as StatementLimits, MemoryBudget};
 use yewroute_lifecycle::{Lifecycle, Means};
 use yewroute_settings::Deployment;
 
@@ -137,7 +138,8 @@
         let Budgets { most_bytes, statement_bytes } = Budgets::of(limits.kib);
         let (client_protocol, host_protocol) = protocol_settings(&config.edge);
         let operated = config.console.is_some();
-        let clients = Clients::new(now, most_clients, most_bytes, statement_bytes, client_protocol);
+        let statement_memory = MemoryBudget::new(StatementLimits::fixed(statement_bytes));
+        let clients = Clients::new(now, most_clients, most_bytes, statement_memory.clone(), client_protocol);
         let console = open_console(now, config.console, console_share, &poller)?;
         let deployment = config.deployment.clone();
         let discovery_mode = DiscoveryMode {
@@ -161,7 +163,7 @@
             Clock::start(),
             deployment,
             config.seed,
-            statement_bytes,
+            statement_memory.clone(),
             Known { members: std::mem::take(&mut config.known), near },
             &mut effects,
         )?;
@@ -193,6 +195,7 @@
             fleet,
             federation,
             core,
+            statement_memory,
             life: Lifecycle::new(longest_deadline),
             handover,
             awaiting: Some(awaiting),
