Drop a statement when nothing may send it again; show what statements hold on the console

And a slow reader of a long value kept its statement's memory, for which others waited.

Cause: an attempt kept its statement until its db host answered, though the client had left and nothing would write it again; the bytes had been given back by then.

Also: svc_statement_bytes and svc_statements_waiting, the first held against the resident memory by a test.

--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -247,7 +247,8 @@
     class: usize,
     group: u64,
     name: Vec<u8>,
-    body: Rc<B>,
+    /// None once its value is being passed on, as it is not sent again.
+    body: Option<Rc<B>>,
     sends: u32,
     out: Option<AttemptId>,
     /// An attempt of it has been written whole, or may have been.
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -73,6 +73,7 @@
         }
         error!(attempt_out = out.is_some(), "request overdue: failed by the gateway itself");
         self.relay(id, Answer::Failed, effects);
+        effects.extend(out.map(Effect::Withdraw));
         self.route(now, Event::Gone(id), effects);
     }
 
--- a/gateway/src/core/send.rs
+++ b/gateway/src/core/send.rs
@@ -1,6 +1,5 @@
 //! Starts attempts.
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use yewroute::interface::{Event, Note, Outcome, Report, RequestId, ServerId, Status};
@@ -31,8 +30,11 @@
     ) {
         // Guards against: a channel's request sent by a gateway that is its home no more.
         let spent = if self.orders.barred(now, id) { None } else { self.spend(now, id) };
-        let (number, body, class, half_at) = match self.held.get_mut(&id) {
-            Some(held) if spent.is_none() => {
+        // Guards against: two attempts of a request out at once. The module never asks for it.
+        let sendable = self.held.get(&id).filter(|held| held.out.is_none());
+        let body = sendable.and_then(|held| held.body.clone());
+        let (number, body, class, half_at) = match (self.held.get_mut(&id), body) {
+            (Some(held), _) if spent.is_none() => {
                 held.sends += 1;
                 let number = held.sends - 1;
                 // The module's to say whether it is refused or failed; then its attempt is over.
@@ -40,15 +42,14 @@
                 self.events.push_back(Event::Outcome(unsent(id, number, server)));
                 return;
             }
-            // Guards against: two attempts of a request out at once. The module never asks for it.
-            Some(held) if held.out.is_none() => {
+            (Some(held), Some(body)) => {
                 let number = held.sends;
                 held.sends += 1;
                 held.out = Some((id, number));
                 let half_at = Some(held.half_at).filter(|_| !held.reached);
-                (number, Rc::clone(&held.body), held.class, half_at)
+                (number, body, held.class, half_at)
             }
-            held => {
+            (held, _) => {
                 if let Some(spent) = spent.flatten() {
                     spent.give_back();
                 }
--- a/gateway/src/core/stream.rs
+++ b/gateway/src/core/stream.rs
@@ -24,6 +24,8 @@
         match self.held.get_mut(&id.0).filter(|held| held.out == Some(id)) {
             Some(held) => {
                 held.passing = true;
+                // Guards against: a long statement kept for as long as its client takes to read the value.
+                held.body = None;
                 let (client, class) = (held.client, held.class);
                 effects.push(Effect::Pass(client, bytes));
                 if !self.waits_for_commit(class) {
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -70,7 +70,7 @@
             class,
             group,
             name: ask.name,
-            body: Rc::new(ask.body),
+            body: Some(Rc::new(ask.body)),
             sends: 0,
             out: None,
             reached: false,
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -154,6 +154,11 @@
         self.unwritten() + self.clients.values().map(ahead).sum::<usize>()
     }
 
+    /// Long messages that wait for memory.
+    pub fn waiting_messages(&self) -> usize {
+        self.waiting_messages.len()
+    }
+
     /// Clients wait for an answer, or for the rest of one.
     pub fn owes_answers(&self) -> bool {
         self.clients.values().any(Client::awaits_answer)
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -32,7 +32,7 @@
 struct Job {
     server: ServerId,
     leave: FirstByteLimit,
-    /// None for a probe.
+    /// None for a probe, and where nothing may send it any more.
     statement: Option<Rc<Statement>>,
     cut_at: Instant,
     conn: Option<u64>,
@@ -210,14 +210,17 @@
         self.servable.insert(server);
     }
 
-    /// Drops an attempt that nobody waits for, if it cannot have run.
+    /// Drops an attempt that nobody waits for, if it cannot have run. Of one that may have run the statement is dropped: it is
+    /// never written again.
     pub fn withdraw(&mut self, attempt: AttemptId, a: &mut HostsContext) {
         let id = JobId::Attempt(attempt);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.withdrawn = true;
+        // Guards against: long statements of clients that have gone, which together fill the memory.
+        job.statement = None;
         match job.conn {
             None => self.end(id, Ended::silent(Status::NotSent), a),
-            // Guards against: a long statement held for a client that has gone.
+            // What is not written yet goes with its connection.
             Some(number) if self.conns.get(&number).is_some_and(|conn| !conn.may_have_run()) => {
                 self.conns.remove(&number);
                 self.end(id, Ended::silent(Status::NotSent), a);
--- a/gateway/src/net/hosts/receive.rs
+++ b/gateway/src/net/hosts/receive.rs
@@ -83,6 +83,10 @@
                                 return;
                             };
                             conn.passing = true;
+                            // The value has begun, so no other attempt follows and this one is not written again.
+                            if let Some(job) = self.jobs.get_mut(&JobId::Attempt(attempt)) {
+                                job.statement = None;
+                            }
                             a.inbox.push_back(Input::Began(attempt, head));
                         }
                         Step::Part => {
--- a/gateway/src/net/operations.rs
+++ b/gateway/src/net/operations.rs
@@ -108,6 +108,8 @@
             discovered: self.core.directory().held(),
             ejected: self.core.ejected(now),
             list: self.list_figures(now),
+            statement_bytes: self.statement_memory.held(),
+            statements_waiting: self.clients.waiting_messages(),
             log_lines_dropped: log::dropped_lines(),
             fleet: {
                 let fleet = self.fleet.iter().flat_map(|fleet| fleet.figures(now));
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -366,6 +366,10 @@
     pub ejected: usize,
     /// The list of db hosts that is held.
     pub list: ListFigures,
+    /// Bytes set aside for statements: read, held, under way, or abandoned and not gone yet.
+    pub statement_bytes: usize,
+    /// Long statements that wait for such bytes.
+    pub statements_waiting: usize,
     /// Lines of the log that were lost, as standard error took nothing.
     pub log_lines_dropped: u64,
     /// Names and values of the fleet's, none while it is off.
@@ -400,8 +404,14 @@
         }
     }
     let _ = writeln!(body, "# TYPE svc_forwards counter\nsvc_forwards {}", figures.forwards);
-    let Figures { outstanding, discovered, ejected, .. } = figures;
-    for (name, value) in [("outstanding", outstanding), ("discovered", discovered), ("ejected", ejected)] {
+    let gauges = [
+        ("outstanding", figures.outstanding),
+        ("discovered", figures.discovered),
+        ("ejected", figures.ejected),
+        ("statement_bytes", figures.statement_bytes),
+        ("statements_waiting", figures.statements_waiting),
+    ];
+    for (name, value) in gauges {
         let _ = writeln!(body, "# TYPE svc_{name} gauge\nsvc_{name} {value}");
     }
     let ListFigures { version, age_ms, lease_ms, refused, calls, calls_ended } = figures.list;
@@ -592,6 +602,8 @@
                 calls: 3,
                 calls_ended: 2,
             },
+            statement_bytes: 8192,
+            statements_waiting: 4,
             log_lines_dropped: 7,
             fleet: vec![("svc_fleet_members{state=\"alive\"}".to_owned(), 3)],
         };
@@ -614,6 +626,8 @@
                 "svc_outstanding 14",
                 "svc_discovered 8",
                 "svc_ejected 2",
+                "svc_statement_bytes 8192",
+                "svc_statements_waiting 4",
                 "svc_list_version 41",
                 "svc_list_age_ms 350",
                 "svc_list_lease_ms 5650",
--- a/gateway/tests/statement_memory.rs
+++ b/gateway/tests/statement_memory.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -12,6 +14,8 @@
 const LONGEST_VALUE: usize = 4 * 1024 * 1024;
 /// A value whose statement is just long enough that bytes are set aside for it.
 const SHORTEST_VALUE: usize = 48 * 1024;
+/// What the program itself takes of the memory, a build without optimization included.
+const PROGRAM_KIB: usize = 8 * 1024;
 /// How long the clients of orders wait.
 const ORDER_WAIT_MS: u32 = 3_000;
 /// The rules' slack: an answer that comes later counts as lost.
@@ -69,3 +73,104 @@
         assert!(since.elapsed() < order_wait() + ANSWER_SLACK, "{memory_mb} MB: {:?}", since.elapsed());
     }
 }
+
+/// The resident memory of a process, and the part of it that is the program's own file, in bytes.
+fn resident(pid: u32) -> (usize, usize) {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let kib = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        line.split_whitespace().next().unwrap().parse::<usize>().unwrap()
+    };
+    (kib("VmRSS:") * 1024, kib("RssFile:") * 1024)
+}
+
+/// Looks at a gateway's memory every millisecond until it is told to end, and says the most that it had beside its program.
+fn watch_memory(pid: u32, ends: Arc<AtomicBool>) -> thread::JoinHandle<usize> {
+    thread::spawn(move || {
+        let mut peak = 0;
+        while !ends.load(Ordering::SeqCst) {
+            let (all, program) = resident(pid);
+            peak = peak.max(all - program);
+            thread::sleep(Duration::from_millis(1));
+        }
+        peak
+    })
+}
+
+// Guards against: statements of clients that have left while their attempts are out, which were counted nowhere and together
+// took the memory over its limit.
+#[test]
+fn statements_of_clients_that_leave_stay_within_the_memory_and_are_dropped_at_once() {
+    const WORK: Duration = Duration::from_millis(900);
+    for memory_mb in [32, 64] {
+        let primary = Host::start(|query| match query {
+            "SHOW load" => well(true, query),
+            _ => Do::SayLater(WORK, served("primary")),
+        });
+        let replica = Host::well(false);
+        let gateway = start(memory_mb, &primary, &replica);
+        let ends = Arc::new(AtomicBool::new(false));
+        let peak = watch_memory(gateway.pid(), Arc::clone(&ends));
+        for turn in 0..8 {
+            let mut client = gateway.client();
+            // Those beyond what may be out at a db host wait in the gateway, and are dropped there.
+            client.write(&order(LONGEST_VALUE, &format!(",k=turn{turn}")));
+            thread::sleep(Duration::from_millis(40));
+            drop(client);
+        }
+        let free = || gateway.figure("svc_statement_bytes") == 0;
+        let since = Instant::now();
+        until(free, || gateway.log());
+        assert!(since.elapsed() < WORK / 2, "before their db hosts have answered: {:?}", since.elapsed());
+        ends.store(true, Ordering::SeqCst);
+        let peak = peak.join().unwrap() >> 10;
+        let most = memory_mb as usize * 1024 - PROGRAM_KIB;
+        assert!(peak < most, "{memory_mb} MB: {peak} KiB beside the program, of {most}");
+    }
+}
+
+// Guards against: a long statement kept for as long as its client takes to read the value that came of it.
+#[test]
+fn a_statement_is_dropped_when_its_value_begins_to_be_passed_on() {
+    const VALUE: usize = 8 * 1024 * 1024;
+    let primary = Host::start(|query| match query.contains("k=slow") {
+        true => Do::Say(served_value("primary", &vec![7; VALUE])),
+        false => well(true, query),
+    });
+    let replica = Host::well(false);
+    let gateway = start(32, &primary, &replica);
+    let mut slow = gateway.client();
+    slow.write(&order(LONGEST_VALUE, ",k=slow"));
+    until(|| primary.asked().iter().any(|query| query.contains("k=slow")), || gateway.log());
+    let (mut client, since) = (gateway.client(), Instant::now());
+    client.write(&order(LONGEST_VALUE, ",k=behind"));
+    assert_eq!(client.answer(), SERVED, "{}", gateway.log());
+    assert!(since.elapsed() < order_wait(), "while the value is not read: {:?}", since.elapsed());
+    assert_eq!(slow.answer(), SERVED);
+}
+
+// Holds the console's figure against the memory that the process has.
+#[test]
+fn the_figure_of_statement_bytes_tells_what_statements_take() {
+    let primary = Host::start(|query| match query {
+        "SHOW load" => well(true, query),
+        _ => Do::Nothing,
+    });
+    let replica = Host::well(false);
+    let gateway = start(192, &primary, &replica);
+    let (before, _) = resident(gateway.pid());
+    assert_eq!(gateway.figure("svc_statement_bytes"), 0);
+    let clients: Vec<_> = (0..4)
+        .map(|turn| {
+            let mut client = gateway.client();
+            client.write(&order(LONGEST_VALUE, &format!(",k=turn{turn}")));
+            client
+        })
+        .collect();
+    until(|| gateway.figure("svc_outstanding") == 4, || gateway.log());
+    let (resident, _) = resident(gateway.pid());
+    let (told, taken) = (gateway.figure("svc_statement_bytes") as usize, resident - before);
+    assert!(told.abs_diff(taken) < 2 * 1024 * 1024, "told {told}, taken {taken}");
+    drop(clients);
+    until(|| gateway.figure("svc_statement_bytes") == 0, || gateway.log());
+}
