Waits for statement memory end in time, and what fits passes longer statements

Cause: nobody overtook in the queue for memory, though there was room beside the long ones; and a wait had no deadline but 20 s, after which the connection was closed.

Change: the queue lets pass what fits, within what the longest one before it leaves free in any case, so nobody is passed over for ever (property test). The ledger's test that shorter ones do not overtake is replaced by two: what may pass, and that a turn is put off by nobody. A wait ends after half of the shortest deadline of its kind of class, once the last byte may have been written; the statement is thrown away as it comes, refused with 53300 at its end, and the connection goes on. Longer rests than a client's system takes wait as before.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -45,16 +45,19 @@
 enum Kind {
     /// A short statement.
     Short,
-    /// A long message.
+    /// A long message, in its turn.
     Long,
+    /// A long message that was let in before a longer one.
+    Overtaking,
 }
 
 #[derive(Debug)]
 struct Account {
     limits: Cell<Limits>,
-    /// Bytes of all permits, and those of long messages.
+    /// Bytes of all permits; those of long messages, and of them those that were let in before longer ones.
     held: Cell<usize>,
     long: Cell<usize>,
+    overtaking: Cell<usize>,
     /// Something was given back, or the limits were changed, since the queue was looked at last.
     changed: Cell<bool>,
     /// Nobody waits for a long message.
@@ -73,7 +76,8 @@
     /// The totals that count permits of this kind.
     fn totals(&self, kind: Kind) -> impl Iterator<Item = &Cell<usize>> {
         let long = (kind != Kind::Short).then_some(&self.long);
-        [Some(&self.held), long].into_iter().flatten()
+        let overtaking = (kind == Kind::Overtaking).then_some(&self.overtaking);
+        [Some(&self.held), long, overtaking].into_iter().flatten()
     }
 
     fn give(self: &Rc<Self>, bytes: usize, kind: Kind) -> MemoryPermit {
@@ -99,6 +103,7 @@
             limits: Cell::new(limits),
             held: Cell::new(0),
             long: Cell::new(0),
+            overtaking: Cell::new(0),
             changed: Cell::new(false),
             nobody_waits: Cell::new(true),
         }))
--- a/crates/ledger/src/queue.rs
+++ b/crates/ledger/src/queue.rs
@@ -21,7 +21,11 @@
     bytes: usize,
 }
 
-/// Those that wait, in the order of asking. Nobody overtakes, so a long one is not passed over for ever by shorter ones.
+/// Those that wait, in the order of asking.
+///
+/// One that fits may overtake longer ones that do not, within what those leave free in any case. So a slow writer that
+/// holds most of the bytes delays only messages that do not fit beside it, and whoever is overtaken gets its bytes as soon
+/// as those before it have given theirs back, however many pass it.
 #[derive(Debug)]
 pub struct PermitQueue {
     budget: MemoryBudget,
@@ -100,9 +104,19 @@
         self.budget.0.changed.set(true);
     }
 
-    /// Gives one its bytes that has so many others before it.
+    /// Gives one its bytes that has so many others before it, if they are there and no other one's turn is put off by it.
     fn try_give(&self, Waiter { bytes, .. }: Waiter, place: usize) -> Option<MemoryPermit> {
         let account = &self.budget.0;
-        (place == 0 && account.long_fits(bytes)).then(|| account.give(bytes, Kind::Long))
+        if !account.long_fits(bytes) {
+            return None;
+        }
+        let most = long_share(account.limits.get().total);
+        // What is longer than all that there is now waits for other limits, and is delayed by nobody.
+        let needs = self.waiting.iter().take(place).map(|ahead| ahead.bytes);
+        let Some(longest_ahead) = needs.filter(|need| *need <= most).max() else {
+            return Some(account.give(bytes, Kind::Long));
+        };
+        let passes = account.overtaking.get() + bytes + longest_ahead <= most;
+        passes.then(|| account.give(bytes, Kind::Overtaking))
     }
 }
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -201,6 +201,18 @@
         self.query(Cow::Owned(text), out)
     }
 
+    /// Refuses a message that was thrown away unread, and says whether it was a simple query.
+    pub fn refuse_unread(&mut self, query: bool, retry_after: Option<Duration>, out: &mut Vec<u8>) {
+        if self.skipping {
+            return;
+        }
+        frontend::put_refusal(out, retry_after);
+        self.skip();
+        if query {
+            self.sync(out);
+        }
+    }
+
     fn fail(&mut self, out: &mut Vec<u8>, (sqlstate, why): Fault) {
         frontend::put_error(out, "ERROR", sqlstate, &why, None);
         self.skip();
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -179,6 +179,8 @@
     ListObserved(ListObservation),
     /// A client's request could not be read; it has been told so.
     Unreadable,
+    /// A client's request was refused before it was read, for want of memory.
+    RefusedUnread,
     /// An attempt's value has begun that is too long to be held: its first bytes, in the form of its connection.
     Began(AttemptId, Vec<u8>),
     /// More bytes of it.
@@ -403,6 +405,7 @@
             Input::Full(client) => self.throttle(client, true, effects),
             Input::Room(client) => self.throttle(client, false, effects),
             Input::Unreadable => self.tally.count(None, End::Aborted),
+            Input::RefusedUnread => self.tally.count(None, End::Declined),
         }
     }
 
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -8,6 +8,7 @@
 use yewroute_lifecycle::Leaving;
 
 use super::arrivals::Arrivals;
+use super::memory_wait::{MemoryWait, Step, WaitTerms};
 use super::poller::{Interest, Poller, Token};
 use super::statement::Statement;
 use super::wire::{Taken, Wire, CHUNK};
@@ -27,10 +28,9 @@
 /// A connection on which no query has come is closed after so long without a byte, and so is one that leaves a message
 /// unfinished. A client may spend 2 s on a head.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// The longest that a message may take in all, and one for which bytes are set aside; and how long it waits for them.
+/// The longest that a message may take in all, and one for which bytes are set aside.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(8);
 const LONG_TIMEOUT: Duration = Duration::from_secs(30);
-const RESERVATION_TIMEOUT: Duration = Duration::from_secs(20);
 /// Bytes are set aside for a longer message before it is read on.
 const MAX_UNRESERVED_MESSAGE: usize = 64 * 1024;
 /// A client that has taken none of its answers for so long is given up.
@@ -72,6 +72,18 @@
     AwaitsMemory(usize),
     /// All its bytes are set aside.
     Reserved(usize),
+    /// There was no memory for it: it is thrown away as it comes, and refused at its end.
+    Discarded(Discard),
+}
+
+/// What is left of a message that is thrown away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Discard {
+    left: usize,
+    /// It is a simple query, rather than a part of an extended one.
+    query: bool,
+    /// When its client is told to come back.
+    retry_after: Option<Duration>,
 }
 
 /// A client's connection.
@@ -109,6 +121,8 @@
     /// A message is coming for which bytes must be set aside, or are; and the permit for them, which goes on with it.
     pub(super) long: Option<LongMessage>,
     permit: Option<MemoryPermit>,
+    /// Its wait for them.
+    memory_wait: Option<MemoryWait>,
     /// When bytes came last.
     pub(super) heard: Instant,
     /// Since when a message lies unfinished, and since when the client has taken none of its answers.
@@ -141,6 +155,7 @@
             full: false,
             long: None,
             permit: None,
+            memory_wait: None,
             heard: now,
             unfinished: None,
             stuck: None,
@@ -161,14 +176,14 @@
             }
     }
 
-    /// A message has stopped coming, or takes too long in all. One that waits for room is not at fault, and waits only so
-    /// long.
+    /// A message has stopped coming, or takes too long in all. One that waits for memory is not at fault, and has an end of its
+    /// own ([`MemoryWait`]).
     pub(super) fn late(&self, now: Instant) -> bool {
         let Some(since) = self.unfinished else { return false };
         let past = now.saturating_duration_since(since);
         let stopped = now.saturating_duration_since(self.heard.max(since)) >= MESSAGE_TIMEOUT;
         match self.long {
-            Some(LongMessage::AwaitsMemory(_)) => past >= RESERVATION_TIMEOUT,
+            Some(LongMessage::AwaitsMemory(_)) => false,
             Some(_) => stopped || past >= LONG_TIMEOUT,
             None => stopped || past >= HEAD_TIMEOUT,
         }
@@ -223,6 +238,7 @@
     pub(super) fn hold(&mut self, now: Instant, permit: MemoryPermit) {
         let len = permit.bytes();
         (self.long, self.permit, self.heard) = (Some(LongMessage::Reserved(len)), Some(permit), now);
+        self.memory_wait = None;
         self.unfinished = Some(now);
         // A read may bring what lies behind it as well.
         self.buffer.reserve_exact((len + CHUNK).saturating_sub(self.buffer.len()));
@@ -239,7 +255,57 @@
 
     /// Its long message is over: what was set aside is given back, unless a request has it.
     pub(super) fn end_long_message(&mut self) {
-        (self.long, self.permit) = (None, None);
+        (self.long, self.permit, self.memory_wait) = (None, None, None);
+    }
+
+    /// Its long message of so many bytes waits for memory from now on.
+    pub(super) fn begin_memory_wait(&mut self, now: Instant, len: usize, terms: &WaitTerms) {
+        self.long = Some(LongMessage::AwaitsMemory(len));
+        self.memory_wait = Some(MemoryWait::begin(now, terms, &self.buffer));
+    }
+
+    /// Looks at how long its message has waited; none if it does not wait.
+    pub(super) fn check_memory_wait(&mut self, now: Instant) -> Option<Step> {
+        let Some(LongMessage::AwaitsMemory(len)) = self.long else { return None };
+        let missing = len.saturating_sub(self.buffer.len());
+        let unread = self.wire.unread();
+        self.memory_wait.as_mut().map(|wait| wait.check(now, missing, unread))
+    }
+
+    /// There is no memory for its long message in time: it is read on and thrown away, and refused at its end, so that what
+    /// lies behind it on the connection has its answer too.
+    pub(super) fn refuse_unread(&mut self, now: Instant, retry_after: Option<Duration>) {
+        let Some(LongMessage::Announced(len) | LongMessage::AwaitsMemory(len)) = self.long else { return };
+        let waited = self.memory_wait.map_or(Duration::ZERO, |wait| wait.age(now));
+        warn!(
+            bytes = len,
+            waited_ms = waited.as_millis(),
+            "out of memory for statements: one refused unread"
+        );
+        self.end_long_message();
+        let query = self.buffer.first() == Some(&b'Q');
+        self.long = Some(LongMessage::Discarded(Discard { left: len, query, retry_after }));
+        self.heard = now;
+    }
+
+    /// Its long message is thrown away as it comes.
+    fn discards(&self) -> bool {
+        matches!(self.long, Some(LongMessage::Discarded(_)))
+    }
+
+    /// Throws away what has come of a message that begins at `from`, and says where that ends; none if nothing has come.
+    fn discard(&mut self, from: usize, message: Discard, inbox: &mut VecDeque<Input>) -> Option<usize> {
+        let here = message.left.min(self.buffer.len() - from);
+        let left = message.left - here;
+        if left > 0 {
+            self.long = Some(LongMessage::Discarded(Discard { left, ..message }));
+            return (here > 0).then_some(from + here);
+        }
+        self.end_long_message();
+        self.session.refuse_unread(message.query, message.retry_after, self.wire.out());
+        (self.asked, self.requested) = (true, true);
+        inbox.push_back(Input::RefusedUnread);
+        Some(from + here)
     }
 
     /// The head of a long message has come, and no bytes have been asked for.
@@ -360,8 +426,10 @@
         }
         self.buffer.drain(..used);
         self.arrivals.remove(used);
-        let unfinished = !self.buffer.is_empty() && self.takes() && !stalled;
-        self.unfinished = if used > 0 { None } else { self.unfinished }.filter(|_| unfinished);
+        let discards = self.discards();
+        let unfinished = (!self.buffer.is_empty() || discards) && self.takes() && !stalled;
+        let another = used > 0 && !discards;
+        self.unfinished = if another { None } else { self.unfinished }.filter(|_| unfinished);
         self.unfinished = self.unfinished.or(unfinished.then_some(now));
         if self.buffer.is_empty() && self.buffer.capacity() > 2 * CHUNK {
             self.buffer = Vec::new();
@@ -394,6 +462,9 @@
         table: &mut Table,
         inbox: &mut VecDeque<Input>,
     ) -> Result<Option<usize>, String> {
+        if let Some(LongMessage::Discarded(message)) = self.long {
+            return Ok(self.discard(from, message, inbox));
+        }
         let stated = frontend::stated(&self.buffer[from..]).map_err(|e| e.to_string())?;
         let Some(len) = stated else { return Ok(None) };
         if len > MAX_UNRESERVED_MESSAGE && !matches!(self.long, Some(LongMessage::Reserved(_))) {
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -16,6 +16,7 @@
 
 use super::cancel::CancelKeys;
 use super::client::{Client, LongMessage, Phase, PRESENCE_PROBE_INTERVAL, RESET_TIMEOUT};
+use super::memory_wait::WaitTerms;
 use super::poller::{Poller, Ready};
 use super::wire::{Taken, CHUNK};
 use super::Input;
@@ -48,6 +49,8 @@
     Close(Instant),
     /// A client that is not read from is asked again whether it is still there.
     Probe(u64),
+    /// It is seen how long a client's message has waited for memory.
+    MemoryWait(u64),
 }
 
 /// All clients' connections, and the listener.
@@ -64,6 +67,7 @@
     most_bytes: usize,
     /// Long messages that wait for memory.
     waiting_messages: PermitQueue,
+    wait_terms: WaitTerms,
     admission: Admission,
     scratch: Vec<u8>,
     receiver: Receiver,
@@ -103,7 +107,7 @@
         now: Instant,
         most: usize,
         most_bytes: usize,
-        statement_memory: MemoryBudget,
+        (statement_memory, wait_terms): (MemoryBudget, WaitTerms),
         protocol: ClientProtocol,
     ) -> Self {
         let mut timers = Timers::new();
@@ -119,6 +123,7 @@
             silent: UNUSED_CONNECTION_TIMEOUT,
             most_bytes,
             waiting_messages: PermitQueue::new(statement_memory),
+            wait_terms,
             admission: Admission { leaving: Leaving::None, yes: true, accepts: true, listens: true },
             scratch: vec![0; CHUNK],
             receiver: Receiver::default(),
@@ -182,6 +187,7 @@
                 }
                 TimerEvent::Accept => self.accept_again(poller),
                 TimerEvent::Close(by) => self.close_listener(now, by, poller),
+                TimerEvent::MemoryWait(number) => self.check_memory_wait(now, number, poller, inbox),
                 TimerEvent::Probe(number) => {
                     if let Some(client) = self.clients.get_mut(&number) {
                         (client.probed, client.presence_unsure) = (false, false);
@@ -206,8 +212,8 @@
             match self.clients.get_mut(&number) {
                 Some(client) if client.unfinished.is_some() && client.takes() && client.stuck.is_none() => {
                     let (sqlstate, why) = match client.long {
-                        Some(LongMessage::AwaitsMemory(_)) => {
-                            (code::TOO_MANY, "no room for so long a statement")
+                        Some(LongMessage::Discarded(_)) => {
+                            (code::TOO_MANY, "no memory for so long a statement")
                         }
                         _ => (code::PROTOCOL_VIOLATION, "a message was not finished in time"),
                     };
--- a/gateway/src/net/clients/long_messages.rs
+++ b/gateway/src/net/clients/long_messages.rs
@@ -5,11 +5,11 @@
 
 use yewroute_ledger::Grant;
 
-use super::Clients;
+use super::{Clients, TimerEvent};
 use crate::net::client::LongMessage;
+use crate::net::memory_wait::Step;
 use crate::net::poller::Poller;
 use crate::net::Input;
-use crate::proto::pg::code;
 
 impl Clients {
     /// Sets bytes aside for a client's long message; true if it may go on reading.
@@ -19,12 +19,11 @@
         match self.waiting_messages.reserve(number, len) {
             Grant::Given(permit) => client.hold(now, permit),
             Grant::Waits => {
-                client.long = Some(LongMessage::AwaitsMemory(len));
+                client.begin_memory_wait(now, len, &self.wait_terms);
+                self.timers.set(now, TimerEvent::MemoryWait(number));
                 return false;
             }
-            Grant::Never => {
-                client.close_with_error(code::LIMIT, "a statement beyond the memory for statements")
-            }
+            Grant::Never => client.refuse_unread(now, self.wait_terms.retry_after),
         }
         true
     }
@@ -42,9 +41,32 @@
             let Some(client) = waits else { continue };
             match grant {
                 Grant::Given(permit) => client.hold(now, permit),
-                _ => client.close_with_error(code::LIMIT, "a statement beyond the memory for statements"),
+                _ => client.refuse_unread(now, self.wait_terms.retry_after),
             }
             while self.work_on(now, number, poller, inbox) && self.reserve(now, number) {}
         }
     }
+
+    /// Sees how long a client's message has waited for memory, and refuses it if that is too long.
+    pub(super) fn check_memory_wait(
+        &mut self,
+        now: Instant,
+        number: u64,
+        poller: &Poller,
+        inbox: &mut VecDeque<Input>,
+    ) {
+        let step = self.clients.get_mut(&number).and_then(|client| client.check_memory_wait(now));
+        match step {
+            Some(Step::CheckAt(at)) => self.timers.set(at, TimerEvent::MemoryWait(number)),
+            Some(Step::Refuse) => self.refuse_unread(now, number, poller, inbox),
+            None => {}
+        }
+    }
+
+    fn refuse_unread(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        if let Some(client) = self.clients.get_mut(&number) {
+            client.refuse_unread(now, self.wait_terms.retry_after);
+            self.work(now, number, poller, inbox);
+        }
+    }
 }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod hosts;
 mod listener;
+mod memory_wait;
 mod operations;
 pub(crate) mod poller;
 mod reload;
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -22,6 +22,7 @@
 use super::handover::Handover;
 use super::hosts::{HostProtocol, Hosts};
 use super::listener;
+use super::memory_wait::WaitTerms;
 use super::poller::{Interest, Poller, Token};
 use super::signals::Signals;
 use super::{Gateway, Input, RunError, RESERVED_DESCRIPTORS};
@@ -139,7 +140,8 @@
         let (client_protocol, host_protocol) = protocol_settings(&config.edge);
         let operated = config.console.is_some();
         let statement_memory = MemoryBudget::new(StatementLimits::fixed(statement_bytes));
-        let clients = Clients::new(now, most_clients, most_bytes, statement_memory.clone(), client_protocol);
+        let for_statements = (statement_memory.clone(), WaitTerms::of(&config.deployment.module));
+        let clients = Clients::new(now, most_clients, most_bytes, for_statements, client_protocol);
         let console = open_console(now, config.console, console_share, &poller)?;
         let deployment = config.deployment.clone();
         let discovery_mode = DiscoveryMode {
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -229,6 +229,12 @@
         matches!(self.stream.peek(&mut [0]), Ok(0))
     }
 
+    /// Bytes that have come and are not read.
+    pub fn unread(&self) -> usize {
+        rustix::io::ioctl_fionread(&self.stream)
+            .map_or(0, |bytes| usize::try_from(bytes).unwrap_or(usize::MAX))
+    }
+
     /// Neither closed by the other side nor with anything to read.
     pub fn quiet(&self) -> bool {
         matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
