An old process refuses at once the statements for which it has handed the memory on

Cause: its share is an eighth then, and a longer statement waited for the limits of the whole gateway, which the process does not get back. Nothing else was under way, and the head of each had been read.

Change: once the new process serves, the old one's share is the widest it counts on, so such a statement is refused with 53300 at once, and its client may send it to the new process.

--- a/gateway/src/net/replacement.rs
+++ b/gateway/src/net/replacement.rs
@@ -31,7 +31,9 @@
             (most_clients, most_hosts) = (most_clients + lent, most_hosts - lent);
         }
         let Budgets { most_bytes, statement_bytes } = Budgets::of(means.kib);
-        let widest = Budgets::of(self.limits.kib).statement_bytes;
+        // Guards against: statements that wait for memory which this process has handed on for good.
+        let later = if self.life.is_handed() { means } else { self.limits };
+        let widest = Budgets::of(later.kib).statement_bytes;
         self.clients.limit(most_clients, most_bytes);
         self.hosts.limit(most_hosts, most_bytes);
         self.statement_memory.limit(Limits { total: statement_bytes, widest });
@@ -83,6 +85,7 @@
                 News::Serves => {
                     info!("a newer process serves: clients are sent there");
                     self.life.handed(now);
+                    self.use_means(self.means);
                     self.fleet.iter_mut().for_each(|fleet| fleet.stand_down(now));
                     self.share(now);
                 }
--- a/gateway/tests/statement_memory.rs
+++ b/gateway/tests/statement_memory.rs
@@ -266,3 +266,25 @@
     assert!(stops.error.contains("53300"), "{}", stops.error);
     assert!(since.elapsed() < Duration::from_secs(6), "{:?}", since.elapsed());
 }
+
+// Guards against: requests that the old process of a replacement never answers, as they wait for memory that it has handed on.
+#[test]
+fn a_statement_beyond_the_memory_of_a_process_that_is_replaced_is_refused_at_once() {
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let mut old = start(64, &primary, &replica);
+    let mut clients: Vec<_> = (0..6).map(|_| old.client()).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.ask(&statement("view", 1_200, "")), SERVED));
+    let new = old.replacement();
+    old.logs("a newer process serves");
+    old.terminate();
+    old.logs("SIGTERM: draining");
+    let since = Instant::now();
+    let writers: Vec<_> =
+        clients.into_iter().map(|client| pipeline(client, vec![order(WAITING_VALUE, ",k=late")])).collect();
+    for writer in writers {
+        assert_eq!(writer.join().unwrap(), [b"EZ"], "{}", old.log());
+    }
+    assert!(since.elapsed() < order_wait() / 3, "{:?}", since.elapsed());
+    assert_eq!(pipeline(new.client(), vec![order(WAITING_VALUE, ",k=new")]).join().unwrap(), [SERVED]);
+    assert!(old.wait().success(), "{}", old.log());
+}
