Statements that wait for memory are answered before the process may be killed

Callers would see: a statement that waits for memory after SIGTERM had its answer after the process may be killed, or the process ended over it, as no answer counted as owed.

Cause: a client whose statement waits is between two requests for the life of the process, and the wait's end did not look at the process's.

Change: when no further command is read, what waits is refused and what would begin to wait is refused at once; a client whose statement waits is owed an answer.

A test of the client shows what is owed and that nothing of a refused statement is kept.

--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -199,7 +199,9 @@
 
     /// An answer is owed to it, or will be unless it has gone, or has not been written whole.
     pub(super) fn awaits_answer(&self) -> bool {
-        self.phase == Phase::Busy || self.presence_unsure || self.wire.unwritten() > 0
+        // Of one that waits for memory its client may have written the last byte.
+        let may_be_whole = self.awaits_memory() || self.discards() && !self.wire.quiet();
+        self.phase == Phase::Busy || self.presence_unsure || self.wire.unwritten() > 0 || may_be_whole
     }
 
     /// Nothing is owed on either side.
--- a/gateway/src/net/client/tests.rs
+++ b/gateway/src/net/client/tests.rs
@@ -5,6 +5,7 @@
 use crate::net::cancel::CancelKeys;
 use yewroute_pgwire::exchange::Dialect;
 use yewroute_pgwire::session::Limits;
+use yewroute_settings::Deployment;
 
 /// A client between two requests, and its end of the connection.
 fn idle_client() -> (TcpStream, Client) {
@@ -41,3 +42,31 @@
     assert!(client.wire.flush().unwrap());
     assert!(client.awaits_answer());
 }
+
+// Guards against: a process that ends over a statement which waits for memory, of which the last byte may have been written.
+#[test]
+fn client_whose_statement_waits_for_memory_is_owed_an_answer_until_it_is_refused() {
+    const LEN: usize = 100_000;
+    let (mut peer, mut client) = idle_client();
+    let now = Instant::now();
+    let deployment = Deployment::from_json(include_str!("../../../tests/common/settings.json")).unwrap();
+    let head = [&b"Q"[..], &(LEN as u32 - 1).to_be_bytes(), b"INSERT"].concat();
+    client.buffer.extend(&head);
+    client.begin_memory_wait(now, LEN, &WaitTerms::of(&deployment.module));
+    assert!(client.awaits_answer() && !client.reads());
+    client.refuse_unread(now, None);
+    assert!(client.reads(), "it is thrown away as it comes");
+    peer.write_all(&vec![b' '; LEN - head.len()]).unwrap();
+    let (mut scratch, mut table, mut inbox) = (vec![0; CHUNK], Table::new(0), VecDeque::new());
+    while inbox.is_empty() {
+        let _ = client.wire.read(&mut scratch, &mut client.buffer);
+        client.take_messages(now, 1, true, &mut table, &mut inbox);
+        assert!(client.buffer.is_empty(), "nothing of it is kept");
+    }
+    assert!(matches!(inbox.pop_front(), Some(Input::RefusedUnread)) && inbox.is_empty());
+    assert!(client.wire.flush().unwrap());
+    assert!(!client.awaits_answer());
+    let mut answer = [0; 5];
+    std::io::Read::read_exact(&mut peer, &mut answer).unwrap();
+    assert_eq!(answer[0], b'E');
+}
--- a/gateway/src/net/clients/leaving.rs
+++ b/gateway/src/net/clients/leaving.rs
@@ -51,6 +51,7 @@
         }
         if leaving == Leaving::Parts {
             self.read_no_further(now, poller, inbox);
+            self.end_memory_waits(now, poller, inbox);
         }
     }
 
--- a/gateway/src/net/clients/long_messages.rs
+++ b/gateway/src/net/clients/long_messages.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use yewroute_ledger::Grant;
+use yewroute_lifecycle::Leaving;
 
 use super::{Clients, TimerEvent};
 use crate::net::client::LongMessage;
@@ -18,6 +19,10 @@
         let Some(LongMessage::Announced(len)) = client.long else { return false };
         match self.waiting_messages.reserve(number, len) {
             Grant::Given(permit) => client.hold(now, permit),
+            // Its turn would come when there is no time left to answer it.
+            Grant::Waits if self.admission.leaving == Leaving::Parts => {
+                client.refuse_unread(now, self.wait_terms.retry_after);
+            }
             Grant::Waits => {
                 client.begin_memory_wait(now, len, &self.wait_terms);
                 self.timers.set(now, TimerEvent::MemoryWait(number));
@@ -63,6 +68,17 @@
         }
     }
 
+    /// Refuses all that waits for memory. Guards against: a process that ends, or is killed, over requests that it has not read.
+    pub(super) fn end_memory_waits(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        if self.waiting_messages.is_empty() {
+            return;
+        }
+        let waiting = self.clients.iter().filter(|(_, client)| client.awaits_memory());
+        for number in waiting.map(|(number, _)| *number).collect::<Vec<_>>() {
+            self.refuse_unread(now, number, poller, inbox);
+        }
+    }
+
     fn refuse_unread(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) {
         if let Some(client) = self.clients.get_mut(&number) {
             client.refuse_unread(now, self.wait_terms.retry_after);
--- a/gateway/tests/statement_memory.rs
+++ b/gateway/tests/statement_memory.rs
@@ -288,3 +288,42 @@
     assert_eq!(pipeline(new.client(), vec![order(WAITING_VALUE, ",k=new")]).join().unwrap(), [SERVED]);
     assert!(old.wait().success(), "{}", old.log());
 }
+
+// Guards against: a process that is killed, or ends, over statements which wait for memory when SIGTERM comes.
+#[test]
+fn statements_that_wait_for_memory_after_sigterm_are_answered_before_the_process_may_be_killed() {
+    /// The longest deadline that the platform waits for, and 0.7 s, after SIGTERM.
+    const MAY_BE_KILLED_AFTER: Duration = Duration::from_millis(3_700);
+    const ANSWERED_AFTER: Duration = Duration::from_secs(1);
+    const PATIENT_WAIT_MS: u32 = 15_000;
+    let primary = Host::start(|query| match query {
+        query if query.contains("k=holds") => Do::Nothing,
+        query if query.contains("k=before") => Do::SayLater(ANSWERED_AFTER, served("primary")),
+        query => well(true, query),
+    });
+    let replica = Host::well(false);
+    let settings = include_str!("common/settings.json");
+    let patient = settings.replace("\"DeadlineMs\": 3000.0", "\"DeadlineMs\": 15000.0");
+    let patient = patient.replace("\"deduplicated\"", "\"at_most_once\"");
+    let gateway = Gateway::start_with(&pair(&primary, &replica), &patient);
+    gateway.reload(r#""memory_mb":192"#, r#""memory_mb":32"#);
+    gateway.logs("SIGHUP: configuration read again");
+    let long = |value: usize, more: &str| {
+        let text = statement("order", PATIENT_WAIT_MS, more).replace("9f03", &"9f".repeat(value));
+        frame(b'Q', &[text.as_bytes(), b"\0"].concat())
+    };
+    let mut holds = gateway.client();
+    holds.write(&long(LONGEST_VALUE, ",k=holds"));
+    until(|| primary.asked().iter().any(|query| query.contains("k=holds")), || gateway.log());
+    let mut clients: Vec<_> = (0..3).map(|_| gateway.client()).collect();
+    let told = Instant::now();
+    gateway.terminate();
+    gateway.logs("SIGTERM: draining");
+    // The first is on its way at once, so that its connection stays; what waits comes behind it.
+    let messages = || vec![long(1, ",k=before"), long(WAITING_VALUE, ",k=waits")];
+    let waiting: Vec<_> = clients.drain(..).map(|client| pipeline(client, messages())).collect();
+    for client in waiting {
+        assert_eq!(client.join().unwrap(), [SERVED, b"EZ"], "{}", gateway.log());
+        assert!(told.elapsed() < MAY_BE_KILLED_AFTER, "{:?}", told.elapsed());
+    }
+}
