A request that comes in many pieces is dated by its last byte

Cause: arrival times are kept for 64 pieces, and later ones were dated by the last of them.

Change: neighbours are merged when there are more; the newest piece is kept as it is.

Evidence: the new test on sockets, a short and a long request in 120 pieces, is refused on the code before and served now.

--- a/gateway/src/net/arrivals.rs
+++ b/gateway/src/net/arrivals.rs
@@ -8,7 +8,7 @@
 
 /// Reads this close together count as one, at the time of the first.
 const MERGE_WITHIN: Duration = Duration::from_millis(5);
-/// Arrivals that are kept; what comes after that counts as arrived with the last of them.
+/// Arrivals that are kept. Beyond that neighbours are merged, so that older ones are told apart less and less.
 const MAX_ARRIVALS: usize = 64;
 
 /// Bytes that came together.
@@ -27,13 +27,24 @@
 impl Arrivals {
     /// So many bytes have been appended to the buffer.
     pub(super) fn append(&mut self, now: Instant, bytes: usize) {
-        let full = self.kept.len() >= MAX_ARRIVALS;
         match self.kept.back_mut() {
-            Some(last) if full || now.saturating_duration_since(last.at) < MERGE_WITHIN => {
-                last.bytes += bytes
-            }
+            Some(last) if now.saturating_duration_since(last.at) < MERGE_WITHIN => last.bytes += bytes,
             _ => self.kept.push_back(Arrival { bytes, at: now }),
         }
+        if self.kept.len() > MAX_ARRIVALS {
+            self.merge_neighbours();
+        }
+    }
+
+    /// Merges each two that came after one another; both count as arrived with the first. The newest is kept as it is.
+    ///
+    /// Guards against: a message that comes in many pieces counted as arrived with one in its middle, so that its time seems over.
+    fn merge_neighbours(&mut self) {
+        let newest = self.kept.pop_back();
+        let pairs = self.kept.make_contiguous().chunks(2);
+        let merged = pairs
+            .map(|pair| Arrival { bytes: pair.iter().map(|arrival| arrival.bytes).sum(), at: pair[0].at });
+        self.kept = merged.chain(newest).collect();
     }
 
     /// So many bytes have been taken off the buffer's front.
--- a/gateway/tests/clients.rs
+++ b/gateway/tests/clients.rs
@@ -217,6 +217,39 @@
     assert_eq!((sent("k=first"), sent("k=second")), (0, 1), "{}", gateway.log());
 }
 
+// Guards against: a request that comes in many pieces refused at its last byte, as if it had waited since one in its middle.
+#[test]
+fn a_request_written_in_many_pieces_has_all_its_time_from_its_last_byte_on() {
+    const PIECES: usize = 120;
+    const WAIT_MS: u32 = 900;
+    let (primary, replica) = (Host::well(true), Host::well(false));
+    let gateway = Gateway::pair(&primary, &replica);
+    let writers: Vec<_> = [1, 60_000]
+        .into_iter()
+        .map(|value| {
+            let mut client = gateway.client();
+            let text = statement("order", WAIT_MS, ",k=pieces").replace("9f03", &"9f".repeat(value));
+            let message = query(&text);
+            thread::spawn(move || {
+                for piece in message.chunks(message.len().div_ceil(PIECES)) {
+                    client.write(piece);
+                    thread::sleep(Duration::from_millis(20));
+                }
+                client.answer()
+            })
+        })
+        .collect();
+    for writer in writers {
+        assert_eq!(writer.join().unwrap(), SERVED, "{}", gateway.log());
+    }
+    let told = |query: &String| {
+        query.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse::<u32>().unwrap()
+    };
+    let asked = primary.asked();
+    let times: Vec<u32> = asked.iter().filter(|query| query.contains("k=pieces")).map(told).collect();
+    assert!(times.len() == 2 && times.iter().all(|left| *left > WAIT_MS / 2), "{times:?}");
+}
+
 /// Half of the memory for statements is not enough for two of these.
 const LONG_VALUE: usize = 4 * 1024 * 1024;
 
