A commit is remembered whose writer's client has left before the answer

Cause: the module learned a commit only while the request was held, which ends when the client leaves, is answered as cancelled, or is failed as overdue.

Change: an attempt keeps its session, and a commit is learned by the attempt.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -133,6 +133,11 @@
         Self::launch(Path::new(PROGRAM), &[], known, include_str!("settings.json"), None, true)
     }
 
+    /// The gateway with a console and these settings.
+    pub fn operated_with(known: &str, settings: &str) -> Self {
+        Self::launch(Path::new(PROGRAM), &[], known, settings, None, true)
+    }
+
     /// Another build of the program.
     pub fn of(program: &Path, known: &str) -> Self {
         Self::launch(program, &[], known, include_str!("settings.json"), None, false)
--- a/src/pending.rs
+++ b/src/pending.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use crate::interface::{Request, ServerId};
+use crate::interface::{Request, ServerId, SessionKey};
 
 /// A request that has no final answer yet.
 pub struct Pending {
@@ -26,6 +26,8 @@
     pub server: ServerId,
     pub weight: f64,
     pub class: usize,
+    /// Whose commit it may be; its request may be over before that is known, as when the client has left.
+    pub session: Option<SessionKey>,
     pub sent: Instant,
     /// Nothing else of this router was out there; and nothing had been heard from there for a while.
     pub alone: bool,
--- a/src/policy/blame.rs
+++ b/src/policy/blame.rs
@@ -53,12 +53,11 @@
         let role = o.note.role.filter(|role| o.status != Status::Full || *role == Role::Replica);
         self.learn(now, o.server, Note { role, ..o.note }, false);
         self.learn(now, o.server, Note { role: None, position: o.report.position }, false);
+        if let Some(attempt) = attempt.as_ref().filter(|_| o.status == Status::Good) {
+            self.remember_commit(attempt, o.note.position);
+        }
         if let Some(p) = self.requests.get_mut(&o.request) {
             let write = self.settings.classes[p.request.class].freshness == Freshness::Write;
-            let commits = o.status == Status::Good && write && self.settings.tokens == Tokens::Remembered;
-            if let (true, Some(key), Some(at)) = (commits, p.request.session, o.note.position) {
-                self.commits.learn(key, at);
-            }
             // Guards against: requests that fail wherever they go. Errors at two servers accuse the request;
             // one counts against its server once another has served it. Hurts where two fail at once.
             match o.status {
@@ -89,6 +88,20 @@
         }
     }
 
+    /// Remembers what a session has written, where this router is to.
+    ///
+    /// Guards against: a session's read served from before its write, as the writer's client had left
+    /// before the answer came.
+    fn remember_commit(&mut self, attempt: &Attempt, position: Option<Instant>) {
+        let write = self.settings.classes[attempt.class].freshness == Freshness::Write;
+        if !write || self.settings.tokens != Tokens::Remembered {
+            return;
+        }
+        if let (Some(session), Some(position)) = (attempt.session, position) {
+            self.commits.learn(session, position);
+        }
+    }
+
     /// Books how a server behaved: one account of blame, which fades, and one question whether it lives.
     ///
     /// Guards against: failures that draw work by shedding it at once, and dead or silent servers. Refused or
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -68,6 +68,7 @@
         let write = self.settings.classes[class].freshness == Freshness::Write;
         let weight = if write { WRITE_WEIGHT } else { READ_WEIGHT };
         let cost = self.latency.mean[class];
+        let session = p.request.session;
         let number = p.sends;
         p.sends += 1;
         p.out = Some(number);
@@ -94,7 +95,7 @@
         };
         let cut_at = if safe && again && server.slowness < CROWDED { lost_at } else { ends };
         let early = cut_at < ends;
-        let attempt = Attempt { server: target, weight, class, sent: now, alone, idle, early };
+        let attempt = Attempt { server: target, weight, class, session, sent: now, alone, idle, early };
         self.attempts.insert((id, number), attempt);
         out.push(Action::Send { request: id, server: target, cut_at });
     }
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -109,6 +109,28 @@
     assert_eq!(sends(&g.request_with(SESSION, |r| r.session = key).1)[0].1, 1);
 }
 
+// Guards against: a session's read served from before its write, as the writer's client had left before the answer came.
+#[test]
+fn a_commit_is_remembered_that_comes_after_the_writer_s_client_has_left() {
+    let mut g = Gateway::start(Settings { tokens: Tokens::Remembered, ..settings() }, 2);
+    let key = Some(SessionKey(9));
+    let (id, out) = g.request_with(WRITE, |r| r.session = key);
+    assert_eq!(sends(&out)[0].1, 0);
+    g.play(Event::Gone(id));
+    let commit = g.now;
+    g.answer(id, 0, 0, Status::Good, note(Role::Primary, commit));
+    g.position(1, Role::Replica, commit - ms(1));
+    assert_eq!(sends(&g.decided(SESSION, |r| r.session = key).1)[0].1, 0);
+    let another = Some(SessionKey(8));
+    assert_eq!(
+        sends(&g.request_with(SESSION, |r| r.session = another).1)[0].1,
+        1,
+        "another's read may go there"
+    );
+    g.position(1, Role::Replica, commit);
+    assert_eq!(sends(&g.request_with(SESSION, |r| r.session = key).1)[0].1, 1);
+}
+
 #[test]
 fn writes_and_fresh_reads_go_to_the_primary() {
     let mut g = Gateway::start(settings(), 2);
