In a replacement, reads of sessions see what was written through the other process

Cause: each process remembers what it has received, and hears nothing of the other's commits.

Change: while another process of the gateway takes requests, the module takes any session to have written up to now; once that one has ended, up to its end.

Evidence: a test of the module, and one on sockets that fails before and passes now.

--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -325,6 +325,8 @@
     tally: Tally,
     /// What other gateways are told; nothing is counted while there are none.
     loads: Option<Loads>,
+    /// Another process of this gateway takes writes as well, and the module has been told.
+    other_process_writes: bool,
     /// Where this gateway stands, if reads are asked near first.
     near: Option<Stand>,
     /// Requests that stand in a channel's order.
@@ -372,6 +374,7 @@
             budget,
             tally,
             loads: None,
+            other_process_writes: false,
             near: None,
             orders: Orders::default(),
             common: None,
@@ -478,6 +481,13 @@
         self.proofs = on.then(Box::default);
     }
 
+    /// Whether another process of this gateway takes writes as well, as in a replacement.
+    pub fn set_other_process_writes(&mut self, now: Instant, writes: bool, effects: &mut Vec<Effect<B>>) {
+        if std::mem::replace(&mut self.other_process_writes, writes) != writes {
+            self.route(now, Event::OtherProcessWrites(writes), effects);
+        }
+    }
+
     /// Counts from now on what other gateways are to be told.
     pub fn count_loads(&mut self, now: Instant) {
         self.loads = Some(Loads::new(now));
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -268,6 +268,9 @@
             listens: !self.life.closes_listener(now),
         };
         self.core.answer_by(self.life.answers_by());
+        let other_process_writes =
+            self.life.is_handed() || self.handover.as_ref().is_some_and(Handover::has_predecessor);
+        self.core.set_other_process_writes(now, other_process_writes, &mut self.effects);
         self.clients.set_admission(now, admission, &self.poller, &mut self.inbox);
         self.clients.admit_waiting_messages(now, &self.poller, &mut self.inbox);
     }
--- a/gateway/tests/session_commits.rs
+++ b/gateway/tests/session_commits.rs
@@ -89,3 +89,24 @@
         assert!(sees || since.elapsed() > REPLICA_LAG / 2, "session {session}: {}", gateway.log());
     }
 }
+
+// Guards against: a session's read served from before its write, which went through the other process of a replacement.
+#[test]
+fn a_read_through_one_process_of_a_replacement_sees_what_its_session_wrote_through_the_other() {
+    let (primary, replica) = (primary(), replica());
+    let old = start(&primary, &replica, true);
+    let mut through_old = old.client();
+    assert_eq!(through_old.ask(&read("before")), SERVED);
+    let new = old.replacement();
+    old.logs("a newer process serves");
+    // The new process learns where the replica is.
+    let mut through_new = new.client();
+    for _ in 0..READS {
+        assert_eq!(through_new.ask(&read("other")), SERVED);
+    }
+    // The old process closes its connections behind their answers, so each is used once.
+    let since = Instant::now();
+    assert_eq!(through_old.ask(&write("moved", 1)), SERVED);
+    let sees = sees_its_write(&mut through_new, "moved");
+    assert!(sees || since.elapsed() > REPLICA_LAG, "{}{}", old.log(), new.log());
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -429,6 +429,8 @@
     Outcome(Outcome),
     /// The client left, or its answer is overdue: the request is finished.
     Gone(RequestId),
+    /// Whether another process of this gateway takes writes as well, as in a replacement; this router hears nothing of those.
+    OtherProcessWrites(bool),
     /// What the request wants is used up for now, whoever it would go to: it is not sent again.
     Barred(RequestId),
     /// A timer came due.
--- a/src/measured.rs
+++ b/src/measured.rs
@@ -169,8 +169,10 @@
 #[derive(Default)]
 pub struct Commits {
     latest: BTreeMap<SessionKey, Instant>,
-    /// A session without a remembered commit may have had one up to here.
+    /// Any session may have had a commit up to here that is not remembered.
     forgotten: Option<Instant>,
+    /// Another process writes for the same sessions: any may have had a commit up to now.
+    incomplete: bool,
 }
 
 impl Commits {
@@ -181,8 +183,19 @@
     }
 
     /// Up to where a session may have written.
-    pub fn of(&self, session: Option<SessionKey>) -> Option<Instant> {
-        session.and_then(|key| self.latest.get(&key).copied()).or(self.forgotten)
+    pub fn of(&self, now: Instant, session: Option<SessionKey>) -> Option<Instant> {
+        if self.incomplete {
+            return Some(now);
+        }
+        session.and_then(|key| self.latest.get(&key).copied()).max(self.forgotten)
+    }
+
+    /// Whether another process writes for the same sessions. When it ceases to, what it wrote up to then may matter still.
+    pub fn set_incomplete(&mut self, now: Instant, incomplete: bool) {
+        if self.incomplete && !incomplete {
+            self.forgotten = self.forgotten.max(Some(now));
+        }
+        self.incomplete = incomplete;
     }
 
     /// Where there are more than are to be kept, drops those that all members hold, by these positions of theirs.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -189,6 +189,7 @@
                 let settings = &self.settings;
                 self.servers.entry(server).and_modify(|s| s.chill(Some(started), settings));
             }
+            Event::OtherProcessWrites(writes) => self.commits.set_incomplete(now, writes),
             Event::Barred(id) => self.finish(now, id, out),
             Event::Timer(_) | Event::Started { .. } => {}
             Event::Verdict { server, verdict } => self.on_verdict(now, server, verdict, out),
--- a/src/policy/waiting.rs
+++ b/src/policy/waiting.rs
@@ -15,7 +15,7 @@
         let floor = match class.freshness {
             Freshness::Fresh => Some(now),
             Freshness::Session if self.settings.tokens == Tokens::Carried => ago(request.last_write_age),
-            Freshness::Session => self.commits.of(request.session),
+            Freshness::Session => self.commits.of(now, request.session),
             _ => None,
         }
         .max(ago(request.sees));
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -112,7 +112,7 @@
 // Guards against: a session's read served from before its write, as the writer's client had left before the answer came.
 #[test]
 fn a_commit_is_remembered_that_comes_after_the_writer_s_client_has_left() {
-    let mut g = Gateway::start(Settings { tokens: Tokens::Remembered, ..settings() }, 2);
+    let mut g = Gateway::start(Settings { tokens: Tokens::Remembered, ..settings() }, 1);
     let key = Some(SessionKey(9));
     let (id, out) = g.request_with(WRITE, |r| r.session = key);
     assert_eq!(sends(&out)[0].1, 0);
@@ -131,6 +131,26 @@
     assert_eq!(sends(&g.request_with(SESSION, |r| r.session = key).1)[0].1, 1);
 }
 
+// Guards against: a session's read served from before its write, which went through the other process of a replacement.
+#[test]
+fn while_another_process_writes_a_session_s_reads_go_where_all_commits_are_seen() {
+    let mut g = Gateway::start(Settings { tokens: Tokens::Remembered, ..settings() }, 1);
+    let key = Some(SessionKey(9));
+    g.position(1, Role::Replica, g.now - ms(1));
+    assert_eq!(sends(&g.request_with(SESSION, |r| r.session = key).1)[0].1, 1);
+    g.play(Event::OtherProcessWrites(true));
+    assert_eq!(sends(&g.decided(SESSION, |r| r.session = key).1)[0].1, 0);
+    // An own commit that is older than what the other process may have written.
+    let (id, _) = g.request_with(WRITE, |r| r.session = key);
+    g.answer(id, 0, 0, Status::Good, note(Role::Primary, g.now - ms(40)));
+    let ended = g.now;
+    g.play(Event::OtherProcessWrites(false));
+    g.position(1, Role::Replica, ended - ms(1));
+    assert_eq!(sends(&g.decided(SESSION, |r| r.session = key).1)[0].1, 0, "it wrote up to its end");
+    g.position(1, Role::Replica, ended);
+    assert_eq!(sends(&g.request_with(SESSION, |r| r.session = key).1)[0].1, 1);
+}
+
 #[test]
 fn writes_and_fresh_reads_go_to_the_primary() {
     let mut g = Gateway::start(settings(), 2);
