A new process without a list of its own sends by its configured one for 2 s at the most

News of discovery binds from 2 s after the yes.

Cause: its lease of the list was that of a process that starts alone.

Change: a process that takes requests in the place of another one, without a list that has come since it began, has a lease of 2 s from then on; a list renews it as ever.

Evidence: a test of the lease, and one on sockets that fails before and passes now.

--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -228,6 +228,7 @@
         if now < awaiting.list_by && !listed || now < awaiting.listener_by && awaiting.listener.is_none() {
             return Ok(());
         }
+        let in_place_of_another = self.handover.as_ref().is_some_and(Handover::has_predecessor);
         let handed = awaiting.listener.take();
         let (wrong, replaced) = (|error| RunError::Listen(self.listen, error), handed.is_some());
         let listener = match handed {
@@ -242,6 +243,9 @@
         info!(name = self.name, handed = replaced, addr = %self.clients.addr()?, "listening");
         self.awaiting = None;
         self.life.serves();
+        if in_place_of_another {
+            self.inbox.push_back(Input::ListObserved(ListObservation::TookOver));
+        }
         if let Some(handover) = &mut self.handover {
             handover.serve(&self.poller);
         }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -138,6 +138,13 @@
         Self::launch(Path::new(PROGRAM), &[], known, settings, None, true)
     }
 
+    /// The same with a console.
+    pub fn operated_by(discovery: SocketAddr, known: &str) -> Self {
+        let (news, calls) = (channel().0, Arc::default());
+        let discovery = Discovery { addr: discovery, news, calls };
+        Self::launch_with(Path::new(PROGRAM), discovery, known, include_str!("settings.json"), None, true)
+    }
+
     /// Another build of the program.
     pub fn of(program: &Path, known: &str) -> Self {
         Self::launch(program, &[], known, include_str!("settings.json"), None, false)
--- a/gateway/tests/common/pair.rs
+++ b/gateway/tests/common/pair.rs
@@ -39,6 +39,11 @@
         Gateway::told_by(discovery, &pair(&self.primary, &self.replica), settings)
     }
 
+    /// A gateway with a console.
+    pub fn operated_gateway(&self, discovery: SocketAddr) -> Gateway {
+        Gateway::operated_by(discovery, &pair(&self.primary, &self.replica))
+    }
+
     /// Requests that reached either of them within a span after `from`.
     pub fn arrivals(&self, from: Instant, span: Duration) -> Vec<Duration> {
         let arrivals = self.arrivals.lock().unwrap();
--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -326,3 +326,42 @@
         ("calls that end together", calls_that_end_together),
     ]);
 }
+
+// Guards against: a new process that sends to a draining db host, as it knows only the list in its configuration and discovery
+// turns its calls away, while the process before it has been told.
+#[test]
+fn a_new_process_without_a_list_of_its_own_sends_nothing_past_two_seconds_after_its_yes() {
+    /// What counts so long after the yes, with the slack on sockets.
+    const BINDING_AFTER: Duration = Duration::from_millis(2_000 + 50);
+    const TURNED_AWAY_FOR: Duration = Duration::from_millis(4_500);
+    let hosts = Arc::new(RecordedPair::new());
+    let (first, whole) = (watch(&[&list(41, false, &[])]), hosts.list(42, true, "Terminating"));
+    let replaced_at = Arc::new(Mutex::new(None::<Instant>));
+    let since = Arc::clone(&replaced_at);
+    let calls = Calls::start(move |_, stream| {
+        let since: Option<Instant> = *since.lock().unwrap();
+        match since {
+            None => {
+                say(stream, &first);
+                hang();
+            }
+            Some(at) if at.elapsed() < TURNED_AWAY_FOR => say(stream, UNAVAILABLE),
+            Some(_) => {
+                say(stream, &watch(&[&whole]));
+                hang();
+            }
+        }
+    });
+    let old = hosts.operated_gateway(calls.addr);
+    old.logs("list received");
+    *replaced_at.lock().unwrap() = Some(Instant::now());
+    let new = old.replacement();
+    let yes = Instant::now();
+    old.terminate();
+    let mended = yes + TURNED_AWAY_FOR + Duration::from_secs(3);
+    let reads = read_until(&new, mended - Duration::from_millis(1_000), mended);
+    assert!(!hosts.arrivals(yes, BINDING_AFTER).is_empty(), "up to then it sends");
+    let sent = hosts.arrivals(yes + BINDING_AFTER, TURNED_AWAY_FOR - BINDING_AFTER - DRAIN_GRACE);
+    assert!(sent.is_empty(), "{} sends, the first {:?} past it: {}", sent.len(), sent.first(), new.log());
+    assert!(reads.served > 0 && reads.refused == 0, "since the list has come: {reads:?} {}", new.log());
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -262,6 +262,8 @@
     },
     /// It is elsewhere from now on.
     Moved,
+    /// This process takes requests from now on in the place of another one, which has had lists of its own.
+    TookOver,
 }
 
 /// A client's request.
--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -16,6 +16,8 @@
 const CHANGE_VISIBLE_AFTER: Duration = Duration::from_secs(6);
 /// After a move to another discovery, what that one has counts so much later.
 const CHANGE_VISIBLE_AFTER_MOVE: Duration = Duration::from_secs(4);
+/// What the process before this one was told counts for this one so long after it has begun to take requests.
+const CHANGE_VISIBLE_AFTER_TAKEOVER: Duration = Duration::from_secs(2);
 /// Discovery that gives no sign of life for so long is taken to be out of reach: longer than the lease, as
 /// one with too many callers answers nothing for a while either.
 const OUT_OF_REACH_AFTER: Duration = Duration::from_millis(8_500);
@@ -34,6 +36,8 @@
     /// Lists are pushed to an agent on this machine, and what that has counts at once.
     pushed: bool,
     expires: Instant,
+    /// A list has come since this process began.
+    listed: bool,
     /// When discovery gave the last sign of life, or was moved.
     alive_at: Instant,
     out_of_reach_after: Duration,
@@ -55,6 +59,7 @@
         Self {
             pushed,
             expires: now + span,
+            listed: false,
             alive_at: now,
             out_of_reach_after,
             unreachable_since: None,
@@ -80,10 +85,20 @@
                 self.expires = self.expires.min(now + CHANGE_VISIBLE_AFTER_MOVE);
                 self.alive(now);
             }
+            ListObservation::TookOver => self.took_over(now),
+        }
+    }
+
+    /// Guards against: requests by the list in a new process's configuration, which knows nothing of what the
+    /// process before it was told.
+    fn took_over(&mut self, now: Instant) {
+        if !self.listed {
+            self.expires = self.expires.min(now + CHANGE_VISIBLE_AFTER_TAKEOVER);
         }
     }
 
     fn current(&mut self, now: Instant, at: Instant) {
+        self.listed = true;
         self.expires = self.expires.max(at + CHANGE_VISIBLE_AFTER);
         self.alive(now);
     }
--- a/src/policy/list_lease/tests.rs
+++ b/src/policy/list_lease/tests.rs
@@ -31,6 +31,23 @@
     assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER_MOVE);
 }
 
+// Guards against: a new process that routes by the list in its configuration, while the one before it has been told of a drain.
+#[test]
+fn a_process_that_takes_over_without_a_list_of_its_own_has_a_short_lease() {
+    let start = Instant::now();
+    let mut lease = ListLease::begin(start, false);
+    let took_over = start + seconds(0.1);
+    lease.observe(took_over, ListObservation::TookOver);
+    lease.observe(took_over, ListObservation::AnswerBegun);
+    assert_eq!(lease.expires(), took_over + CHANGE_VISIBLE_AFTER_TAKEOVER);
+    let listed = start + seconds(4.0);
+    lease.observe(listed, ListObservation::Current { at: listed });
+    assert_eq!(lease.expires(), listed + CHANGE_VISIBLE_AFTER);
+    let mut lease = asked(start);
+    lease.observe(took_over, ListObservation::TookOver);
+    assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER, "it has a list of its own");
+}
+
 #[test]
 fn failed_calls_to_a_discovery_that_answers_never_extend_the_lease() {
     let start = Instant::now();
