--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -1,5 +1,7 @@
 //! One client's connection: the messages that have come, and what is to be written.
 
+mod long_message;
+
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
@@ -8,7 +10,7 @@
 use yewroute_lifecycle::Leaving;
 
 use super::arrivals::Arrivals;
-use super::memory_wait::{MemoryWait, Step, WaitTerms};
+use super::memory_wait::MemoryWait;
 use super::poller::{Interest, Poller, Token};
 use super::statement::Statement;
 use super::wire::{Taken, Wire, CHUNK};
@@ -20,6 +22,7 @@
 use crate::proto::pg::request::Wanted;
 use crate::proto::pg::session::{Session, Terms, Took};
 use crate::proto::pg::table::Table;
+pub(super) use long_message::LongMessage;
 
 /// Read ahead: a whole message and a little, or while a request is out only a little.
 const MAX_BUFFERED: usize = LONGEST_QUERY + CHUNK;
@@ -63,29 +66,6 @@
     Lingering(Instant),
 }
 
-/// A message of so many bytes in all that is longer than is read unasked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LongMessage {
-    /// Its head has come; whether there is room is not asked yet.
-    Announced(usize),
-    /// It waits for room, and is not read on.
-    AwaitsMemory(usize),
-    /// All its bytes are set aside.
-    Reserved(usize),
-    /// There was no memory for it: it is thrown away as it comes, and refused at its end.
-    Discarded(Discard),
-}
-
-/// What is left of a message that is thrown away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Discard {
-    left: usize,
-    /// It is a simple query, rather than a part of an extended one.
-    query: bool,
-    /// When its client is told to come back.
-    retry_after: Option<Duration>,
-}
-
 /// A client's connection.
 pub(super) struct Client {
     pub(super) wire: Wire,
@@ -236,16 +216,6 @@
         self.session.open() && self.stuck.is_none() && since.is_some_and(|since| now - since >= than)
     }
 
-    /// Bytes are set aside for its long message. The buffer gets them at once, so that growing never takes twice as much.
-    pub(super) fn hold(&mut self, now: Instant, permit: MemoryPermit) {
-        let len = permit.bytes();
-        (self.long, self.permit, self.heard) = (Some(LongMessage::Reserved(len)), Some(permit), now);
-        self.memory_wait = None;
-        self.unfinished = Some(now);
-        // A read may bring what lies behind it as well.
-        self.buffer.reserve_exact((len + CHUNK).saturating_sub(self.buffer.len()));
-    }
-
     /// Says why, and closes once that is written.
     pub(super) fn close_with_error(&mut self, sqlstate: &str, why: &str) {
         frontend::put_error(self.wire.out(), "FATAL", sqlstate, why, None);
@@ -255,71 +225,6 @@
         self.phase = Phase::Closing;
     }
 
-    /// Its long message is over: what was set aside is given back, unless a request has it.
-    pub(super) fn end_long_message(&mut self) {
-        (self.long, self.permit, self.memory_wait) = (None, None, None);
-    }
-
-    /// Its long message of so many bytes waits for memory from now on.
-    pub(super) fn begin_memory_wait(&mut self, now: Instant, len: usize, terms: &WaitTerms) {
-        self.long = Some(LongMessage::AwaitsMemory(len));
-        self.memory_wait = Some(MemoryWait::begin(now, terms, &self.buffer));
-    }
-
-    /// Looks at how long its message has waited; none if it does not wait.
-    pub(super) fn check_memory_wait(&mut self, now: Instant) -> Option<Step> {
-        let Some(LongMessage::AwaitsMemory(len)) = self.long else { return None };
-        let missing = len.saturating_sub(self.buffer.len());
-        let unread = self.wire.unread();
-        self.memory_wait.as_mut().map(|wait| wait.check(now, missing, unread))
-    }
-
-    /// There is no memory for its long message in time: it is read on and thrown away, and refused at its end, so that what
-    /// lies behind it on the connection has its answer too.
-    pub(super) fn refuse_unread(&mut self, now: Instant, retry_after: Option<Duration>) {
-        let Some(LongMessage::Announced(len) | LongMessage::AwaitsMemory(len)) = self.long else { return };
-        let waited = self.memory_wait.map_or(Duration::ZERO, |wait| wait.age(now));
-        warn!(
-            bytes = len,
-            waited_ms = waited.as_millis(),
-            "out of memory for statements: one refused unread"
-        );
-        self.end_long_message();
-        let query = self.buffer.first() == Some(&b'Q');
-        self.long = Some(LongMessage::Discarded(Discard { left: len, query, retry_after }));
-        self.heard = now;
-    }
-
-    /// Its long message is thrown away as it comes.
-    fn discards(&self) -> bool {
-        matches!(self.long, Some(LongMessage::Discarded(_)))
-    }
-
-    /// Throws away what has come of a message that begins at `from`, and says where that ends; none if nothing has come.
-    fn discard(&mut self, from: usize, message: Discard, inbox: &mut VecDeque<Input>) -> Option<usize> {
-        let here = message.left.min(self.buffer.len() - from);
-        let left = message.left - here;
-        if left > 0 {
-            self.long = Some(LongMessage::Discarded(Discard { left, ..message }));
-            return (here > 0).then_some(from + here);
-        }
-        self.end_long_message();
-        self.session.refuse_unread(message.query, message.retry_after, self.wire.out());
-        (self.asked, self.requested) = (true, true);
-        inbox.push_back(Input::RefusedUnread);
-        Some(from + here)
-    }
-
-    /// The head of a long message has come, and no bytes have been asked for.
-    pub(super) fn is_announced(&self) -> bool {
-        matches!(self.long, Some(LongMessage::Announced(_)))
-    }
-
-    /// Its long message waits for memory.
-    pub(super) fn awaits_memory(&self) -> bool {
-        matches!(self.long, Some(LongMessage::AwaitsMemory(_)))
-    }
-
     /// Nothing has come that is not read yet, or it would not be taken anyway.
     pub(super) fn silent(&self) -> bool {
         matches!(self.phase, Phase::Lingering(_)) || self.wire.quiet()
@@ -498,36 +403,6 @@
         Ok(Some(from + len))
     }
 
-    /// Takes a long query, which is not copied. It ends where the bytes begin that came behind it.
-    fn take_long(
-        &mut self,
-        now: Instant,
-        number: u64,
-        from: usize,
-        len: usize,
-        inbox: &mut VecDeque<Input>,
-    ) -> Result<Option<usize>, String> {
-        if self.buffer.len() < from + len {
-            return Ok(None);
-        }
-        let rest = self.buffer.split_off(from + len);
-        let mut text = std::mem::replace(&mut self.buffer, rest);
-        text.drain(..from + 5);
-        let took = match text.pop() {
-            Some(0) if !text.contains(&0) => self.session.take_query(text, self.wire.out()),
-            _ => Err("a query without an end".to_owned()),
-        };
-        if took.is_err() {
-            inbox.push_back(Input::Unreadable);
-        }
-        let waited = self.arrivals.age(now, from + len);
-        self.arrivals.remove(from + len);
-        let permit = self.permit.take();
-        self.end_long_message();
-        self.took(now, number, took?, Origin { query: true, waited, permit }, inbox);
-        Ok(Some(0))
-    }
-
     fn took(&mut self, now: Instant, number: u64, took: Took, origin: Origin, inbox: &mut VecDeque<Input>) {
         match took {
             Took::Close => self.phase = Phase::Closing,
--- a/gateway/src/net/client/tests.rs
+++ b/gateway/src/net/client/tests.rs
@@ -3,6 +3,7 @@
 
 use super::*;
 use crate::net::cancel::CancelKeys;
+use crate::net::memory_wait::WaitTerms;
 use yewroute_pgwire::exchange::Dialect;
 use yewroute_pgwire::session::Limits;
 use yewroute_settings::Deployment;
--- a/gateway/src/net/clients/long_messages.rs
+++ b/gateway/src/net/clients/long_messages.rs
@@ -64,7 +64,7 @@
         match step {
             Some(Step::CheckAt(at)) => self.timers.set(at, TimerEvent::MemoryWait(number)),
             Some(Step::Refuse) => self.refuse_unread(now, number, poller, inbox),
-            None => {}
+            Some(Step::NotDue) | None => {}
         }
     }
 
--- a/gateway/src/net/memory_wait.rs
+++ b/gateway/src/net/memory_wait.rs
@@ -64,6 +64,8 @@
 pub enum Step {
     /// To be looked at again then.
     CheckAt(Instant),
+    /// It is looked at later anyway.
+    NotDue,
     /// It has waited for too long.
     Refuse,
 }
@@ -95,7 +97,7 @@
     /// Looks at it: of `missing` bytes of the message `unread` have come and lie unread.
     pub fn check(&mut self, now: Instant, missing: usize, unread: usize) -> Step {
         if now < self.next_check {
-            return Step::CheckAt(self.next_check);
+            return Step::NotDue;
         }
         if unread > self.unread {
             // Its client was sending still, some time after the last look.
--- a/gateway/src/net/replacement.rs
+++ b/gateway/src/net/replacement.rs
@@ -14,6 +14,8 @@
 
 /// How long a new process waits for the listener while the one that it replaces is itself still replacing another.
 const PREDECESSOR_BUSY_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// An older process keeps what its statements hold so many times: its program and its buffers take memory too.
+const STATEMENT_HEADROOM: usize = 2;
 /// How often two processes look at who needs what.
 const SHARE_INTERVAL: Duration = Duration::from_millis(100);
 /// The same while clients move from the older to the newer.
@@ -47,7 +49,7 @@
         let callers = self.console.as_ref().map_or(0, Console::len);
         let held = Means {
             sockets: self.clients.len() + self.hosts.len() + RESERVED_DESCRIPTORS + callers,
-            kib: (self.clients.held_bytes() + self.statement_memory.held()) / 1024,
+            kib: (self.clients.held_bytes() + STATEMENT_HEADROOM * self.statement_memory.held()) / 1024,
         };
         let (own, left) = self.limits.divide(held, self.life.is_handed());
         handover.leave(left);
