A connection within a statement that is thrown away does not count as one that rests

A statement that is refused unread is thrown away as it comes, so nothing of it lies in the buffer, and its connection looked like one between requests: it could be closed where descriptors are short or clients leave, before its last byte had come. Found by reading; a client would have sent the statement once more. A check of the client's test fails without.

--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -189,9 +189,14 @@
         matches!(self.phase, Phase::Idle(_)) && !self.session.open()
     }
 
+    /// A part of a message has come, or a message that is not taken yet.
+    pub(super) fn is_within_message(&self) -> bool {
+        !self.buffer.is_empty() || self.discards()
+    }
+
     /// It has just been answered, and nothing more of it has come.
     pub(super) fn answered_last(&self) -> bool {
-        self.asked && self.between() && self.buffer.is_empty() && self.wire.unwritten() > 0
+        self.asked && self.between() && !self.is_within_message() && self.wire.unwritten() > 0
     }
 
     /// It is to go at this stage without waiting for an answer. Guards against: a request that has come and is not
@@ -205,7 +210,7 @@
         };
         // Behind answers that it does not take yet whole commands may lie, which are owed theirs.
         let parts = leaving == Leaving::Parts && self.wire.unwritten() == 0;
-        let whole = self.buffer.is_empty() || parts;
+        let whole = !self.is_within_message() || parts;
         leaving >= Leaving::Idle && here && whole && !fresh && self.wire.quiet()
     }
 
--- a/gateway/src/net/client/tests.rs
+++ b/gateway/src/net/client/tests.rs
@@ -57,6 +57,11 @@
     assert!(client.awaits_answer() && !client.reads());
     client.refuse_unread(now, None);
     assert!(client.reads(), "it is thrown away as it comes");
+    // Guards against: its connection closed as one that rests, before its last byte has come.
+    client.take_messages(now, 1, true, &mut Table::new(0), &mut VecDeque::new());
+    let later = now + NEW_CONNECTION_GRACE;
+    assert!(client.buffer.is_empty() && client.wire.quiet());
+    assert!(!client.leaves(later, Leaving::Idle) && client.leaves(later, Leaving::Parts));
     peer.write_all(&vec![b' '; LEN - head.len()]).unwrap();
     let (mut scratch, mut table, mut inbox) = (vec![0; CHUNK], Table::new(0), VecDeque::new());
     while inbox.is_empty() {
