--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -357,6 +357,8 @@
     *replaced_at.lock().unwrap() = Some(Instant::now());
     let new = old.replacement();
     let yes = Instant::now();
+    // Until then the old process may take a connection, and closes it behind an answer.
+    old.logs("a newer process serves");
     old.terminate();
     let mended = yes + TURNED_AWAY_FOR + Duration::from_secs(3);
     let reads = read_until(&new, mended - Duration::from_millis(1_000), mended);
