--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use common::calls::{hang, say, unanswering, Calls};
-use common::pair::{read_until, RecordedPair};
+use common::pair::{read_until, Reads, RecordedPair};
 use common::*;
 use rustix::net::{bind, getsockname, socket, AddressFamily, SocketType};
 
@@ -331,6 +331,21 @@
 // turns its calls away, while the process before it has been told.
 #[test]
 fn a_new_process_without_a_list_of_its_own_sends_nothing_past_two_seconds_after_its_yes() {
+    let (reads, log) = reads_of_a_new_process_once_it_has_a_list();
+    let percent = 100 * reads.served / (reads.served + reads.refused);
+    assert!(percent >= MIN_SERVED_PERCENT, "since the list has come: {reads:?} {log}");
+}
+
+// Guards against: requests of a new process that are refused after its list has come, for whatever reason.
+#[test]
+fn a_new_process_refuses_nothing_once_its_list_has_come() {
+    let (reads, log) = reads_of_a_new_process_once_it_has_a_list();
+    assert!(reads.served > 0 && reads.refused == 0, "since the list has come: {reads:?} {log}");
+}
+
+/// Replaces a process while discovery turns calls away, checks what the new one sends without a list, and reads through it
+/// once it has one.
+fn reads_of_a_new_process_once_it_has_a_list() -> (Reads, String) {
     /// What counts so long after the yes, with the slack on sockets.
     const BINDING_AFTER: Duration = Duration::from_millis(2_000 + 50);
     const TURNED_AWAY_FOR: Duration = Duration::from_millis(4_500);
@@ -371,6 +386,5 @@
     let (renewed, refused_before) = (Instant::now(), refused_without_list());
     let reads = read_until(&new, renewed, renewed + Duration::from_millis(500));
     assert_eq!(refused_without_list(), refused_before, "since the list has come: {reads:?} {}", new.log());
-    let percent = 100 * reads.served / (reads.served + reads.refused);
-    assert!(percent >= MIN_SERVED_PERCENT, "since the list has come: {reads:?} {}", new.log());
+    (reads, new.log())
 }
