Console shows resident memory, all buffers, connections, and why clients' connections ended

What callers saw: a process passed its memory limit while the only figure of memory, svc_statement_bytes, was within its share. Change: svc_resident_bytes, svc_client_read_bytes, svc_client_write_bytes, svc_host_bytes (capacities, not lengths), svc_client_connections, svc_host_connections and svc_client_closes by reason; the log line of a connection closed for memory names its bytes and how many are open. No behaviour changes. Test: figures_list_every_class_and_escape_its_name.

--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -209,6 +209,12 @@
         self.stage = Stage::Loose;
     }
 
+    /// Bytes that the answer takes so far, used or not.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.reply.messages.capacity()
+    }
+
     /// What is waited for has begun to come; `rest` is what is there and not taken yet. That a statement was parsed
     /// and bound may be told long before it has run.
     pub fn under_way(&self, rest: &[u8]) -> bool {
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -95,6 +95,8 @@
     /// A query has come whole; and one that was a request, not only an empty one or a parameter's.
     pub(super) asked: bool,
     pub(super) requested: bool,
+    /// It broke the protocol.
+    pub(super) malformed: bool,
     /// A value is being passed on to it; and so much of it waits that no more is wanted.
     pub(super) passing: bool,
     pub(super) full: bool,
@@ -131,6 +133,7 @@
             opened_after,
             asked: false,
             requested: false,
+            malformed: false,
             passing: false,
             full: false,
             long: None,
@@ -332,6 +335,7 @@
                 Err(why) => {
                     warn!(why, "closed a client's connection");
                     self.close_with_error(code::PROTOCOL_VIOLATION, &why);
+                    self.malformed = true;
                     used = 0;
                 }
             }
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -1,6 +1,7 @@
 //! Clients' connections: PostgreSQL's protocol, one request at a time on each.
 
 mod answers;
+mod closes;
 mod leaving;
 mod listener;
 mod long_messages;
@@ -26,6 +27,7 @@
 use crate::proto::pg::session::Terms;
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
+use closes::{CloseReason, Closes};
 
 /// Bytes of a long value that may wait for a client, at the least and at the most.
 const MIN_VALUE_WINDOW: usize = 16 * 1024;
@@ -74,6 +76,7 @@
     /// The statements of all clients.
     table: Table,
     protocol: ClientProtocol,
+    closes: Closes,
 }
 
 /// What clients are told of this gateway's stage.
@@ -129,6 +132,7 @@
             receiver: Receiver::default(),
             table: Table::new(protocol.table_bytes),
             protocol,
+            closes: Closes::default(),
         }
     }
 
@@ -159,6 +163,18 @@
         self.unwritten() + self.clients.values().map(ahead).sum::<usize>()
     }
 
+    /// Bytes that the buffers of clients take beside their statements, used or not: for what has come ahead, and for answers.
+    pub fn buffer_bytes(&self) -> (usize, usize) {
+        let ahead = |client: &Client| if client.long.is_none() { client.buffer.capacity() } else { 0 };
+        let ahead = self.clients.values().map(ahead).sum();
+        (ahead, self.clients.values().map(|client| client.wire.buffer_bytes()).sum())
+    }
+
+    /// How many connections were closed, by reason.
+    pub fn closes(&self) -> Vec<(&'static str, u64)> {
+        self.closes.by_reason()
+    }
+
     /// Long messages that wait for memory.
     pub fn waiting_messages(&self) -> usize {
         self.waiting_messages.len()
@@ -217,16 +233,25 @@
                         }
                         _ => (code::PROTOCOL_VIOLATION, "a message was not finished in time"),
                     };
+                    self.closes.count(CloseReason::TimedOut);
                     client.close_with_error(sqlstate, why);
                     self.work(now, number, poller, inbox);
                 }
                 Some(client) if client.stalled(now, pipeline_idle) => {
                     client.close_with_error(code::IDLE_IN_PIPELINE, "no Sync came for the pipeline in time");
+                    self.closes.count(CloseReason::TimedOut);
                     self.work(now, number, poller, inbox);
                 }
                 // Guards against: a request that has come and is not read yet, as when hundreds come at once.
                 Some(client) if client.takes() && client.stuck.is_none() && !client.silent() => {}
-                _ => self.remove(number, inbox),
+                Some(client) => {
+                    let stuck = client.stuck.is_some();
+                    if !matches!(client.phase, Phase::Lingering(_)) {
+                        self.closes.count(if stuck { CloseReason::Stuck } else { CloseReason::TimedOut });
+                    }
+                    self.remove(number, inbox);
+                }
+                None => {}
             }
         }
     }
@@ -242,6 +267,7 @@
         let Some(client) = self.clients.get_mut(&number) else { return };
         // Both directions of one that lingers may be over while bytes of it are unread: they go first, see `Lingering`.
         if event.broken && !matches!(client.phase, Phase::Lingering(_)) {
+            self.closes.count(CloseReason::Left);
             self.remove(number, inbox);
             return;
         }
@@ -265,6 +291,7 @@
                 // then the answer to these bytes is a reset.
                 Ok((Taken::End, _)) => client.ended = true,
                 Err(_) => {
+                    self.closes.count(CloseReason::Left);
                     self.remove(number, inbox);
                     return;
                 }
@@ -274,8 +301,11 @@
         // Guards against: long messages of many clients, all unfinished, that together fill the memory.
         let unasked = |client: &Client| if client.long.is_none() { client.buffer.len() } else { 0 };
         if long && self.clients.values().map(unasked).sum::<usize>() > self.most_bytes {
+            let open = self.clients.len();
             if let Some(client) = self.clients.get_mut(&number) {
-                warn!("out of memory for clients: one connection closed");
+                let bytes = client.buffer.len();
+                warn!(bytes, open, "out of memory for clients: one connection closed");
+                self.closes.count(CloseReason::Memory);
                 client.close_with_error(code::OUT_OF_MEMORY, "too many bytes of clients");
             }
         }
@@ -299,8 +329,12 @@
     fn work_on(&mut self, now: Instant, number: u64, poller: &Poller, inbox: &mut VecDeque<Input>) -> bool {
         loop {
             let Some(client) = self.clients.get_mut(&number) else { return false };
+            let before = client.phase;
             let stalled = !client.presence_unsure
                 && client.take_messages(now, number, self.admission.yes, &mut self.table, inbox);
+            if client.malformed && before != Phase::Closing && client.phase == Phase::Closing {
+                self.closes.count(CloseReason::Malformed);
+            }
             if let Some(key) = client.cancels.take() {
                 self.cancel(key, inbox);
                 continue;
@@ -312,12 +346,14 @@
             let leaves = self.admission.leaving >= Leaving::Answered && client.answered_last();
             if (client.ended || leaves) && idle {
                 client.phase = Phase::Closing;
+                self.closes.count(if leaves { CloseReason::Draining } else { CloseReason::Left });
                 if leaves && self.admission.leaving == Leaving::Answered {
                     client.wire.end_with_last();
                 }
             }
             let (full, announced) = (client.full, client.is_announced());
             if !self.settle(now, number, poller) {
+                self.closes.count(CloseReason::Left);
                 self.remove(number, inbox);
                 return false;
             }
--- a/gateway/src/net/clients/leaving.rs
+++ b/gateway/src/net/clients/leaving.rs
@@ -5,6 +5,7 @@
 
 use yewroute_lifecycle::Leaving;
 
+use super::closes::CloseReason;
 use super::{Admission, Clients, TimerEvent, LISTENER_CLOSE_TIMEOUT};
 use crate::net::client::{Client, Phase};
 use crate::net::poller::Poller;
@@ -47,6 +48,7 @@
         for number in numbers.collect::<Vec<_>>() {
             let Some(client) = self.clients.get_mut(&number) else { continue };
             client.phase = Phase::Closing;
+            self.closes.count(CloseReason::Draining);
             self.work(now, number, poller, inbox);
         }
         if leaving == Leaving::Parts {
--- a/gateway/src/net/clients/listener.rs
+++ b/gateway/src/net/clients/listener.rs
@@ -6,6 +6,7 @@
 
 use tracing::warn;
 
+use super::closes::CloseReason;
 use super::{Clients, TimerEvent, ACCEPT_RETRY_DELAY};
 use crate::net::client::Client;
 use crate::net::eviction::evict;
@@ -34,16 +35,17 @@
     ///
     /// Guards against: a connection closed to make room for nobody. If more wait than are known of, the poller tells.
     pub fn accept(&mut self, now: Instant, mut awaited: bool, poller: &Poller) -> bool {
-        while let Some(listener) = &self.listener {
+        while self.listener.is_some() {
             let full = self.clients.len() >= self.most;
             if full && !awaited {
                 return false;
             }
-            if full && !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
+            if full && !self.evict(now) {
                 warn!(open = self.clients.len(), "out of client connections, all busy");
                 self.rest(now, poller);
                 return false;
             }
+            let Some(listener) = &self.listener else { break };
             match listener.accept() {
                 Ok((stream, _)) => {
                     awaited = false;
@@ -73,7 +75,7 @@
                 Err(error) => {
                     // Guards against: a busy loop when descriptors have run out (EMFILE).
                     warn!(%error, "cannot accept");
-                    if !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
+                    if !self.evict(now) {
                         self.rest(now, poller);
                         return false;
                     }
@@ -83,6 +85,15 @@
         true
     }
 
+    /// Closes a connection that nothing is owed on, if there is one.
+    fn evict(&mut self, now: Instant) -> bool {
+        let evicted = evict(now, self.silent, &mut self.clients, &mut self.scratch);
+        if evicted {
+            self.closes.count(CloseReason::Evicted);
+        }
+        evicted
+    }
+
     /// Stops listening for a moment; what waits stays in the backlog.
     pub(super) fn rest(&mut self, now: Instant, poller: &Poller) {
         if let (true, Some(listener)) = (self.listening, &self.listener) {
@@ -104,7 +115,7 @@
     /// Guards against: connections beyond a limit that a reload has lowered, which would stay for as long as their clients rest.
     pub(super) fn close_surplus(&mut self, now: Instant) {
         while self.clients.len() > self.most {
-            if !evict(now, self.silent, &mut self.clients, &mut self.scratch) {
+            if !self.evict(now) {
                 return;
             }
         }
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -161,6 +161,11 @@
         self.conns.len()
     }
 
+    /// Bytes that the buffers of all connections take, used or not.
+    pub fn buffer_bytes(&self) -> usize {
+        self.conns.values().map(HostConnection::buffer_bytes).sum()
+    }
+
     /// Attempts written whole so far.
     pub fn forwards(&self) -> u64 {
         self.forwards
--- a/gateway/src/net/hosts/connection.rs
+++ b/gateway/src/net/hosts/connection.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Bytes that its buffers take, used or not.
+    pub(super) fn buffer_bytes(&self) -> usize {
+        self.buffer.capacity() + self.gather.held_bytes() + self.wire.buffer_bytes()
+    }
+
     /// All has been written without which it cannot run.
     pub(super) fn may_have_run(&self) -> bool {
         self.wire.unwritten() <= self.sent.tail
--- a/gateway/src/net/operations.rs
+++ b/gateway/src/net/operations.rs
@@ -9,7 +9,7 @@
 use super::{console, Gateway};
 use crate::core::Results;
 use crate::log;
-use crate::proto::console::{self as calls, Call, Figures, ListFigures};
+use crate::proto::console::{self as calls, Call, Figures, ListFigures, MemoryFigures};
 
 impl Gateway {
     /// Reads the console's callers, those that wait to be taken if `number` is the listener's, and answers calls.
@@ -94,6 +94,18 @@
         }
     }
 
+    fn memory_figures(&self) -> MemoryFigures {
+        let (client_read, client_write) = self.clients.buffer_bytes();
+        MemoryFigures {
+            resident: resident_bytes(),
+            client_read,
+            client_write,
+            host: self.hosts.buffer_bytes(),
+            clients: self.clients.len(),
+            hosts: self.hosts.len(),
+        }
+    }
+
     fn figures(&self, now: Instant) -> Figures<'_> {
         let names = self.core.deployment().class_names.iter().map(String::as_str);
         let tally = self.core.tally();
@@ -110,6 +122,8 @@
             list: self.list_figures(now),
             statement_bytes: self.statement_memory.held(),
             statements_waiting: self.clients.waiting_messages(),
+            memory: self.memory_figures(),
+            client_closes: self.clients.closes(),
             log_lines_dropped: log::dropped_lines(),
             fleet: {
                 let fleet = self.fleet.iter().flat_map(|fleet| fleet.figures(now));
@@ -118,3 +132,12 @@
         }
     }
 }
+
+/// What this process has in memory, as the system counts it; 0 where the system does not tell.
+fn resident_bytes() -> usize {
+    let pages = std::fs::read_to_string("/proc/self/statm").ok().and_then(|statm| {
+        let resident = statm.split(' ').nth(1)?;
+        resident.parse::<usize>().ok()
+    });
+    pages.unwrap_or(0) * rustix::param::page_size()
+}
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -178,6 +178,12 @@
         self.out.len() - self.written + self.behind.iter().map(Piece::len).sum::<usize>()
     }
 
+    /// Bytes that its buffers take, used or not; shared ones are not its own.
+    pub fn buffer_bytes(&self) -> usize {
+        let own = |piece: &Piece| if let Piece::Own(bytes) = piece { bytes.capacity() } else { 0 };
+        self.out.capacity() + self.behind.iter().map(own).sum::<usize>()
+    }
+
     /// Reads once, by way of `scratch`, into `buffer`.
     pub fn read(&mut self, scratch: &mut [u8], buffer: &mut Vec<u8>) -> io::Result<Taken> {
         loop {
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -370,12 +370,33 @@
     pub statement_bytes: usize,
     /// Long statements that wait for such bytes.
     pub statements_waiting: usize,
+    /// What the process takes of the memory.
+    pub memory: MemoryFigures,
+    /// How many connections of clients were closed, by reason.
+    pub client_closes: Vec<(&'a str, u64)>,
     /// Lines of the log that were lost, as standard error took nothing.
     pub log_lines_dropped: u64,
     /// Names and values of the fleet's, none while it is off.
     pub fleet: Vec<(String, u64)>,
 }
 
+/// What the process takes of the memory, in bytes, and the connections that it is held for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemoryFigures {
+    /// All that is resident, the program included.
+    pub resident: usize,
+    /// Buffers for what clients have sent ahead, long statements left out.
+    pub client_read: usize,
+    /// Buffers for what clients have not taken yet.
+    pub client_write: usize,
+    /// Buffers of connections to db hosts.
+    pub host: usize,
+    /// Connections of clients.
+    pub clients: usize,
+    /// Connections to db hosts.
+    pub hosts: usize,
+}
+
 /// How the held list of db hosts stands, and the calls for it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ListFigures {
@@ -410,6 +431,12 @@
         ("ejected", figures.ejected),
         ("statement_bytes", figures.statement_bytes),
         ("statements_waiting", figures.statements_waiting),
+        ("resident_bytes", figures.memory.resident),
+        ("client_read_bytes", figures.memory.client_read),
+        ("client_write_bytes", figures.memory.client_write),
+        ("host_bytes", figures.memory.host),
+        ("client_connections", figures.memory.clients),
+        ("host_connections", figures.memory.hosts),
     ];
     for (name, value) in gauges {
         let _ = writeln!(body, "# TYPE svc_{name} gauge\nsvc_{name} {value}");
@@ -427,6 +454,10 @@
     for (name, value) in counters {
         let _ = writeln!(body, "# TYPE svc_{name} counter\nsvc_{name} {value}");
     }
+    body.push_str("# TYPE svc_client_closes counter\n");
+    for (reason, count) in &figures.client_closes {
+        let _ = writeln!(body, "svc_client_closes{{reason=\"{reason}\"}} {count}");
+    }
     let mut kind = "";
     for (name, value) in &figures.fleet {
         let family = name.split('{').next().unwrap_or_default();
@@ -604,6 +635,15 @@
             },
             statement_bytes: 8192,
             statements_waiting: 4,
+            memory: MemoryFigures {
+                resident: 9_000_000,
+                client_read: 1,
+                client_write: 2,
+                host: 3,
+                clients: 4,
+                hosts: 5,
+            },
+            client_closes: vec![("left", 11)],
             log_lines_dropped: 7,
             fleet: vec![("svc_fleet_members{state=\"alive\"}".to_owned(), 3)],
         };
@@ -628,6 +668,12 @@
                 "svc_ejected 2",
                 "svc_statement_bytes 8192",
                 "svc_statements_waiting 4",
+                "svc_resident_bytes 9000000",
+                "svc_client_read_bytes 1",
+                "svc_client_write_bytes 2",
+                "svc_host_bytes 3",
+                "svc_client_connections 4",
+                "svc_host_connections 5",
                 "svc_list_version 41",
                 "svc_list_age_ms 350",
                 "svc_list_lease_ms 5650",
@@ -635,6 +681,7 @@
                 "svc_discovery_calls 3",
                 "svc_discovery_calls_ended 2",
                 "svc_log_lines_dropped 7",
+                r#"svc_client_closes{reason="left"} 11"#,
                 r#"svc_fleet_members{state="alive"} 3"#,
             ]
         );
