--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod calls;
+pub mod crowd;
 pub mod pair;
 
 use std::io::{BufRead, BufReader, Read, Write};
@@ -11,7 +12,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -86,6 +87,42 @@
     }
 }
 
+/// What the configuration says of a process's limits.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub memory_mb: u32,
+    pub sockets: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { memory_mb: 192, sockets: 256 }
+    }
+}
+
+/// The resident memory of a process, and the part of it that is the program's own file, in bytes.
+pub fn resident(pid: u32) -> (usize, usize) {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let kib = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
+        line.split_whitespace().next().unwrap().parse::<usize>().unwrap()
+    };
+    (kib("VmRSS:") * 1024, kib("RssFile:") * 1024)
+}
+
+/// Looks at a gateway's memory every millisecond until it is told to end, and says the most that it had beside its program.
+pub fn watch_memory(pid: u32, ends: Arc<AtomicBool>) -> thread::JoinHandle<usize> {
+    thread::spawn(move || {
+        let mut peak = 0;
+        while !ends.load(Ordering::SeqCst) {
+            let (all, program) = resident(pid);
+            peak = peak.max(all - program);
+            thread::sleep(Duration::from_millis(1));
+        }
+        peak
+    })
+}
+
 /// The gateway and its discovery.
 pub struct Gateway {
     child: Child,
@@ -120,7 +157,13 @@
     pub fn told_by(discovery: SocketAddr, known: &str, settings: &str) -> Self {
         let (news, calls) = (channel().0, Arc::default());
         let discovery = Discovery { addr: discovery, news, calls };
-        Self::launch_with(Path::new(PROGRAM), discovery, known, settings, None, false)
+        Self::launch_with(Path::new(PROGRAM), discovery, known, (settings, Limits::default()), None, false)
+    }
+
+    /// The gateway with these limits, a console, and an operator's file if there is one.
+    pub fn limited(known: &str, edge: Option<&str>, limits: Limits) -> Self {
+        let (program, settings) = (Path::new(PROGRAM), include_str!("settings.json"));
+        Self::launch_with(program, Discovery::start(&[]), known, (settings, limits), edge, true)
     }
 
     /// The gateway with an operator's file.
@@ -142,7 +185,8 @@
     pub fn operated_by(discovery: SocketAddr, known: &str) -> Self {
         let (news, calls) = (channel().0, Arc::default());
         let discovery = Discovery { addr: discovery, news, calls };
-        Self::launch_with(Path::new(PROGRAM), discovery, known, include_str!("settings.json"), None, true)
+        let settings = (include_str!("settings.json"), Limits::default());
+        Self::launch_with(Path::new(PROGRAM), discovery, known, settings, None, true)
     }
 
     /// Another build of the program.
@@ -158,6 +202,7 @@
         edge: Option<&str>,
         operated: bool,
     ) -> Self {
+        let settings = (settings, Limits::default());
         Self::launch_with(program, Discovery::start(first), known, settings, edge, operated)
     }
 
@@ -165,16 +210,17 @@
         program: &Path,
         discovery: Discovery,
         known: &str,
-        settings: &str,
+        (settings, limits): (&str, Limits),
         edge: Option<&str>,
         operated: bool,
     ) -> Self {
         let Discovery { addr: discovery_addr, news, calls } = discovery;
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("config.json");
+        let Limits { memory_mb, sockets } = limits;
         let config = format!(
             r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery_addr}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":256}},"known":{known},"settings":{settings}}}"#
+            "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
         );
         std::fs::write(&path, &config).unwrap();
         if let Some(edge) = edge {
--- /dev/null
+++ b/gateway/tests/memory_plan.rs
@@ -0,0 +1,204 @@
+//! The memory of a process at its least, with all descriptors in use, while crowds of clients drive each row of the memory plan to its bound.
+
+mod common;
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::crowd::{Crowd, Habits};
+use common::*;
+
+/// The least that the README names, and the descriptors of the incident.
+const LIMITS: Limits = Limits { memory_mb: 32, sockets: 1_024 };
+/// Clients that have a connection at once; a few are left to ordinary clients, and the console has 24 descriptors.
+const CROWD: usize = 480;
+/// The part of the program's file that is in memory, which a build without optimization has more of.
+const PROGRAM_KIB: usize = 8 * 1024;
+/// An ordinary client's wait, and the rules' slack.
+const VIEW_WAIT_MS: u32 = 1_200;
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+const SERVED: &[u8] = b"TDCZ";
+
+/// A gateway, its most memory beside its program, and what an ordinary client gets meanwhile.
+struct Watched {
+    gateway: Gateway,
+    ends: Arc<AtomicBool>,
+    peak: thread::JoinHandle<usize>,
+    ordinary: thread::JoinHandle<(usize, usize, Duration)>,
+}
+
+impl Watched {
+    fn start(primary: &Host, replica: &Host, edge: Option<&str>) -> Self {
+        let gateway = Gateway::limited(&pair(primary, replica), edge, LIMITS);
+        let ends = Arc::new(AtomicBool::new(false));
+        let peak = watch_memory(gateway.pid(), Arc::clone(&ends));
+        let ordinary = ask_on(gateway.client(), Arc::clone(&ends));
+        Self { gateway, ends, peak, ordinary }
+    }
+
+    /// Ends the watch and holds what was seen against the limits.
+    fn check(self) {
+        self.ends.store(true, Ordering::SeqCst);
+        let peak = self.peak.join().unwrap() >> 10;
+        let most = LIMITS.memory_mb as usize * 1024 - PROGRAM_KIB;
+        let (asked, served, longest) = self.ordinary.join().unwrap();
+        println!("peak {peak} KiB of {most}; ordinary: {served} of {asked} served, longest {longest:?}");
+        assert!(peak < most, "{peak} KiB beside the program, of {most}: {}", self.gateway.log());
+        assert!(asked > 10 && served * 10 >= asked * 9, "{served} of {asked}: {}", self.gateway.log());
+        let late = Duration::from_millis(VIEW_WAIT_MS.into()) + ANSWER_SLACK;
+        assert!(longest < late, "an ordinary client waited for {longest:?}");
+    }
+}
+
+/// An ordinary client that asks again and again on its connection, until it is told to end.
+fn ask_on(mut client: Client, ends: Arc<AtomicBool>) -> thread::JoinHandle<(usize, usize, Duration)> {
+    thread::spawn(move || {
+        let (mut asked, mut served, mut longest) = (0, 0, Duration::ZERO);
+        while !ends.load(Ordering::SeqCst) {
+            let since = Instant::now();
+            asked += 1;
+            served += usize::from(client.ask(&statement("view", VIEW_WAIT_MS, "")) == SERVED);
+            longest = longest.max(since.elapsed());
+            thread::sleep(Duration::from_millis(20));
+        }
+        (asked, served, longest)
+    })
+}
+
+/// Db hosts that answer after a while, each request with a value of so many bytes.
+fn hosts(after: Duration, value: usize) -> [Host; 2] {
+    [true, false].map(|primary| {
+        Host::start(move |query| match query {
+            "SHOW load" => well(primary, query),
+            query if query.contains("long") => {
+                let role = if primary { "primary" } else { "replica" };
+                Do::SayLater(after, served_value(role, &vec![7; value]))
+            }
+            query => well(primary, query),
+        })
+    })
+}
+
+/// A request's message of about so many bytes.
+fn long_order(bytes: usize) -> Vec<u8> {
+    let text = statement("order", 3_000, ",k=long").replace("9f03", &"9f".repeat(bytes / 2));
+    frame(b'Q', &[text.as_bytes(), b"\0"].concat())
+}
+
+fn long_view() -> Vec<u8> {
+    frame(b'Q', &[statement("view", VIEW_WAIT_MS, ",k=long").as_bytes(), b"\0"].concat())
+}
+
+// Guards against: bytes read ahead of messages that never end, which were counted from 32 KiB a connection on.
+#[test]
+fn clients_that_stop_half_way_through_a_message_stay_within_the_memory() {
+    let [primary, replica] = hosts(Duration::ZERO, 2);
+    for bytes in [6_000, 30_000, 60_000, 250_000, 4_000_000] {
+        let watched = Watched::start(&primary, &replica, None);
+        let half = |_| {
+            let mut message = long_order(bytes);
+            message.truncate(message.len() / 2);
+            message
+        };
+        let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, Habits::QUICK, half);
+        crowd.run(Duration::from_secs(2), |_| false);
+        watched.check();
+    }
+}
+
+// Guards against: slow writers whose connections were closed for want of memory that only their bytes together took.
+#[test]
+fn crowds_that_write_slowly_are_answered_and_stay_within_the_memory() {
+    let [primary, replica] = hosts(Duration::ZERO, 2);
+    for bytes in [6_000, 30_000, 60_000, 250_000] {
+        let watched = Watched::start(&primary, &replica, None);
+        let habits = Habits { write_per_tick: bytes / 100, read_per_tick: usize::MAX };
+        let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, habits, |_| long_order(bytes));
+        crowd.run(Duration::from_secs(15), |crowd| crowd.answered() + crowd.closed() >= CROWD);
+        let (answered, served, closed) = (crowd.answered(), crowd.served(), crowd.closed());
+        println!("{bytes} bytes: {answered} answered, {served} served, {closed} closed");
+        assert_eq!((answered, closed), (CROWD, 0), "{bytes} bytes: {}", watched.gateway.log());
+        assert!(bytes > 60_000 || served * 10 >= CROWD * 9, "{bytes} bytes: {served} served");
+        watched.check();
+    }
+}
+
+// Guards against: requests sent ahead on connections whose request is out, which were read into buffers that nothing counted.
+#[test]
+fn requests_sent_ahead_of_answers_stay_within_the_memory() {
+    let [primary, replica] = hosts(Duration::from_secs(1), 2);
+    let watched = Watched::start(&primary, &replica, None);
+    let ahead = |_| [long_view(), vec![long_view(); 400].concat(), long_order(60_000)].concat();
+    let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, Habits::QUICK, ahead);
+    crowd.run(Duration::from_secs(3), |_| false);
+    watched.check();
+}
+
+// Guards against: copies of what stands in a statement's head, each as long as the client makes it.
+#[test]
+fn long_and_many_fields_of_a_statement_stay_within_the_memory() {
+    let [primary, replica] = hosts(Duration::from_millis(700), 2);
+    let fields = "a=b,".repeat(10_000);
+    let name = "9".repeat(40_000);
+    let texts: [Box<dyn Fn(usize) -> String>; 4] = [
+        Box::new(|n| format!("SELECT 'k' /* id=f{n},c=view,d=1200,cluster=2,k=long,{fields}r=0 */")),
+        Box::new(|n| format!("SELECT 'k' /* id=i{n}{name},c=view,d=1200,cluster=2,k=long */")),
+        Box::new(|n| format!("SELECT '{name}' /* id=k{n},c=view,d=1200,cluster=2,k=long */")),
+        Box::new(|n| format!("SELECT 'k' /* id=c{n},c={name},d=1200,cluster=2,k=long */")),
+    ];
+    for text in texts {
+        let watched = Watched::start(&primary, &replica, None);
+        let message = |n| frame(b'Q', &[text(n).as_bytes(), b"\0"].concat());
+        let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, Habits::QUICK, message);
+        crowd.run(Duration::from_secs(3), |crowd| crowd.answered() >= CROWD);
+        watched.check();
+    }
+}
+
+// Guards against: one statement whose id or key is nearly all of it, and is copied for each place that keeps it.
+#[test]
+fn a_name_as_long_as_its_statement_is_not_copied() {
+    let [primary, replica] = hosts(Duration::from_millis(700), 2);
+    let name = "9".repeat(8 * 1024 * 1024);
+    for text in [
+        format!("SELECT 'k' /* id={name},c=view,d=1200,cluster=2,k=long */"),
+        format!("SELECT '{name}' /* id=1,c=view,d=1200,cluster=2,k=long */"),
+        format!("SELECT 'k' /* id=2,c={name},d=1200,cluster=2,k=long */"),
+        format!("SELECT 'k' /* id=2,c=view,d=1200,cluster=2,k=long{name} */"),
+    ] {
+        let watched = Watched::start(&primary, &replica, None);
+        let mut client = watched.gateway.client();
+        client.ask(&text);
+        thread::sleep(Duration::from_millis(200));
+        watched.check();
+    }
+}
+
+// Guards against: answers of under 32 KiB that clients do not take, which nothing counted, and the pieces of longer ones.
+#[test]
+fn answers_that_clients_read_slowly_stay_within_the_memory() {
+    for value in [3_000, 30_000, 60_000, 1_000_000] {
+        let [primary, replica] = hosts(Duration::ZERO, value);
+        let watched = Watched::start(&primary, &replica, None);
+        let habits = Habits { write_per_tick: usize::MAX, read_per_tick: 40 };
+        let views = 4_000_000 / value;
+        let message = |_| (0..views.min(100)).flat_map(|_| long_view()).collect();
+        let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, habits, message);
+        crowd.run(Duration::from_secs(3), |_| false);
+        watched.check();
+    }
+}
+
+// Guards against: buffers kept by connections that rest, each as large as the longest message that passed it.
+#[test]
+fn connections_that_rest_after_long_messages_stay_within_the_memory() {
+    let [primary, replica] = hosts(Duration::from_millis(100), 28_000);
+    let watched = Watched::start(&primary, &replica, None);
+    let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, Habits::QUICK, |_| long_order(28_000));
+    crowd.run(Duration::from_secs(5), |crowd| crowd.answered() >= CROWD);
+    let answered = crowd.answered();
+    assert_eq!(answered, CROWD, "{}", watched.gateway.log());
+    watched.check();
+}
--- a/gateway/tests/statement_memory.rs
+++ b/gateway/tests/statement_memory.rs
@@ -74,29 +74,6 @@
     }
 }
 
-/// The resident memory of a process, and the part of it that is the program's own file, in bytes.
-fn resident(pid: u32) -> (usize, usize) {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-    let kib = |name: &str| {
-        let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
-        line.split_whitespace().next().unwrap().parse::<usize>().unwrap()
-    };
-    (kib("VmRSS:") * 1024, kib("RssFile:") * 1024)
-}
-
-/// Looks at a gateway's memory every millisecond until it is told to end, and says the most that it had beside its program.
-fn watch_memory(pid: u32, ends: Arc<AtomicBool>) -> thread::JoinHandle<usize> {
-    thread::spawn(move || {
-        let mut peak = 0;
-        while !ends.load(Ordering::SeqCst) {
-            let (all, program) = resident(pid);
-            peak = peak.max(all - program);
-            thread::sleep(Duration::from_millis(1));
-        }
-        peak
-    })
-}
-
 // Guards against: statements of clients that have left while their attempts are out, which were counted nowhere and together
 // took the memory over its limit.
 #[test]
