--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -8,11 +8,13 @@
 //! there is no circle of half-read messages that wait for each other.
 #![forbid(unsafe_code)]
 
+mod bytes;
 mod queue;
 
 use std::cell::Cell;
 use std::rc::Rc;
 
+pub use bytes::{ByteBudget, BytePermit};
 pub use queue::{Grant, PermitQueue};
 
 /// One part in so many of the whole budget is left to short statements, whatever long ones take.
--- a/crates/ledger/src/queue.rs
+++ b/crates/ledger/src/queue.rs
@@ -21,6 +21,24 @@
     bytes: usize,
 }
 
+/// Those that wait before another one.
+#[derive(Clone, Copy, Debug)]
+struct Ahead {
+    /// Bytes that long messages may take now.
+    most: usize,
+    /// The longest of those that fit.
+    longest: Option<usize>,
+}
+
+impl Ahead {
+    /// One more. What is longer than all that there is now waits for other limits, and is delayed by nobody.
+    fn add(&mut self, waiter: Waiter) {
+        if waiter.bytes <= self.most {
+            self.longest = self.longest.max(Some(waiter.bytes));
+        }
+    }
+}
+
 /// Those that wait, in the order of asking.
 ///
 /// One that fits may overtake longer ones that do not, within what those leave free in any case. So a slow writer that
@@ -57,7 +75,9 @@
             return Grant::Never;
         }
         let waiter = Waiter { who, bytes };
-        if let Some(permit) = self.try_give(waiter, self.waiting.len()) {
+        let mut ahead = self.nobody_ahead();
+        self.waiting.iter().for_each(|waiter| ahead.add(*waiter));
+        if let Some(permit) = self.try_give(waiter, ahead) {
             return Grant::Given(permit);
         }
         self.waiting.push_back(waiter);
@@ -79,11 +99,12 @@
         if self.waiting.is_empty() || !self.budget.0.changed.get() {
             return None;
         }
-        let turn = (0..self.waiting.len()).find_map(|place| {
-            let waiter = self.waiting[place];
+        let mut ahead = self.nobody_ahead();
+        let turn = self.waiting.iter().enumerate().find_map(|(place, waiter)| {
             let never = (waiter.bytes > self.longest()).then_some(Grant::Never);
-            let grant = never.or_else(|| self.try_give(waiter, place).map(Grant::Given))?;
-            Some((place, waiter.who, grant))
+            let grant = never.or_else(|| self.try_give(*waiter, ahead).map(Grant::Given));
+            ahead.add(*waiter);
+            Some((place, waiter.who, grant?))
         });
         let Some((place, who, grant)) = turn else {
             self.budget.0.changed.set(false);
@@ -104,19 +125,20 @@
         self.budget.0.changed.set(true);
     }
 
-    /// Gives one its bytes that has so many others before it, if they are there and no other one's turn is put off by it.
-    fn try_give(&self, Waiter { bytes, .. }: Waiter, place: usize) -> Option<MemoryPermit> {
+    fn nobody_ahead(&self) -> Ahead {
+        Ahead { most: long_share(self.budget.0.limits.get().total), longest: None }
+    }
+
+    /// Gives one its bytes that has these others before it, if they are there and no other one's turn is put off by it.
+    fn try_give(&self, Waiter { bytes, .. }: Waiter, ahead: Ahead) -> Option<MemoryPermit> {
         let account = &self.budget.0;
         if !account.long_fits(bytes) {
             return None;
         }
-        let most = long_share(account.limits.get().total);
-        // What is longer than all that there is now waits for other limits, and is delayed by nobody.
-        let needs = self.waiting.iter().take(place).map(|ahead| ahead.bytes);
-        let Some(longest_ahead) = needs.filter(|need| *need <= most).max() else {
+        let Some(longest_ahead) = ahead.longest else {
             return Some(account.give(bytes, Kind::Long));
         };
-        let passes = account.overtaking.get() + bytes + longest_ahead <= most;
+        let passes = account.overtaking.get() + bytes + longest_ahead <= ahead.most;
         passes.then(|| account.give(bytes, Kind::Overtaking))
     }
 }
--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -215,6 +215,17 @@
         self.reply.messages.capacity()
     }
 
+    /// How many bytes the next message of `bytes` has in all, once its head is there; a value that is passed on as it comes
+    /// has none.
+    #[must_use]
+    pub fn stated(&self, bytes: &[u8]) -> Option<usize> {
+        let (kind, rest) = bytes.split_first()?;
+        let len = frame::length(rest, frame::LONGEST_STREAMED).ok()??;
+        let streamed = matches!(self.stage, Stage::Value(_));
+        let whole = self.longest(*kind).is_some_and(|longest| len <= longest);
+        (whole && !streamed).then_some(1 + len)
+    }
+
     /// What is waited for has begun to come; `rest` is what is there and not taken yet. That a statement was parsed
     /// and bound may be told long before it has run.
     pub fn under_way(&self, rest: &[u8]) -> bool {
@@ -328,6 +339,8 @@
             }
             b'D' => {
                 let value = one_value(frame.body)?;
+                // With room for the tag, so that what follows does not double the buffer.
+                self.reply.messages.reserve_exact(raw.len() + 1 + LONGEST_TAG);
                 self.reply.messages.extend(raw);
                 // The value is the last thing in the row.
                 let end = self.reply.messages.len();
--- a/crates/pgwire/src/frontend.rs
+++ b/crates/pgwire/src/frontend.rs
@@ -38,6 +38,11 @@
 /// The answer to a request for encryption.
 pub const NO_ENCRYPTION: u8 = b'N';
 
+/// How many bytes the opening message has in all, once its head is there.
+pub fn stated_opening(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+    frame::length(bytes, frame::LONGEST_STARTUP)
+}
+
 /// Reads the opening message, if all of it is there, and its length.
 pub fn opening(bytes: &[u8]) -> Result<Option<(Opening, usize)>, Malformed> {
     let Some((body, len)) = frame::untyped(bytes)? else { return Ok(None) };
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod frame;
 pub mod frontend;
 pub mod lexer;
+pub mod names;
 mod portal;
 pub mod request;
 pub mod session;
--- a/crates/pgwire/src/request.rs
+++ b/crates/pgwire/src/request.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::bind::Bound;
+use crate::names;
 use crate::statement::{self, Malformed};
 use crate::table::Lease;
 
@@ -20,18 +21,16 @@
 
 impl Simple {
     /// Appends the head of the whole message with `wait` in its place. What follows are the bytes of the text up to
-    /// [`Simple::wait_at`], and the tail.
+    /// [`Simple::wait_at`], the number, those behind it, and a zero byte.
     pub fn put_head(&self, out: &mut Vec<u8>, wait: Duration) {
         let len = self.text.len() - self.wait_at.len() + wait.as_millis().to_string().len();
         out.push(b'Q');
         out.extend(u32::try_from(4 + len + 1).unwrap_or(u32::MAX).to_be_bytes());
     }
 
-    /// Appends the end of the message.
-    pub fn put_tail(&self, out: &mut Vec<u8>, wait: Duration) {
+    /// Appends the number of milliseconds.
+    pub fn put_wait(&self, out: &mut Vec<u8>, wait: Duration) {
         out.extend(wait.as_millis().to_string().as_bytes());
-        out.extend(&self.text[self.wait_at.end..]);
-        out.push(0);
     }
 
     /// Appends the text with `wait` in its place; all else goes on byte for byte.
@@ -100,11 +99,11 @@
         let request = statement::request(&text)?;
         let wait_at = request.wait_at.clone();
         let mut wanted = Self {
-            id: request.id.as_bytes().to_vec(),
-            scope: Some((request.class.to_owned(), request.group)),
+            id: names::kept(request.id.as_bytes()),
+            scope: Some((names::kept_text(request.class), request.group)),
             writes: request.writes,
             wait: Duration::from_millis(request.wait_ms.into()),
-            key: request.key.to_vec(),
+            key: names::kept(request.key),
             after: request.after,
             resent: request.resent,
             channel: request.channel.map(|name| name.as_bytes().to_vec()),
@@ -146,11 +145,13 @@
         let mut out = Vec::new();
         simple.put(&mut out, Duration::from_micros(41_900));
         assert_eq!(String::from_utf8(out.clone()).unwrap(), "SELECT 'k' /* id=1,c=order,d=41,cluster=2 */");
-        // The whole message in three parts, of which the middle one is not copied.
+        // The whole message in parts, of which those of the text are not copied.
         let (mut parts, wait) = (Vec::new(), Duration::from_millis(41));
         simple.put_head(&mut parts, wait);
         parts.extend(&simple.text[..simple.wait_at.start]);
-        simple.put_tail(&mut parts, wait);
+        simple.put_wait(&mut parts, wait);
+        parts.extend(&simple.text[simple.wait_at.end..]);
+        parts.push(0);
         let mut whole = Vec::new();
         crate::backend::put_query(&mut whole, |b| b.extend(out));
         assert_eq!(parts, whole);
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -446,7 +446,7 @@
         let waiting = std::mem::take(&mut self.waiting);
         let simple = matches!(waiting, Waiting::Simple);
         match (answer, waiting) {
-            (Final::Served(messages), Waiting::Nothing | Waiting::Simple) => out.extend(messages),
+            (Final::Served(messages), Waiting::Nothing | Waiting::Simple) => put_answer(out, &messages),
             (Final::Served(messages), waiting) if messages.first() == Some(&b'E') => {
                 if let Waiting::Execute { portal, .. } = waiting {
                     self.outdate(&portal, &messages, table);
@@ -518,7 +518,7 @@
         let tag_at = last_message(&messages).ok_or_else(spoilt)?;
         let before = cost_of_portal(name, portal);
         if limit == 0 {
-            out.extend(messages);
+            put_answer(out, &messages);
             return Ok(());
         }
         portal.run = Run::Part { from: 0, tag: messages[tag_at..].to_vec(), rows: messages };
@@ -536,6 +536,13 @@
     }
 }
 
+/// Appends an answer, with room for the ReadyForQuery behind it, so that it does not double the buffer.
+fn put_answer(out: &mut Vec<u8>, messages: &[u8]) {
+    const READY: usize = 6;
+    out.reserve_exact(messages.len() + READY);
+    out.extend_from_slice(messages);
+}
+
 fn cost_of_statement(name: &[u8], lease: &Lease) -> usize {
     let own = if lease.number().is_some() { 0 } else { lease.text.len() + lease.types.len() * 4 };
     name.len() + own + ENTRY
--- a/crates/pgwire/src/template.rs
+++ b/crates/pgwire/src/template.rs
@@ -6,6 +6,7 @@
 
 use crate::frontend::{self, Local};
 use crate::lexer::{lex, Lexed, Placeholder};
+use crate::names;
 use crate::statement::{self, Malformed};
 
 /// Where something that the comment tells stands.
@@ -179,11 +180,13 @@
             Told::Here(at) => Ok(Cow::Borrowed(&text[at.start as usize..at.end as usize])),
             Told::Parameter(number) => parameter(*number),
         };
-        let id = value(&self.id)?.into_owned();
+        let id = names::kept(&value(&self.id)?);
         if id.is_empty() {
             return Err(Malformed::Missing("id").into());
         }
-        let class = String::from_utf8(value(&self.class)?.into_owned()).map_err(|_| Malformed::Value("c"))?;
+        let class = value(&self.class)?;
+        let class = std::str::from_utf8(&class).map_err(|_| Malformed::Value("c"))?;
+        let class = names::kept_text(class);
         let wait: u32 = number(&value(&self.wait)?, "d")?;
         let after = match &self.after {
             Some(after) => Some(number(&value(after)?, "after")?),
@@ -198,7 +201,7 @@
             wait: Duration::from_millis(wait.into()),
             after,
             resent: self.resent.as_ref().map(value).transpose()?.as_deref() == Some(b"1"),
-            key: value(&self.key)?.into_owned(),
+            key: names::kept(&value(&self.key)?),
             channel: channel.map(Cow::into_owned).filter(|name| statement::fits(name)),
             number: number_in.and_then(|told| std::str::from_utf8(&told).ok()?.parse().ok()),
         })
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -20,9 +20,8 @@
 const LEAST_SOCKETS: usize = 32;
 /// Memory under which nothing sensible can be held, in MB.
 const LEAST_MEMORY: usize = 32;
-/// So many parts of the memory go to statements; one to each of the three other budgets; the rest is the program's.
-const PARTS: usize = 8;
-const STATEMENT_PARTS: usize = 3;
+/// One part in so many of the memory is the most that the statement table may have.
+const STATEMENT_TABLE_PARTS: usize = 8;
 
 /// Why there is no configuration.
 #[derive(Debug, Error)]
@@ -63,24 +62,6 @@
     }
 }
 
-/// How the memory is divided.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Budgets {
-    /// Bytes that may be read ahead from clients; as many again may be under way from db hosts, and wait for clients
-    /// to take them.
-    pub most_bytes: usize,
-    /// Bytes that requests may take, from the head of a long statement to its answer.
-    pub statement_bytes: usize,
-}
-
-impl Budgets {
-    /// Those of a process that may use so much memory.
-    pub fn of(kib: usize) -> Self {
-        let part = kib.saturating_mul(1024) / PARTS;
-        Self { most_bytes: part, statement_bytes: part * STATEMENT_PARTS }
-    }
-}
-
 /// The whole configuration.
 #[derive(Debug)]
 pub struct Config {
@@ -230,7 +211,7 @@
         let Some(file) = file else { return Ok(self) };
         self.edge = Edge::read(&file)?;
         let table = self.edge.postgres.statement_table_bytes;
-        let most = Budgets::of(self.memory_kib).most_bytes;
+        let most = self.memory_kib.saturating_mul(1024) / STATEMENT_TABLE_PARTS;
         if self.edge.postgres.extended && table > most {
             let (table, most) = (table / 1024, most / 1024);
             let problem = format!(
--- a/gateway/src/core/admit.rs
+++ b/gateway/src/core/admit.rs
@@ -5,6 +5,7 @@
 use yewroute::interface::{Effect, Freshness};
 
 use super::{Answer, Ask, Core, Payload, Scope};
+use crate::proto::pg::names::kept_text;
 
 impl<B: Payload> Core<B> {
     /// The class and group of a request that is let in, or the answer to one that is not and its class if it has one.
@@ -17,7 +18,7 @@
         let retry_after = limits.retry_after.then_some(limits.max_retry_after);
         let placed = match &ask.scope {
             Scope::Class(class, group) => {
-                let class = self.deployment.class_names.iter().position(|name| name == class);
+                let class = self.deployment.class_names.iter().position(|name| kept_text(name) == *class);
                 class.map(|class| (class, *group)).ok_or((None, Answer::Invalid("no such class")))
             }
             // The least demanding reads there are, and the first group that has a server.
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -6,6 +6,7 @@
 mod core;
 mod demo;
 mod log;
+mod memory_plan;
 mod net;
 mod pcap;
 mod proto;
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -6,36 +6,31 @@
 use std::time::{Duration, Instant};
 
 use tracing::warn;
-use yewroute_ledger::MemoryPermit;
+use yewroute_ledger::{ByteBudget, BytePermit, MemoryPermit};
 use yewroute_lifecycle::Leaving;
 
 use super::arrivals::Arrivals;
 use super::memory_wait::MemoryWait;
 use super::poller::{Interest, Poller, Token};
 use super::statement::Statement;
-use super::wire::{Taken, Wire, CHUNK};
+use super::wire::{release, Taken, Wire};
 use super::Input;
 use crate::core::{Ask, ClientId, Scope};
 use crate::proto::pg::code;
-use crate::proto::pg::frame::LONGEST_QUERY;
 use crate::proto::pg::frontend::{self, CancelKey, Local, Opening};
 use crate::proto::pg::request::Wanted;
 use crate::proto::pg::session::{Session, Terms, Took};
 use crate::proto::pg::table::Table;
 pub(super) use long_message::LongMessage;
 
-/// Read ahead: a whole message and a little, or while a request is out only a little.
-const MAX_BUFFERED: usize = LONGEST_QUERY + CHUNK;
-/// Answers that wait to be written, beyond which no further message is taken.
-const MAX_UNWRITTEN: usize = CHUNK;
 /// A connection on which no query has come is closed after so long without a byte, and so is one that leaves a message
 /// unfinished. A client may spend 2 s on a head.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// The longest that a message may take in all, and one for which bytes are set aside.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(8);
 const LONG_TIMEOUT: Duration = Duration::from_secs(30);
-/// Bytes are set aside for a longer message before it is read on.
-const MAX_UNRESERVED_MESSAGE: usize = 64 * 1024;
+/// A message is long, and may take [`LONG_TIMEOUT`], from here on.
+const MIN_LONG_MESSAGE: usize = 64 * 1024;
 /// A client that has taken none of its answers for so long is given up.
 const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Reads of what is thrown away before a connection is closed at once: more than a system keeps for one that is not read.
@@ -66,6 +61,15 @@
     Lingering(Instant),
 }
 
+/// What one connection may take before bytes are set aside for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct BufferShares {
+    /// Bytes of messages that have come ahead. Bytes are set aside for a longer message before it is read on.
+    pub(super) read: usize,
+    /// Bytes that wait to be written, beyond which no further message is taken.
+    pub(super) write: usize,
+}
+
 /// A client's connection.
 pub(super) struct Client {
     pub(super) wire: Wire,
@@ -105,6 +109,11 @@
     permit: Option<MemoryPermit>,
     /// Its wait for them.
     memory_wait: Option<MemoryWait>,
+    /// What it may take beside that.
+    pub(super) shares: BufferShares,
+    /// What its answer is paid with while it waits to be written, and since when it does.
+    answer_permit: Option<BytePermit>,
+    pub(super) answered_at: Option<Instant>,
     /// When bytes came last.
     pub(super) heard: Instant,
     /// Since when a message lies unfinished, and since when the client has taken none of its answers.
@@ -114,7 +123,13 @@
 
 impl Client {
     /// One that has just connected.
-    pub(super) fn new(now: Instant, opened_after: Instant, wire: Wire, terms: Terms, key: CancelKey) -> Self {
+    pub(super) fn new(
+        now: Instant,
+        opened_after: Instant,
+        wire: Wire,
+        terms: Terms,
+        (key, shares): (CancelKey, BufferShares),
+    ) -> Self {
         Self {
             wire,
             phase: Phase::Opening,
@@ -139,6 +154,9 @@
             long: None,
             permit: None,
             memory_wait: None,
+            shares,
+            answer_permit: None,
+            answered_at: None,
             heard: now,
             unfinished: None,
             stuck: None,
@@ -167,6 +185,9 @@
         let stopped = now.saturating_duration_since(self.heard.max(since)) >= MESSAGE_TIMEOUT;
         match self.long {
             Some(LongMessage::AwaitsMemory(_)) => false,
+            Some(LongMessage::Announced(len) | LongMessage::Reserved(len)) if len <= MIN_LONG_MESSAGE => {
+                stopped || past >= HEAD_TIMEOUT
+            }
             Some(_) => stopped || past >= LONG_TIMEOUT,
             None => stopped || past >= HEAD_TIMEOUT,
         }
@@ -176,7 +197,7 @@
     /// described, in a pipeline whose Sync or Flush is yet to come. PostgreSQL does the same; it spares a write and a
     /// wake-up for each request. A final answer never waits.
     pub(super) fn holds_back(&self) -> bool {
-        let little = self.wire.unwritten() < MAX_UNWRITTEN;
+        let little = self.wire.unwritten() < self.shares.write;
         self.phase == Phase::Busy && self.session.open() && !self.prompt && little && self.stuck.is_none()
     }
 
@@ -242,7 +263,7 @@
     /// unread bytes would cause.
     pub(super) fn discard_unread(&mut self, scratch: &mut [u8]) {
         for _ in 0..MAX_DISCARDED_READS {
-            if !matches!(self.wire.read(scratch, &mut self.buffer), Ok(Taken::Some)) {
+            if !matches!(self.wire.read(scratch, &mut self.buffer, usize::MAX), Ok(Taken::Some)) {
                 return;
             }
             self.buffer.clear();
@@ -291,16 +312,39 @@
         true
     }
 
-    /// More bytes are wanted.
-    pub(super) fn reads(&self) -> bool {
-        let most = match (self.phase, self.long) {
+    /// How many bytes its buffer may have now.
+    pub(super) fn most_read(&self) -> usize {
+        match (self.phase, self.long) {
             (Phase::Busy, _) if self.last_command => 0,
-            (Phase::Busy, _) => CHUNK,
             (_, Some(LongMessage::Announced(_) | LongMessage::AwaitsMemory(_))) => 0,
             (_, Some(LongMessage::Reserved(len))) => len,
-            _ => MAX_BUFFERED,
-        };
-        !self.ended && self.buffer.len() < most
+            _ => self.shares.read,
+        }
+    }
+
+    /// More bytes are wanted.
+    pub(super) fn reads(&self) -> bool {
+        !self.ended && self.buffer.len() < self.most_read()
+    }
+
+    /// Sets aside what of its answer could not be written at once, in place of what was set aside to read it.
+    pub(super) fn hold_answer(&mut self, now: Instant, answers: &ByteBudget) {
+        let waits = self.wire.unwritten();
+        let paid = self.answer_permit.as_ref().map_or(0, BytePermit::bytes);
+        if waits > self.shares.write.max(paid) {
+            self.answer_permit = Some(answers.take(waits));
+        }
+        self.answered_at = (waits > 0).then_some(now);
+    }
+
+    /// All is written: what was set aside for its answer is given back.
+    pub(super) fn end_answer(&mut self) {
+        (self.answer_permit, self.answered_at) = (None, None);
+    }
+
+    /// It holds bytes that were set aside for answers, since then.
+    pub(super) fn holds_answer_since(&self) -> Option<Instant> {
+        self.answered_at.filter(|_| self.answer_permit.is_some())
     }
 
     /// Messages are taken as they come.
@@ -320,7 +364,7 @@
         let (mut used, mut stalled) = (0, false);
         while self.takes() {
             // Guards against: answers piling up for a client that sends and never reads.
-            stalled = self.wire.unwritten() >= MAX_UNWRITTEN;
+            stalled = self.wire.unwritten() >= self.shares.write;
             if stalled {
                 break;
             }
@@ -347,15 +391,19 @@
         let another = used > 0 && !discards;
         self.unfinished = if another { None } else { self.unfinished }.filter(|_| unfinished);
         self.unfinished = self.unfinished.or(unfinished.then_some(now));
-        if self.buffer.is_empty() && self.buffer.capacity() > 2 * CHUNK {
-            self.buffer = Vec::new();
-        }
+        release(&mut self.buffer);
         stalled
     }
 
     fn open(&mut self, now: Instant, from: usize) -> Result<Option<usize>, String> {
+        if let Some(len) = frontend::stated_opening(&self.buffer[from..]).map_err(|e| e.to_string())? {
+            if self.announces(len) {
+                return Ok(None);
+            }
+        }
         let opening = frontend::opening(&self.buffer[from..]).map_err(|e| e.to_string())?;
         let Some((opening, len)) = opening else { return Ok(None) };
+        self.end_long_message();
         match opening {
             Opening::Encryption => self.wire.out().push(frontend::NO_ENCRYPTION),
             Opening::Cancel(key) => (self.cancels, self.phase) = (key, Phase::Closing),
@@ -383,11 +431,10 @@
         }
         let stated = frontend::stated(&self.buffer[from..]).map_err(|e| e.to_string())?;
         let Some(len) = stated else { return Ok(None) };
-        if len > MAX_UNRESERVED_MESSAGE && !matches!(self.long, Some(LongMessage::Reserved(_))) {
-            self.long = Some(LongMessage::Announced(len));
+        if self.announces(len) {
             return Ok(None);
         }
-        if len > MAX_UNRESERVED_MESSAGE && self.buffer[from] == b'Q' {
+        if matches!(self.long, Some(LongMessage::Reserved(_))) && self.buffer[from] == b'Q' {
             return self.take_long(now, number, from, len, inbox);
         }
         let message = frontend::message(&self.buffer[from..]).map_err(|e| e.to_string())?;
--- a/gateway/src/net/client/long_message.rs
+++ b/gateway/src/net/client/long_message.rs
@@ -6,10 +6,10 @@
 use tracing::warn;
 use yewroute_ledger::MemoryPermit;
 
-use super::{Client, Origin};
+use super::{Client, Origin, Phase};
 use crate::net::memory_wait::{MemoryWait, Step, WaitTerms};
-use crate::net::wire::CHUNK;
 use crate::net::Input;
+use crate::proto::pg::code;
 
 /// A message of so many bytes in all that is longer than is read unasked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,8 +41,16 @@
         (self.long, self.permit, self.heard) = (Some(LongMessage::Reserved(len)), Some(permit), now);
         self.memory_wait = None;
         self.unfinished = Some(now);
-        // A read may bring what lies behind it as well.
-        self.buffer.reserve_exact((len + CHUNK).saturating_sub(self.buffer.len()));
+        self.buffer.reserve_exact(len.saturating_sub(self.buffer.len()));
+    }
+
+    /// Whether bytes are yet to be set aside for a message of so many that begins what has come.
+    pub(super) fn announces(&mut self, len: usize) -> bool {
+        let announces = len > self.shares.read && !matches!(self.long, Some(LongMessage::Reserved(_)));
+        if announces {
+            self.long = Some(LongMessage::Announced(len));
+        }
+        announces
     }
 
     /// Its long message is over: what was set aside is given back, unless a request has it.
@@ -71,6 +79,10 @@
         let waited_ms = self.memory_wait.map_or(0, |wait| wait.age(now).as_millis());
         warn!(bytes = len, waited_ms, "out of memory for statements: one refused unread");
         self.end_long_message();
+        if self.phase == Phase::Opening {
+            self.close_with_error(code::TOO_MANY, "no memory for so long a startup message");
+            return;
+        }
         let query = self.buffer.first() == Some(&b'Q');
         self.long = Some(LongMessage::Discarded(Discard { left: len, query, retry_after }));
         self.heard = now;
@@ -124,6 +136,8 @@
             return Ok(None);
         }
         let rest = self.buffer.split_off(from + len);
+        // One that came whole before its bytes were set aside lies in a buffer with room to spare.
+        self.buffer.shrink_to_fit();
         let mut text = std::mem::replace(&mut self.buffer, rest);
         text.drain(..from + 5);
         let took = match text.pop() {
--- a/gateway/src/net/client/tests.rs
+++ b/gateway/src/net/client/tests.rs
@@ -4,10 +4,13 @@
 use super::*;
 use crate::net::cancel::CancelKeys;
 use crate::net::memory_wait::WaitTerms;
+use crate::net::wire::CHUNK;
 use yewroute_pgwire::exchange::Dialect;
 use yewroute_pgwire::session::Limits;
 use yewroute_settings::Deployment;
 
+const SHARES: BufferShares = BufferShares { read: 64 * 1024, write: 32 * 1024 };
+
 /// A client between two requests, and its end of the connection.
 fn idle_client() -> (TcpStream, Client) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -16,7 +19,7 @@
     let limits = Limits { statements: 8, portals: 8, bytes: 65_536 };
     let terms = Terms { extended: false, hosts: Dialect::Simple, limits };
     let now = Instant::now();
-    let mut client = Client::new(now, now, wire, terms, CancelKeys::default().of(1));
+    let mut client = Client::new(now, now, wire, terms, (CancelKeys::default().of(1), SHARES));
     client.phase = Phase::Idle(now);
     (peer, client)
 }
@@ -65,7 +68,7 @@
     peer.write_all(&vec![b' '; LEN - head.len()]).unwrap();
     let (mut scratch, mut table, mut inbox) = (vec![0; CHUNK], Table::new(0), VecDeque::new());
     while inbox.is_empty() {
-        let _ = client.wire.read(&mut scratch, &mut client.buffer);
+        let _ = client.wire.read(&mut scratch, &mut client.buffer, SHARES.read);
         client.take_messages(now, 1, true, &mut table, &mut inbox);
         assert!(client.buffer.is_empty(), "nothing of it is kept");
     }
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -10,13 +10,12 @@
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
-use tracing::warn;
-use yewroute_ledger::{MemoryBudget, PermitQueue};
+use yewroute_ledger::{ByteBudget, MemoryBudget, PermitQueue};
 use yewroute_lifecycle::Leaving;
 use yewroute_receive_time::Receiver;
 
 use super::cancel::CancelKeys;
-use super::client::{Client, LongMessage, Phase, PRESENCE_PROBE_INTERVAL, RESET_TIMEOUT};
+use super::client::{BufferShares, Client, LongMessage, Phase, PRESENCE_PROBE_INTERVAL, RESET_TIMEOUT};
 use super::memory_wait::WaitTerms;
 use super::poller::{Poller, Ready};
 use super::wire::{Taken, CHUNK};
@@ -29,9 +28,8 @@
 use crate::timers::Timers;
 use closes::{CloseReason, Closes};
 
-/// Bytes of a long value that may wait for a client, at the least and at the most.
-const MIN_VALUE_WINDOW: usize = 16 * 1024;
-const MAX_VALUE_WINDOW: usize = 128 * 1024;
+/// While db hosts' answers wait for memory, a client that has not taken its own for so long is given up.
+const HELD_ANSWER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How often those times are looked after.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(200);
 /// Where descriptors are short, connections give way that have sent no request for so long.
@@ -66,7 +64,9 @@
     most: usize,
     /// How long a connection may send no request where there are `most`.
     silent: Duration,
-    most_bytes: usize,
+    shares: BufferShares,
+    /// What answers may take that clients have not taken yet, and db hosts' answers under way.
+    answers: ByteBudget,
     /// Long messages that wait for memory.
     waiting_messages: PermitQueue,
     wait_terms: WaitTerms,
@@ -79,6 +79,14 @@
     closes: Closes,
 }
 
+/// What clients' long messages and their answers are paid for out of.
+pub struct ClientMemory {
+    /// Statements.
+    pub statements: MemoryBudget,
+    /// Answers.
+    pub answers: ByteBudget,
+}
+
 /// What clients are told of this gateway's stage.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Admission {
@@ -104,13 +112,12 @@
 }
 
 impl Clients {
-    /// At most `most` connections that have read at most `most_bytes` ahead together, and whose long messages are paid for
-    /// out of `statement_memory`.
+    /// At most `most` connections with these shares, whose long messages and answers are paid for out of `memory`.
     pub fn new(
         now: Instant,
         most: usize,
-        most_bytes: usize,
-        (statement_memory, wait_terms): (MemoryBudget, WaitTerms),
+        shares: BufferShares,
+        (memory, wait_terms): (ClientMemory, WaitTerms),
         protocol: ClientProtocol,
     ) -> Self {
         let mut timers = Timers::new();
@@ -124,8 +131,9 @@
             keys: CancelKeys::default(),
             most,
             silent: UNUSED_CONNECTION_TIMEOUT,
-            most_bytes,
-            waiting_messages: PermitQueue::new(statement_memory),
+            shares,
+            answers: memory.answers,
+            waiting_messages: PermitQueue::new(memory.statements),
             wait_terms,
             admission: Admission { leaving: Leaving::None, yes: true, accepts: true, listens: true },
             scratch: vec![0; CHUNK],
@@ -136,9 +144,13 @@
         }
     }
 
-    /// Connections that may be open, and bytes read ahead, from now on.
-    pub fn limit(&mut self, most: usize, most_bytes: usize) {
-        (self.most, self.most_bytes) = (most, most_bytes);
+    /// Connections that may be open, and the share of each, from now on.
+    pub fn limit(&mut self, most: usize, shares: BufferShares) {
+        self.most = most;
+        if self.shares != shares {
+            self.shares = shares;
+            self.clients.values_mut().for_each(|client| client.shares = shares);
+        }
     }
 
     /// Whether another process of this gateway holds a part of its descriptors for the moment. Guards against: closing,
@@ -221,6 +233,7 @@
             self.send_away(now, poller, inbox);
         }
         self.close_surplus(now);
+        self.give_up_answers(now, inbox);
         let pipeline_idle = self.protocol.pipeline_idle;
         let overdue = |client: &Client| client.overdue(now) || client.stalled(now, pipeline_idle);
         let numbers = self.clients.iter().filter(|(_, client)| overdue(client)).map(|(number, _)| *number);
@@ -272,11 +285,12 @@
             return;
         }
         if client.reads() {
-            let before = client.buffer.len();
+            let (before, most) = (client.buffer.len(), client.most_read());
             let unheard = client.heard == client.accepted;
             let earliest = if unheard { client.opened_after } else { poller.unread_since() };
             let (receiver, scratch) = (&mut self.receiver, &mut self.scratch);
-            match client.wire.read_dated(receiver, earliest, scratch, &mut client.buffer) {
+            let buffer = (&mut client.buffer, most);
+            match client.wire.read_dated(receiver, earliest, scratch, buffer) {
                 Ok((Taken::Some, received)) => {
                     client.heard = now;
                     // Guards against: the time that a request lay unread, as while this process got no processor, passed on to db
@@ -297,18 +311,6 @@
                 }
             }
         }
-        let long = client.buffer.len() > CHUNK && client.phase != Phase::Busy && client.long.is_none();
-        // Guards against: long messages of many clients, all unfinished, that together fill the memory.
-        let unasked = |client: &Client| if client.long.is_none() { client.buffer.len() } else { 0 };
-        if long && self.clients.values().map(unasked).sum::<usize>() > self.most_bytes {
-            let open = self.clients.len();
-            if let Some(client) = self.clients.get_mut(&number) {
-                let bytes = client.buffer.len();
-                warn!(bytes, open, "out of memory for clients: one connection closed");
-                self.closes.count(CloseReason::Memory);
-                client.close_with_error(code::OUT_OF_MEMORY, "too many bytes of clients");
-            }
-        }
         self.work(now, number, poller, inbox);
     }
 
@@ -362,7 +364,7 @@
             }
             let Some(client) = self.clients.get_mut(&number) else { return false };
             let waits = client.wire.unwritten();
-            if full && waits <= MIN_VALUE_WINDOW / 2 {
+            if full && waits <= self.shares.write / 2 {
                 client.full = false;
                 inbox.push_back(Input::Room(ClientId(number)));
             }
@@ -394,7 +396,10 @@
         let Ok(written) = client.wire.flush() else { return false };
         client.prompt &= !written;
         client.stuck = match client.stuck {
-            _ if written => None,
+            _ if written => {
+                client.end_answer();
+                None
+            }
             Some(since) if client.wire.unwritten() == before => Some(since),
             _ => Some(now),
         };
--- a/gateway/src/net/clients/answers.rs
+++ b/gateway/src/net/clients/answers.rs
@@ -5,11 +5,11 @@
 
 use tracing::warn;
 
-use super::{Clients, MAX_VALUE_WINDOW, MIN_VALUE_WINDOW};
+use super::closes::CloseReason;
+use super::{Clients, HELD_ANSWER_TIMEOUT};
 use crate::core::{Answer, ClientId};
-use crate::net::client::Phase;
+use crate::net::client::{Client, Phase};
 use crate::net::poller::Poller;
-use crate::net::wire::CHUNK;
 use crate::net::Input;
 use crate::proto::pg::session::Final;
 
@@ -28,17 +28,6 @@
         poller: &Poller,
         inbox: &mut VecDeque<Input>,
     ) {
-        // Guards against: long answers to clients that do not read them, which together fill the memory. Such
-        // a request has failed; whether it took effect, only its value would tell.
-        let answer = match answer {
-            Answer::Served(value)
-                if value.len() > CHUNK && self.unwritten() + value.len() > self.most_bytes =>
-            {
-                warn!("out of memory for answers: one request failed");
-                Answer::Failed
-            }
-            answer => answer,
-        };
         let Some(client) = self.clients.get_mut(&number) else { return };
         let answer = match answer {
             Answer::Served(messages) => Final::Served(messages),
@@ -53,6 +42,25 @@
         client.phase = Phase::Idle(now);
         (client.passing, client.full) = (false, false);
         self.work(now, number, poller, inbox);
+        if let Some(client) = self.clients.get_mut(&number) {
+            client.hold_answer(now, &self.answers);
+        }
+    }
+
+    /// Gives clients up that hold on to answers while those of others wait for memory. Guards against: a crowd that reads
+    /// slowly and keeps all other long answers out.
+    pub(super) fn give_up_answers(&mut self, now: Instant, inbox: &mut VecDeque<Input>) {
+        if !self.answers.is_short() {
+            return;
+        }
+        let held_long = |since: Instant| now.saturating_duration_since(since) >= HELD_ANSWER_TIMEOUT;
+        let holds = |client: &Client| client.holds_answer_since().is_some_and(held_long);
+        let holders = self.clients.iter().filter(|(_, client)| holds(client)).map(|(number, _)| *number);
+        for number in holders.collect::<Vec<_>>() {
+            warn!("out of memory for answers: closed a connection whose client did not take its own");
+            self.closes.count(CloseReason::Memory);
+            self.remove(number, inbox);
+        }
     }
 
     /// Passes bytes of a long value on to a client, and asks for a pause when its share of the memory waits there.
@@ -69,7 +77,7 @@
         client.wire.out().extend(bytes);
         self.work(now, number, poller, inbox);
         let waits = self.clients.get(&number).map_or(0, |client| client.wire.unwritten());
-        if waits > MIN_VALUE_WINDOW && waits > self.window() {
+        if waits > self.shares.write {
             if let Some(client) = self.clients.get_mut(&number).filter(|client| !client.full) {
                 client.full = true;
                 inbox.push_back(Input::Full(ClientId(number)));
@@ -77,12 +85,6 @@
         }
     }
 
-    /// Bytes of a value that may wait for a client: a share of the memory, of as many as there are.
-    pub(super) fn window(&self) -> usize {
-        let passing = self.clients.values().filter(|client| client.passing).count();
-        (self.most_bytes / passing.max(1)).clamp(MIN_VALUE_WINDOW, MAX_VALUE_WINDOW)
-    }
-
     /// A value has broken off: the end of its connection within a message tells the client.
     pub fn break_off(
         &mut self,
--- a/gateway/src/net/clients/listener.rs
+++ b/gateway/src/net/clients/listener.rs
@@ -63,7 +63,7 @@
                                 poller.unread_since(),
                                 wire,
                                 self.protocol.terms,
-                                self.keys.of(number),
+                                (self.keys.of(number), self.shares),
                             );
                             self.clients.insert(number, client);
                         }
--- a/gateway/src/net/console.rs
+++ b/gateway/src/net/console.rs
@@ -195,7 +195,7 @@
         if self.step != Step::Calls {
             self.buffer.clear();
         }
-        match self.wire.read(scratch, &mut self.buffer) {
+        match self.wire.read(scratch, &mut self.buffer, usize::MAX) {
             Ok(Taken::Some) if self.step != Step::Calls => self.wire.flush().map(|_| None).map_err(|_| None),
             Ok(Taken::Some) => console::call(&self.buffer).map_err(Some),
             Ok(Taken::Nothing) => self.wire.flush().map(|_| None).map_err(|_| None),
--- a/gateway/src/net/discovery/link.rs
+++ b/gateway/src/net/discovery/link.rs
@@ -207,7 +207,7 @@
     ) -> Result<(), CallEnd> {
         let (mut scratch, mut bytes, mut lines) = (vec![0; CHUNK], Vec::new(), Vec::new());
         let earliest = unread_since.max(self.called);
-        let read = self.wire.read_dated(&mut self.receiver, earliest, &mut scratch, &mut bytes);
+        let read = self.wire.read_dated(&mut self.receiver, earliest, &mut scratch, (&mut bytes, CHUNK));
         let (taken, came) = read.map_err(CallEnd::Broken)?;
         // Guards against: a list that passes for new as a process that got no processor has read it late.
         let came = came.min(now);
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -1,5 +1,6 @@
 //! Connections to db hosts: a pool for each, one request at a time on each connection.
 
+mod answer_memory;
 mod assign;
 mod connection;
 pub mod first_byte;
@@ -10,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use yewroute::interface::{ServerId, Status};
+use yewroute_ledger::{ByteBudget, BytePermit};
 
 use super::poller::Poller;
 use super::statement::Statement;
@@ -89,8 +91,14 @@
     /// Attempts written whole.
     forwards: u64,
     most: usize,
-    /// Bytes that answers under way may take.
-    most_bytes: usize,
+    /// What answers are paid for out of, from their first byte to the last that their clients take.
+    answers: ByteBudget,
+    /// Connections that are not read from, as there are no bytes for their answers, in order.
+    starved: VecDeque<u64>,
+    /// Permits of answers that their clients have not got yet.
+    answered: Vec<BytePermit>,
+    /// A value that is passed on is read in pieces of so many bytes.
+    piece: usize,
     protocol: HostProtocol,
     connect_timeout: Duration,
     retire_after: Duration,
@@ -115,11 +123,11 @@
 }
 
 impl Hosts {
-    /// A pool of at most `most` connections, with at most `most_bytes` of answers under way.
+    /// A pool of at most `most` connections, whose answers are paid for out of `answers`, or read in such pieces.
     pub fn new(
         now: Instant,
         most: usize,
-        most_bytes: usize,
+        (answers, piece): (ByteBudget, usize),
         protocol: HostProtocol,
         connect_timeout: Duration,
         keepalive: Duration,
@@ -138,7 +146,10 @@
             started: 0,
             forwards: 0,
             most,
-            most_bytes,
+            answers,
+            starved: VecDeque::new(),
+            answered: Vec::new(),
+            piece,
             protocol,
             connect_timeout,
             retire_after: keepalive.mul_f64(RETIRE_AT_KEEPALIVE_SHARE),
@@ -146,9 +157,9 @@
         }
     }
 
-    /// Connections that may be open, and bytes of answers under way, from now on.
-    pub fn limit(&mut self, most: usize, most_bytes: usize) {
-        (self.most, self.most_bytes) = (most, most_bytes);
+    /// Connections that may be open, and the pieces of values, from now on.
+    pub fn limit(&mut self, most: usize, piece: usize) {
+        (self.most, self.piece) = (most, piece);
     }
 
     /// How db hosts are spoken to from now on.
@@ -274,8 +285,11 @@
     /// Guards against: waiting for the rest of an answer that stopped.
     fn answer_due(&mut self, number: u64, id: JobId, a: &mut HostsContext) {
         let conn = self.conns.get(&number).filter(|conn| conn.state == State::Busy(id) && !conn.passing);
-        let Some(at) = conn.map(|conn| conn.moved + ANSWER_STALL_TIMEOUT) else { return };
-        if at <= a.now {
+        let Some(conn) = conn else { return };
+        let at = conn.moved + ANSWER_STALL_TIMEOUT;
+        if conn.starved {
+            self.timers.set(a.now + ANSWER_STALL_TIMEOUT, TimerEvent::Answer(number, id));
+        } else if at <= a.now {
             self.malformed(number, "not whole in time", a);
         } else {
             self.timers.set(at, TimerEvent::Answer(number, id));
--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -1,5 +1,6 @@
 //! Gives waiting jobs connections to their db hosts, and writes them.
 
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -9,8 +10,9 @@
 use super::first_byte::FirstByteLimit;
 use super::{HostConnection, HostProtocol, Hosts, HostsContext, JobId, State, TimerEvent};
 use crate::core::Ended;
+use crate::memory_plan::LONGEST_COPIED_STATEMENT;
 use crate::net::poller::{Interest, Token};
-use crate::net::wire::{Shared, Wire, CHUNK};
+use crate::net::wire::{Shared, Wire};
 use crate::net::Input;
 use crate::proto::pg::backend;
 use crate::proto::pg::exchange::Sent;
@@ -22,6 +24,7 @@
     /// Guards against: bytes of an attempt that go out when its end, its client's leaving or its db host's drain has
     /// come already, in the same wake-up, and is not told yet. Called when nothing is left to be told.
     pub fn serve_waiting(&mut self, a: &mut HostsContext) {
+        self.feed_starved(a);
         for number in std::mem::take(&mut self.writable) {
             self.write_rest(number, a);
         }
@@ -168,7 +171,7 @@
         let (Some(conn), Some(job)) = (self.conns.get_mut(&number), self.jobs.get_mut(&id)) else { return };
         job.conn = Some(number);
         conn.state = State::Busy(id);
-        (conn.begun, conn.passing, conn.paused) = (false, false, false);
+        (conn.begun, conn.passing, conn.paused, conn.starved) = (false, false, false, false);
         // An attempt that is written once more, as its statement was not there, is the same one.
         conn.forwarding = matches!(id, JobId::Attempt(_)) && !job.again;
         let wait = job.cut_at.saturating_duration_since(a.now.max(Instant::now()));
@@ -176,10 +179,13 @@
         conn.sent = Sent::default();
         match statement.as_ref().map(|statement| (statement, &statement.body)) {
             // A long statement is one buffer from its client to every db host that it is written to.
-            Some((statement, Body::Simple(simple))) if simple.text.len() > CHUNK => {
+            Some((statement, Body::Simple(simple))) if simple.text.len() > LONGEST_COPIED_STATEMENT => {
+                let Range { start, end } = simple.wait_at;
                 simple.put_head(conn.wire.out(), wait);
-                conn.wire.share(Rc::clone(statement) as Rc<dyn Shared>, 0..simple.wait_at.start);
-                simple.put_tail(conn.wire.out(), wait);
+                conn.wire.share(Rc::clone(statement) as Rc<dyn Shared>, 0..start);
+                simple.put_wait(conn.wire.out(), wait);
+                conn.wire.share(Rc::clone(statement) as Rc<dyn Shared>, end..simple.text.len());
+                conn.wire.out().push(0);
             }
             Some((_, body)) => {
                 let HostProtocol { dialect, statements } = self.protocol;
--- a/gateway/src/net/hosts/connection.rs
+++ b/gateway/src/net/hosts/connection.rs
@@ -4,9 +4,11 @@
 use std::time::Instant;
 
 use yewroute::interface::{Role, ServerId, Status};
+use yewroute_ledger::BytePermit;
 
 use super::HostsContext;
 use crate::core::{AttemptId, Ended, HostNote};
+use crate::memory_plan::UNPAID_ANSWER;
 use crate::net::poller::{Interest, Token};
 use crate::net::wire::Wire;
 use crate::proto::pg::backend::{self, Gather, Reply, Verdict};
@@ -45,6 +47,9 @@
     pub(super) moved: Instant,
     pub(super) passing: bool,
     pub(super) paused: bool,
+    /// It is not read from, as there are no bytes for its answer; and those that are set aside.
+    pub(super) starved: bool,
+    pub(super) answer_permit: Option<BytePermit>,
     /// An attempt is being written, whose last byte is not out yet.
     pub(super) forwarding: bool,
     pub(super) writable: bool,
@@ -66,6 +71,8 @@
             moved: now,
             passing: false,
             paused: false,
+            starved: false,
+            answer_permit: None,
             forwarding: false,
             writable: false,
         }
@@ -102,10 +109,26 @@
 
     /// Asks to be woken for what is wanted.
     fn listen(&self, number: u64, a: &HostsContext) -> std::io::Result<()> {
-        let interest = Interest { read: !self.paused, write: self.writable };
+        let interest = Interest { read: !self.paused && !self.starved, write: self.writable };
         a.poller.change(&self.wire, Token::Host(number), interest)
     }
 
+    /// Bytes that its answer takes once the message that is coming is whole.
+    pub(super) fn answer_bytes(&self) -> usize {
+        self.gather.held_bytes() + self.gather.stated(&self.buffer).unwrap_or(0)
+    }
+
+    /// Bytes that it may take as things stand.
+    pub(super) fn paid_bytes(&self) -> usize {
+        self.answer_permit.as_ref().map_or(UNPAID_ANSWER, BytePermit::bytes)
+    }
+
+    /// Stops reading for want of bytes, or goes on.
+    pub(super) fn starve(&mut self, number: u64, starved: bool, a: &HostsContext) -> std::io::Result<()> {
+        (self.starved, self.moved) = (starved, a.now);
+        self.listen(number, a)
+    }
+
     /// Stops reading, or goes on.
     pub(super) fn pause(&mut self, number: u64, paused: bool, a: &HostsContext) -> std::io::Result<()> {
         if self.paused == paused {
--- a/gateway/src/net/hosts/receive.rs
+++ b/gateway/src/net/hosts/receive.rs
@@ -7,7 +7,7 @@
 use super::{Hosts, HostsContext, TimerEvent, ANSWER_STALL_TIMEOUT};
 use crate::core::Ended;
 use crate::net::poller::Ready;
-use crate::net::wire::{Taken, CHUNK};
+use crate::net::wire::{release, Taken};
 use crate::net::Input;
 use crate::proto::pg::backend::{self, Reply, Step, Verdict};
 
@@ -30,19 +30,17 @@
             self.writable.insert(number);
         }
         // Guards against: a busy loop over a connection that has broken and is not read from.
-        if conn.paused && !event.broken {
+        if (conn.paused || conn.starved) && !event.broken {
             return;
         }
         conn.moved = a.now;
-        let taken = match conn.wire.read(&mut self.scratch, &mut conn.buffer) {
+        let most = self.read_size(number);
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        let taken = match conn.wire.read(&mut self.scratch, &mut conn.buffer, most) {
             Ok(taken) => taken,
             Err(_) => Taken::End,
         };
-        // Guards against: long answers, all unfinished, that together fill the memory.
-        let long = conn.buffer.len() > CHUNK;
-        if long && self.conns.values().map(|conn| conn.buffer.len()).sum::<usize>() > self.most_bytes {
-            self.malformed(number, "too many bytes of answers under way", a);
-        } else if taken == Taken::Some {
+        if taken == Taken::Some {
             self.gather(number, a);
         } else if taken == Taken::End || event.broken {
             self.lose(number, a);
@@ -62,9 +60,7 @@
                     return;
                 }
                 conn.buffer.clear();
-                if conn.buffer.capacity() > 2 * CHUNK {
-                    conn.buffer = Vec::new();
-                }
+                release(&mut conn.buffer);
                 self.servable.insert(conn.server);
                 return;
             }
@@ -83,6 +79,7 @@
                                 return;
                             };
                             conn.passing = true;
+                            self.answered.extend(conn.answer_permit.take());
                             // The value has begun, so no other attempt follows and this one is not written again.
                             if let Some(job) = self.jobs.get_mut(&JobId::Attempt(attempt)) {
                                 job.statement = None;
@@ -100,13 +97,13 @@
                 Ok(None) => {
                     let came = conn.buffer.len() > whole && conn.gather.under_way(&conn.buffer[used..]);
                     conn.buffer.drain(..used);
-                    if !came {
-                        return;
-                    }
-                    if let (State::Busy(id), false, false) = (conn.state, conn.begun, conn.passing) {
+                    release(&mut conn.buffer);
+                    let begins = came && !conn.begun && !conn.passing;
+                    if let (State::Busy(id), true) = (conn.state, begins) {
                         conn.begun = true;
                         self.timers.set(a.now + ANSWER_STALL_TIMEOUT, TimerEvent::Answer(number, id));
                     }
+                    self.pay_for_answer(number, a);
                     return;
                 }
                 Err(error) => {
@@ -120,6 +117,7 @@
     /// ReadyForQuery has come.
     fn answered(&mut self, number: u64, reply: Reply, a: &mut HostsContext) {
         let Some(conn) = self.conns.get_mut(&number) else { return };
+        self.answered.extend(conn.answer_permit.take());
         if let State::Busy(id) = conn.state {
             // The statement was not there, so nothing ran. It is the same attempt that waits for a connection once more,
             // unless its client has gone: then it ends as one that never ran.
--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -99,7 +99,8 @@
         .unwrap();
         let protocol = HostProtocol { dialect, statements: 8 };
         let timeout = Duration::from_secs(5);
-        let hosts = Hosts::new(now, 16, most_bytes, protocol, timeout, Duration::from_secs(30));
+        let answers = (ByteBudget::new(most_bytes), 32 * 1024);
+        let hosts = Hosts::new(now, 16, answers, protocol, timeout, Duration::from_secs(30));
         let (poller, inbox) = (Poller::new().unwrap(), VecDeque::new());
         Self { poller, core, hosts, listener, now, inbox, clients: 0 }
     }
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -32,7 +32,7 @@
 use tracing::{info, warn};
 use yewroute::interface::SettingsError;
 use yewroute_federation::bridge::Wish;
-use yewroute_ledger::MemoryBudget;
+use yewroute_ledger::{ByteBudget, MemoryBudget};
 use yewroute_lifecycle::{Lifecycle, Means};
 
 use crate::config::Config;
@@ -91,6 +91,8 @@
     core: Core<Statement>,
     /// What statements may take of the memory.
     statement_memory: MemoryBudget,
+    /// What answers may take of it.
+    answer_memory: ByteBudget,
     life: Lifecycle,
     /// The older and the newer process of this gateway, where it can be replaced.
     handover: Option<Handover>,
--- a/gateway/src/net/replacement.rs
+++ b/gateway/src/net/replacement.rs
@@ -8,9 +8,9 @@
 
 use super::console::Console;
 use super::handover::News;
-use super::startup::descriptor_shares;
+use super::startup::{buffer_shares, descriptor_shares};
 use super::{Gateway, RESERVED_DESCRIPTORS};
-use crate::config::Budgets;
+use crate::memory_plan::MemoryPlan;
 
 /// How long a new process waits for the listener while the one that it replaces is itself still replacing another.
 const PREDECESSOR_BUSY_TIMEOUT: Duration = Duration::from_millis(4_500);
@@ -32,13 +32,14 @@
             let lent = most_hosts / 2;
             (most_clients, most_hosts) = (most_clients + lent, most_hosts - lent);
         }
-        let Budgets { most_bytes, statement_bytes } = Budgets::of(means.kib);
+        let plan = MemoryPlan::of(means.kib, most_clients);
         // Guards against: statements that wait for memory which this process has handed on for good.
         let later = if self.life.is_handed() { means } else { self.limits };
-        let widest = Budgets::of(later.kib).statement_bytes;
-        self.clients.limit(most_clients, most_bytes);
-        self.hosts.limit(most_hosts, most_bytes);
-        self.statement_memory.limit(Limits { total: statement_bytes, widest });
+        let widest = MemoryPlan::of(later.kib, most_clients).statements;
+        self.clients.limit(most_clients, buffer_shares(&plan));
+        self.hosts.limit(most_hosts, plan.client_write);
+        self.answer_memory.limit(plan.answers);
+        self.statement_memory.limit(Limits { total: plan.statements, widest });
     }
 
     /// Shares the limits with a successor: it gets what this process does not need.
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -10,11 +10,12 @@
 use yewroute::interface::ListObservation;
 use yewroute_edge::Edge;
 use yewroute_federation::bridge::Reader;
-use yewroute_ledger::{Limits as StatementLimits, MemoryBudget};
+use yewroute_ledger::{ByteBudget, Limits as StatementLimits, MemoryBudget};
 use yewroute_lifecycle::{Lifecycle, Means};
 use yewroute_settings::Deployment;
 
-use super::clients::{ClientProtocol, Clients};
+use super::client::BufferShares;
+use super::clients::{ClientMemory, ClientProtocol, Clients};
 use super::console::{self, Console};
 use super::discovery::{Discovery, DiscoveryMode};
 use super::federation::FederationLink;
@@ -27,8 +28,9 @@
 use super::signals::Signals;
 use super::{Gateway, Input, RunError, RESERVED_DESCRIPTORS};
 use crate::clock::Clock;
-use crate::config::{against, Budgets, Config};
+use crate::config::{against, Config};
 use crate::core::{Core, Known, Near};
+use crate::memory_plan::MemoryPlan;
 use crate::proto::pg::exchange::Dialect;
 use crate::proto::pg::session::{Limits, Terms};
 
@@ -84,6 +86,11 @@
     (usable - usable / 2, usable / 2)
 }
 
+/// What each connection of a client may take by this plan.
+pub(super) fn buffer_shares(plan: &MemoryPlan) -> BufferShares {
+    BufferShares { read: plan.client_read, write: plan.client_write }
+}
+
 /// The operators' console, where there is one.
 fn open_console(
     now: Instant,
@@ -136,12 +143,14 @@
         let console_share = config.console.map_or(0, |_| console::share(config.sockets));
         let limits = Means { sockets: config.sockets, kib: config.memory_kib };
         let (most_clients, most_hosts) = descriptor_shares(limits.sockets, console_share);
-        let Budgets { most_bytes, statement_bytes } = Budgets::of(limits.kib);
+        let plan = MemoryPlan::of(limits.kib, most_clients);
         let (client_protocol, host_protocol) = protocol_settings(&config.edge);
         let operated = config.console.is_some();
-        let statement_memory = MemoryBudget::new(StatementLimits::fixed(statement_bytes));
-        let for_statements = (statement_memory.clone(), WaitTerms::of(&config.deployment.module));
-        let clients = Clients::new(now, most_clients, most_bytes, for_statements, client_protocol);
+        let statement_memory = MemoryBudget::new(StatementLimits::fixed(plan.statements));
+        let answer_memory = ByteBudget::new(plan.answers);
+        let memory = ClientMemory { statements: statement_memory.clone(), answers: answer_memory.clone() };
+        let memory = (memory, WaitTerms::of(&config.deployment.module));
+        let clients = Clients::new(now, most_clients, buffer_shares(&plan), memory, client_protocol);
         let console = open_console(now, config.console, console_share, &poller)?;
         let deployment = config.deployment.clone();
         let discovery_mode = DiscoveryMode {
@@ -153,7 +162,7 @@
         let hosts = Hosts::new(
             now,
             most_hosts,
-            most_bytes,
+            (answer_memory.clone(), plan.client_write),
             host_protocol,
             deployment.connect_timeout,
             deployment.keepalive,
@@ -198,6 +207,7 @@
             federation,
             core,
             statement_memory,
+            answer_memory,
             life: Lifecycle::new(longest_deadline),
             handover,
             awaiting: Some(awaiting),
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -15,6 +15,10 @@
 
 use yewroute_receive_time::{self as receive_time, Receiver};
 
+use crate::memory_plan::RETAINED_BUFFER;
+
+/// The least that a buffer grows to.
+const MIN_BUFFER: usize = 256;
 /// Bytes read at a time.
 pub const CHUNK: usize = 32 * 1024;
 
@@ -122,6 +126,8 @@
             }
             match self.behind.pop_front() {
                 None => return Ok(true),
+                // What has just been written is small: the buffer that is kept goes on.
+                Some(Piece::Own(bytes)) if bytes.len() <= self.out.capacity() => self.out.extend(bytes),
                 Some(Piece::Own(bytes)) => self.out = bytes,
                 Some(Piece::Shared(bytes, mut range)) => {
                     while !range.is_empty() {
@@ -166,10 +172,7 @@
         }
         self.out.clear();
         self.written = 0;
-        if self.out.capacity() > 2 * CHUNK {
-            // A long value passed through: an idle connection keeps no such buffer.
-            self.out = Vec::new();
-        }
+        release(&mut self.out);
         Ok(true)
     }
 
@@ -184,13 +187,14 @@
         self.out.capacity() + self.behind.iter().map(own).sum::<usize>()
     }
 
-    /// Reads once, by way of `scratch`, into `buffer`.
-    pub fn read(&mut self, scratch: &mut [u8], buffer: &mut Vec<u8>) -> io::Result<Taken> {
+    /// Reads once, by way of `scratch`, into `buffer`, which gets no longer than `most` bytes.
+    pub fn read(&mut self, scratch: &mut [u8], buffer: &mut Vec<u8>, most: usize) -> io::Result<Taken> {
+        let Some(room) = room(scratch, buffer, most) else { return Ok(Taken::Nothing) };
         loop {
-            match rustix::io::read(&self.stream, &mut *scratch).map_err(io::Error::from) {
+            match rustix::io::read(&self.stream, &mut *room).map_err(io::Error::from) {
                 Ok(0) => return Ok(Taken::End),
                 Ok(n) => {
-                    buffer.extend(&scratch[..n]);
+                    append(buffer, &room[..n], most);
                     return Ok(Taken::Some);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(Taken::Nothing),
@@ -212,13 +216,14 @@
         receiver: &mut Receiver,
         earliest: Instant,
         scratch: &mut [u8],
-        buffer: &mut Vec<u8>,
+        (buffer, most): (&mut Vec<u8>, usize),
     ) -> io::Result<(Taken, Instant)> {
+        let Some(room) = room(scratch, buffer, most) else { return Ok((Taken::Nothing, Instant::now())) };
         loop {
-            match receiver.read(&self.stream, scratch) {
+            match receiver.read(&self.stream, room) {
                 Ok((0, received)) => return Ok((Taken::End, received)),
                 Ok((n, received)) => {
-                    buffer.extend(&scratch[..n]);
+                    append(buffer, &room[..n], most);
                     // Guards against: a step of the wall clock, by which a request that has just come would be over.
                     let received = if received < earliest { Instant::now() } else { received };
                     return Ok((Taken::Some, received));
@@ -264,3 +269,26 @@
         self.stream.as_fd()
     }
 }
+
+/// The part of `scratch` that may be read into a buffer of at most so many bytes; none if that is full.
+fn room<'a>(scratch: &'a mut [u8], buffer: &[u8], most: usize) -> Option<&'a mut [u8]> {
+    let len = most.saturating_sub(buffer.len()).min(scratch.len());
+    (len > 0).then(|| &mut scratch[..len])
+}
+
+/// Appends bytes to a buffer of at most so many. Guards against: growth by doubling beyond what the buffer may have.
+fn append(buffer: &mut Vec<u8>, bytes: &[u8], most: usize) {
+    let needed = buffer.len() + bytes.len();
+    if needed > buffer.capacity() {
+        let grown = (2 * buffer.capacity()).max(MIN_BUFFER).min(most).max(needed);
+        buffer.reserve_exact(grown - buffer.len());
+    }
+    buffer.extend_from_slice(bytes);
+}
+
+/// Gives the memory of an empty buffer back, unless it is as small as a usual message needs.
+pub fn release(buffer: &mut Vec<u8>) {
+    if buffer.is_empty() && buffer.capacity() > RETAINED_BUFFER {
+        *buffer = Vec::new();
+    }
+}
--- a/gateway/src/replay.rs
+++ b/gateway/src/replay.rs
@@ -195,7 +195,7 @@
             conn.wire.out().extend(hello);
         }
         let before = conn.buffer.len();
-        let taken = conn.wire.read(&mut self.scratch, &mut conn.buffer);
+        let taken = conn.wire.read(&mut self.scratch, &mut conn.buffer, usize::MAX);
         if let (Some(tape), Some(connection)) = (&mut self.tape, &mut conn.tape) {
             tape.send(unix(), connection, End::Server, &conn.buffer[before..])?;
         }
