--- a/gateway/src/core/limit.rs
+++ b/gateway/src/core/limit.rs
@@ -33,6 +33,11 @@
         }
     }
 
+    /// How many attempts hold something.
+    pub(super) fn len(&self) -> usize {
+        self.out.len()
+    }
+
     /// An attempt goes out.
     pub(super) fn sent(&mut self, attempt: AttemptId, spent: Option<Spent>) {
         if let Some(spent) = spent.filter(Spent::held) {
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -419,6 +419,11 @@
 
     /// Lets the timers go off that are due at `now`.
     pub fn tick(&mut self, now: Instant, effects: &mut Vec<Effect<B>>) {
+        let Self { timers, held, spending, .. } = self;
+        timers.prune(held.len() + spending.len(), |due| match due {
+            Due::Overdue(request) => held.contains_key(request),
+            Due::Module(_) | Due::Rested(_) => true,
+        });
         while let Some(due) = self.timers.due(now) {
             match due {
                 Due::Module(name) => self.route(now, Event::Timer(name), effects),
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -258,6 +258,7 @@
     }
 
     pub fn tick(&mut self, a: &mut HostsContext) {
+        self.prune_timers();
         while let Some(due) = self.timers.due(a.now) {
             match due {
                 TimerEvent::Connect(number) => {
@@ -282,6 +283,23 @@
         }
     }
 
+    fn prune_timers(&mut self) {
+        /// Of a job, and of a connection.
+        const TIMERS_OF_EACH: usize = 2;
+        let Self { timers, jobs, conns, .. } = self;
+        timers.prune(TIMERS_OF_EACH * (jobs.len() + conns.len()), |due| match due {
+            TimerEvent::Cut(id, number) => jobs.get(id).is_some_and(|job| job.number == *number),
+            TimerEvent::Begin(id) => jobs.get(id).is_some_and(|job| job.conn.is_none()),
+            TimerEvent::Connect(number) => conns
+                .get(number)
+                .is_some_and(|conn| matches!(conn.state, State::Connecting | State::Starting)),
+            TimerEvent::Answer(number, id) => {
+                conns.get(number).is_some_and(|conn| conn.state == State::Busy(*id))
+            }
+            TimerEvent::Sweep => true,
+        });
+    }
+
     /// Guards against: waiting for the rest of an answer that stopped.
     fn answer_due(&mut self, number: u64, id: JobId, a: &mut HostsContext) {
         let conn = self.conns.get(&number).filter(|conn| conn.state == State::Busy(id) && !conn.passing);
--- a/gateway/src/timers.rs
+++ b/gateway/src/timers.rs
@@ -1,9 +1,12 @@
-//! A heap of timers. One that is no longer wanted is left in and passed over by whoever set it.
+//! A heap of timers. One that is no longer wanted is left in and passed over by whoever set it, until most are such.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
 use std::time::Instant;
 
+/// Fewer unwanted timers than this are left in.
+const MIN_PRUNED: usize = 512;
+
 /// Timers, each with a thing to do.
 pub struct Timers<T> {
     heap: BinaryHeap<Timer<T>>,
@@ -27,6 +30,16 @@
         self.heap.push(Timer { at, number: self.set, what });
     }
 
+    /// Throws away those that are no longer wanted, if they may be most of them, where there are so many `live` ones.
+    ///
+    /// Guards against: timers of requests that are over, kept up to the longest deadline while others come at full speed.
+    pub fn prune(&mut self, live: usize, wanted: impl Fn(&T) -> bool) {
+        if self.heap.len() > 2 * live + MIN_PRUNED {
+            self.heap.retain(|timer| wanted(&timer.what));
+            self.heap.shrink_to(2 * self.heap.len() + MIN_PRUNED);
+        }
+    }
+
     /// When the next one is due.
     pub fn next(&self) -> Option<Instant> {
         self.heap.peek().map(|timer| timer.at)
