A request that may have run is known by its id to the end of its window, in both processes of a replacement

What callers saw: an id of an at_most_once class was sent twice, when it came again after its client had left, after its answer, or at the other process of a replacement. Cause: an id was known only while its client waited; what an abandoned attempt might still do had no owner, and the processes of a replacement told each other of connections and limits, not of requests. Class: state with the life of a client in place of the life of the effect. Ids of which nothing ran are forgotten. How many is a row of the memory plan; svc_ids_forgotten_early counts any that went too soon. net/sent_ids.rs tells the other process, over a socket of its own, before the first byte, and hears it before a request is admitted. A repeat of an idempotent request gives up the abandoned attempt before it sends another.

--- a/crates/pgwire/src/names.rs
+++ b/crates/pgwire/src/names.rs
@@ -14,6 +14,13 @@
     blake3::hash(name).as_bytes().to_vec()
 }
 
+/// A number that stands for a name, the same in each release.
+#[must_use]
+pub fn digest(name: &[u8]) -> u64 {
+    let hash = blake3::hash(name);
+    hash.as_bytes().first_chunk::<8>().map_or(0, |first| u64::from_be_bytes(*first))
+}
+
 /// The same for a name that is text.
 #[must_use]
 pub fn kept_text(name: &str) -> String {
--- a/gateway/src/core/admit.rs
+++ b/gateway/src/core/admit.rs
@@ -4,7 +4,7 @@
 
 use yewroute::interface::{Effect, Freshness};
 
-use super::{Answer, Ask, Core, Payload, Scope};
+use super::{request_ids, Answer, Ask, Core, Payload, Scope};
 use crate::proto::pg::names::kept_text;
 
 impl<B: Payload> Core<B> {
@@ -42,6 +42,8 @@
             // Guards against: a client that sends another's open request once more. It would get what is not
             // its own, and a second copy would go out.
             () if self.names.contains(&ask.name) => Answer::Invalid("a request of this id is open already"),
+            // Guards against: a request that runs twice, as its client has left and comes again, here or at the other process.
+            () if self.has_been_sent(now, class, &ask.name) => Answer::Failed,
             () if full => Answer::Refused { retry_after },
             // Another gateway may serve it at once.
             () if self.answers_by.is_some_and(|by| now >= by) => Answer::Refused { retry_after: None },
@@ -52,6 +54,12 @@
         Err((Some(class), turned_away))
     }
 
+    /// A request of this id may have run, and may not be sent again.
+    fn has_been_sent(&self, now: Instant, class: usize, id: &[u8]) -> bool {
+        let once = request_ids::window(&self.deployment.module.classes[class]).is_some();
+        once && !id.is_empty() && self.ids.may_have_run(now, request_ids::digest(id))
+    }
+
     /// Sees that a statement has a permit; false if there are not enough bytes. A long one has had its own since its head came.
     fn pay(&self, body: &mut B) -> bool {
         let bytes = body.bytes();
--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -13,6 +13,7 @@
 impl<B: Payload> Core<B> {
     pub(super) fn book(&mut self, now: Instant, id: AttemptId, ended: Ended, effects: &mut Vec<Effect<B>>) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
+        self.end_id(id, &attempt, ended.status);
         self.end_spent(id, attempt.sent, ended.status);
         let (request, _) = id;
         self.orders.ended(request, &ended);
@@ -33,6 +34,7 @@
         let finished = held.is_none();
         if let Some(held) = held {
             held.out = None;
+            held.may_have_run |= !ended.status.never_ran();
             held.reached |= !matches!(ended.status, Status::ConnectFailed | Status::NotSent);
         }
         self.check_clock(now, &ended.note, effects);
@@ -45,6 +47,17 @@
         self.settle_order(request);
     }
 
+    /// An attempt has ended. An id of which nothing can have run is forgotten.
+    fn end_id(&mut self, id: AttemptId, attempt: &Attempt, status: Status) {
+        let Some(digest) = attempt.digest else { return };
+        self.ids.ended(digest, id);
+        let first = id.1 == 0;
+        let ran_before = self.held.get(&id.0).map_or(!first, |held| held.may_have_run);
+        if status.never_ran() && !ran_before {
+            self.ids.forget(digest);
+        }
+    }
+
     /// Corrects the clock by what servers say. Those that the list has as started lately are cold by the corrected one.
     fn check_clock(&mut self, now: Instant, note: &HostNote, effects: &mut Vec<Effect<B>>) {
         let (Some(role), Some(unix_ms)) = (note.role, note.applied_ms) else { return };
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod limit;
 mod reach;
 mod relay;
+mod request_ids;
 mod route;
 mod send;
 mod shares;
@@ -44,6 +45,8 @@
 use crate::timers::Timers;
 use channels::Orders;
 pub use directory::Directory;
+pub use request_ids::SentId;
+use request_ids::{IdDigest, RequestIds};
 use tally::End;
 pub use tally::{Results, Tally};
 
@@ -249,6 +252,10 @@
     class: usize,
     group: u64,
     name: Vec<u8>,
+    /// What stands for its id, if it has one.
+    digest: Option<IdDigest>,
+    /// An attempt of it may have run.
+    may_have_run: bool,
     /// None once its value is being passed on, as it is not sent again.
     body: Option<Rc<B>>,
     sends: u32,
@@ -264,6 +271,8 @@
 #[derive(Clone, Copy)]
 struct Attempt {
     server: ServerId,
+    /// What stands for its request's id, if that has one.
+    digest: Option<IdDigest>,
     /// The name and group of its db host, as other gateways know them.
     host: Option<(u64, u64)>,
     sent: Instant,
@@ -312,6 +321,8 @@
     held: HashMap<RequestId, Held<B>>,
     by_client: HashMap<ClientId, RequestId>,
     names: HashSet<Vec<u8>>,
+    /// Requests that may have run, up to the end of their windows.
+    ids: RequestIds,
     attempts: HashMap<AttemptId, Attempt>,
     timers: Timers<Due>,
     /// Events for the module that its own actions gave rise to.
@@ -365,6 +376,7 @@
             held: HashMap::new(),
             by_client: HashMap::new(),
             names: HashSet::new(),
+            ids: RequestIds::default(),
             attempts: HashMap::new(),
             timers: Timers::new(),
             events: VecDeque::new(),
@@ -412,6 +424,31 @@
         }
     }
 
+    /// How many ids of requests that may have run are remembered from now on.
+    pub fn limit_ids(&mut self, most: usize) {
+        self.ids.limit(most);
+    }
+
+    /// Whether another process of this gateway is told of the ids that are sent from here.
+    pub fn share_ids(&mut self, now: Instant, shared: bool) {
+        self.ids.share(now, shared);
+    }
+
+    /// The ids that it is to be told of.
+    pub fn take_sent_ids(&mut self) -> Vec<SentId> {
+        self.ids.take_news()
+    }
+
+    /// The other process has sent a request of this id.
+    pub fn remember_id(&mut self, now: Instant, id: SentId) {
+        self.ids.remember(now, id);
+    }
+
+    /// Ids that were forgotten before their windows were over.
+    pub fn ids_forgotten_early(&self) -> u64 {
+        self.ids.forgotten_early()
+    }
+
     /// When [`Core::tick`] is due.
     pub fn next(&self) -> Option<Instant> {
         self.timers.next()
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -5,7 +5,7 @@
 use tracing::error;
 use yewroute::interface::{Effect as Repeats, Event, RequestId};
 
-use super::{Answer, ClientId, Core, Effect, End, Held, Payload};
+use super::{Answer, AttemptId, ClientId, Core, Effect, End, Held, Payload};
 
 impl Answer {
     /// What a request that gets this counts as.
@@ -40,8 +40,8 @@
         let held = self.release(id, End::Aborted);
         match held.map(|held| (held.out, held.passing)) {
             Some((Some(out), true)) => self.abandon_value(now, out, effects),
-            Some((out, _)) => effects.extend(out.map(Effect::Withdraw)),
-            None => {}
+            Some((Some(out), false)) => self.withdraw(out, effects),
+            Some((None, _)) | None => {}
         }
         self.route(now, Event::Gone(id), effects);
         self.settle_order(id);
@@ -57,10 +57,18 @@
         let may_have_effect = !repeatable && (held.reached || out.is_some());
         let answer = if may_have_effect { Answer::Failed } else { Answer::Cancelled };
         self.relay(id, answer, effects);
-        effects.extend(out.map(Effect::Withdraw));
+        out.into_iter().for_each(|out| self.withdraw(out, effects));
         self.route(now, Event::Gone(id), effects);
     }
 
+    /// Nobody waits for an attempt any more; its id stays known while it may run.
+    fn withdraw(&mut self, out: AttemptId, effects: &mut Vec<Effect<B>>) {
+        if let Some(digest) = self.attempts.get(&out).and_then(|attempt| attempt.digest) {
+            self.ids.abandon(digest, out);
+        }
+        effects.push(Effect::Withdraw(out));
+    }
+
     /// Guards against: a request that nobody answers, such as one whose attempt never ends. The module ends
     /// each in time; this is the last line behind it.
     pub(super) fn overdue(&mut self, now: Instant, id: RequestId, effects: &mut Vec<Effect<B>>) {
@@ -73,7 +81,7 @@
         }
         error!(attempt_out = out.is_some(), "request overdue: failed by the gateway itself");
         self.relay(id, Answer::Failed, effects);
-        effects.extend(out.map(Effect::Withdraw));
+        out.into_iter().for_each(|out| self.withdraw(out, effects));
         self.route(now, Event::Gone(id), effects);
     }
 
--- a/gateway/src/core/send.rs
+++ b/gateway/src/core/send.rs
@@ -4,6 +4,7 @@
 
 use yewroute::interface::{Event, Note, Outcome, Report, RequestId, ServerId, Status};
 
+use super::request_ids::{window, SentId};
 use super::{Attempt, AttemptId, Core, Effect, Payload};
 
 /// So long before half of a request's time an attempt has to have a connection, if no db host has seen the request;
@@ -33,6 +34,7 @@
         // Guards against: two attempts of a request out at once. The module never asks for it.
         let sendable = self.held.get(&id).filter(|held| held.out.is_none());
         let body = sendable.and_then(|held| held.body.clone());
+        let digest = self.held.get(&id).and_then(|held| held.digest);
         let (number, body, class, half_at) = match (self.held.get_mut(&id), body) {
             (Some(held), _) if spent.is_none() => {
                 held.sends += 1;
@@ -70,7 +72,11 @@
         if let (Some(loads), Some((name, _))) = (&mut self.loads, host) {
             loads.sent(name);
         }
-        let sent = Attempt { server, host, sent: now, first_byte: None, booked: false, class, told: 0 };
+        if let (Some(digest), Some(window)) = (digest, window(&self.deployment.module.classes[class])) {
+            self.ids.sent(now, SentId { digest, window });
+        }
+        let sent =
+            Attempt { server, digest, host, sent: now, first_byte: None, booked: false, class, told: 0 };
         self.attempts.insert(attempt, sent);
         let permit = self.orders.sent(id);
         effects.push(Effect::Start { attempt, server, body, begin_by, cut_at, permit, send_by, spent });
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use yewroute::interface::{Event, GroupId, Request, RequestId, SessionKey, Stand};
+use yewroute::interface::{Event, GroupId, Request, RequestId, SessionKey, Stand, Status};
 
-use super::{Ask, ClientId, Core, Due, Effect, Held, Payload};
+use super::request_ids::{self, IdDigest};
+use super::{Ask, ClientId, Core, Due, Effect, Ended, Held, Payload};
 
 /// How long after its time a request that nobody answered is failed here: later than the module's own last
 /// moment, sooner than the rules' slack ends.
@@ -62,14 +63,18 @@
             sees: None,
             near: self.asked_first(now, class, group),
         };
-        if !ask.name.is_empty() {
+        let digest = (!ask.name.is_empty()).then(|| request_ids::digest(&ask.name));
+        if let Some(digest) = digest {
             self.names.insert(ask.name.clone());
+            self.end_abandoned(now, digest, effects);
         }
         let held = Held {
             client,
             class,
             group,
             name: ask.name,
+            digest,
+            may_have_run: false,
             body: Some(Rc::new(ask.body)),
             sends: 0,
             out: None,
@@ -87,6 +92,14 @@
         self.spending.give_back();
     }
 
+    /// Gives up the attempt of an earlier request of the same id, whose client has left. Guards against: a second copy.
+    fn end_abandoned(&mut self, now: Instant, digest: IdDigest, effects: &mut Vec<Effect<B>>) {
+        if let Some(attempt) = self.ids.abandoned(digest) {
+            effects.push(Effect::Abandon(attempt));
+            self.book(now, attempt, Ended::silent(Status::Cancelled), effects);
+        }
+    }
+
     /// Where a request is asked first: in a zone of its route, where the plan for all zones says, or near this gateway. A route
     /// counts as long as there is no newer table, under a lease or not; a plan under its lease and for a while past it.
     fn asked_first(&mut self, now: Instant, class: usize, group: u64) -> Option<Stand> {
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod poller;
 mod reload;
 mod replacement;
+mod sent_ids;
 pub(crate) mod signals;
 mod startup;
 mod statement;
@@ -47,6 +48,7 @@
 use hosts::first_byte::{FirstByteLimit, Spending};
 use hosts::{Hosts, HostsContext};
 use poller::{Poller, Ready, Token};
+use sent_ids::SentIdLink;
 use signals::Signals;
 use startup::StartConditions;
 use statement::Statement;
@@ -96,6 +98,8 @@
     life: Lifecycle,
     /// The older and the newer process of this gateway, where it can be replaced.
     handover: Option<Handover>,
+    /// Where these tell each other which requests were sent.
+    sent_ids: Option<SentIdLink>,
     /// While it does not serve yet: what it waits for, and until when.
     awaiting: Option<StartConditions>,
     /// The limits, and what this process may use of them while there is another one.
@@ -186,6 +190,7 @@
             }
             Token::Handover(number) => self.replaced(now, number),
             Token::Fleet => self.fleet.iter_mut().for_each(|fleet| fleet.ready(now)),
+            Token::SentIds => self.sent_ids.iter_mut().for_each(SentIdLink::accept),
             Token::Federation => self.federation.iter_mut().for_each(FederationLink::silence),
             Token::Host(number) => {
                 let (hosts, mut around) = self.hosts(now);
@@ -282,6 +287,7 @@
     /// come before the next send.
     fn settle(&mut self, now: Instant) {
         loop {
+            self.hear_sent_ids(now);
             while let Some(input) = self.inbox.pop_front() {
                 self.core.handle(now, input, &mut self.effects);
             }
@@ -294,6 +300,7 @@
             if !self.inbox.is_empty() || !self.effects.is_empty() {
                 continue;
             }
+            self.tell_sent_ids();
             let (hosts, mut around) = self.hosts(now);
             hosts.serve_waiting(&mut around);
             if self.inbox.is_empty() {
@@ -302,6 +309,24 @@
         }
     }
 
+    /// Hears what another process of this gateway has sent, before a request is admitted here.
+    fn hear_sent_ids(&mut self, now: Instant) {
+        let Some(link) = &mut self.sent_ids else { return };
+        self.core.share_ids(now, link.is_connected());
+        for id in link.take() {
+            self.core.remember_id(now, id);
+        }
+    }
+
+    /// Tells it what is sent from here, before the first byte goes out.
+    fn tell_sent_ids(&mut self) {
+        let Some(link) = self.sent_ids.as_mut().filter(|link| link.is_connected()) else { return };
+        let news = self.core.take_sent_ids();
+        if !news.is_empty() || link.has_unsent() {
+            link.tell(&news);
+        }
+    }
+
     fn perform(&mut self, now: Instant, effect: Effect) {
         let (hosts, mut around) = self.hosts(now);
         match effect {
--- a/gateway/src/net/operations.rs
+++ b/gateway/src/net/operations.rs
@@ -124,6 +124,7 @@
             statements_waiting: self.clients.waiting_messages(),
             memory: self.memory_figures(),
             client_closes: self.clients.closes(),
+            ids_forgotten_early: self.core.ids_forgotten_early(),
             log_lines_dropped: log::dropped_lines(),
             fleet: {
                 let fleet = self.fleet.iter().flat_map(|fleet| fleet.figures(now));
--- a/gateway/src/net/poller.rs
+++ b/gateway/src/net/poller.rs
@@ -32,6 +32,8 @@
     Fleet,
     /// The federation's tasks want something.
     Federation,
+    /// Another process of this gateway wants to be told which requests were sent.
+    SentIds,
 }
 
 impl Token {
@@ -46,6 +48,7 @@
             Self::Handover(number) => number << 3 | 6,
             Self::Fleet => 7,
             Self::Federation => 1 << 3 | 7,
+            Self::SentIds => 2 << 3 | 7,
         }
     }
 
@@ -59,6 +62,7 @@
             (5, number) => Self::Console(number),
             (6, number) => Self::Handover(number),
             (_, 0) => Self::Fleet,
+            (_, 2) => Self::SentIds,
             _ => Self::Federation,
         }
     }
--- a/gateway/src/net/replacement.rs
+++ b/gateway/src/net/replacement.rs
@@ -39,6 +39,7 @@
         self.clients.limit(most_clients, buffer_shares(&plan));
         self.hosts.limit(most_hosts, plan.client_write);
         self.answer_memory.limit(plan.answers);
+        self.core.limit_ids(plan.request_ids);
         self.statement_memory.limit(Limits { total: plan.statements, widest });
     }
 
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -25,6 +25,7 @@
 use super::listener;
 use super::memory_wait::WaitTerms;
 use super::poller::{Interest, Poller, Token};
+use super::sent_ids::SentIdLink;
 use super::signals::Signals;
 use super::{Gateway, Input, RunError, RESERVED_DESCRIPTORS};
 use crate::clock::Clock;
@@ -178,11 +179,13 @@
             Known { members: std::mem::take(&mut config.known), near },
             &mut effects,
         )?;
+        core.limit_ids(plan.request_ids);
         core.handle(now, Input::ListObserved(ListObservation::Began), &mut effects);
         if let Some(console) = &console {
             info!(addr = %console.addr()?, "console listening");
         }
         let folder = std::env::var_os("TMPDIR").filter(|_| operated).map(PathBuf::from);
+        let sent_ids = folder.as_deref().map(|folder| SentIdLink::begin(folder, config.listen));
         let handover = folder.map(|folder| Handover::begin(folder, config.listen, &poller));
         let older = handover.as_ref().is_some_and(Handover::has_predecessor);
         let fleet = open_fleet(now, &config, &poller)?;
@@ -210,6 +213,7 @@
             answer_memory,
             life: Lifecycle::new(longest_deadline),
             handover,
+            sent_ids,
             awaiting: Some(awaiting),
             list_expired: false,
             limits,
@@ -259,6 +263,9 @@
         if let Some(handover) = &mut self.handover {
             handover.serve(&self.poller);
         }
+        if let Some(sent_ids) = &mut self.sent_ids {
+            sent_ids.serve(&self.poller);
+        }
         Ok(())
     }
 }
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -374,6 +374,8 @@
     pub memory: MemoryFigures,
     /// How many connections of clients were closed, by reason.
     pub client_closes: Vec<(&'a str, u64)>,
+    /// Ids of requests that may have run, forgotten before their windows were over.
+    pub ids_forgotten_early: u64,
     /// Lines of the log that were lost, as standard error took nothing.
     pub log_lines_dropped: u64,
     /// Names and values of the fleet's, none while it is off.
@@ -450,6 +452,7 @@
         ("discovery_calls", calls),
         ("discovery_calls_ended", calls_ended),
         ("log_lines_dropped", figures.log_lines_dropped),
+        ("ids_forgotten_early", figures.ids_forgotten_early),
     ];
     for (name, value) in counters {
         let _ = writeln!(body, "# TYPE svc_{name} counter\nsvc_{name} {value}");
@@ -644,6 +647,7 @@
                 hosts: 5,
             },
             client_closes: vec![("left", 11)],
+            ids_forgotten_early: 9,
             log_lines_dropped: 7,
             fleet: vec![("svc_fleet_members{state=\"alive\"}".to_owned(), 3)],
         };
@@ -681,6 +685,7 @@
                 "svc_discovery_calls 3",
                 "svc_discovery_calls_ended 2",
                 "svc_log_lines_dropped 7",
+                "svc_ids_forgotten_early 9",
                 r#"svc_client_closes{reason="left"} 11"#,
                 r#"svc_fleet_members{state="alive"} 3"#,
             ]
