An answer within a twentieth of its aim shows no jam

Cause: a read that takes 3.5 times the unloaded latency counts as a jam. Of db hosts that answer within microseconds a hiccup of a few milliseconds is that much, and some of them in a row refuse reads by chance for seconds. Evidence: hiccups_of_quick_servers_refuse_no_reads, 0.2 ms for 300 reads and 8 ms from then on: the 9th of them was refused before. Change: a good answer within 5% of its class's aim is no jam.

--- a/src/policy/blame.rs
+++ b/src/policy/blame.rs
@@ -36,7 +36,8 @@
             let group = self.groups.get_mut(&server.group).expect("made with the server");
             let pressure = group.pressure.get(now, PRESSURE_HALF);
             let least = if o.status == Status::Timeout { CROWDED } else { JAMMED };
-            let jammed = !lost && o.elapsed > unloaded.mul_f64(least) || o.status == Status::Full;
+            let soon = o.status == Status::Good && o.elapsed <= aim.mul_f64(NO_JAM_WITHIN_AIM);
+            let jammed = !lost && !soon && o.elapsed > unloaded.mul_f64(least) || o.status == Status::Full;
             if group.primary != Some(a.server) && jammed && a.alone {
                 group.pressure.set(now, pressure + PRESSURE_UP * (1.0 - pressure));
             } else if o.status == Status::Good {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -63,6 +63,8 @@
 const IDLE: Duration = Duration::from_millis(250); // unheard of
 /// Reads taking this multiple of the unloaded latency raise the pressure, others lower it; last, chance.
 const JAMMED: f64 = 3.5;
+/// An answer within this share of its aim shows no jam, however much sooner others came.
+const NO_JAM_WITHIN_AIM: f64 = 0.05;
 const PRESSURE_UP: f64 = 0.2;
 const PRESSURE_DOWN: f64 = 0.12;
 const PRESSURE_LEAST: f64 = 0.2;
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -432,3 +432,19 @@
         assert_eq!(sends(&g.request(WRITE).1).len(), 1);
     }
 }
+
+// Guards against: reads refused as in a jam, as a server that answers within microseconds took a few milliseconds now and then.
+#[test]
+fn hiccups_of_quick_servers_refuse_no_reads() {
+    let usual = std::time::Duration::from_micros(200);
+    let hiccup = ms(8);
+    let mut g = Gateway::start(settings(), 1);
+    for turn in 0..400 {
+        let (id, out) = g.decided(ANY, |_| {});
+        assert!(finals(&out).is_empty(), "read {turn}");
+        let (_, server) = sends(&out)[0];
+        let elapsed = if turn > 300 { hiccup } else { usual };
+        g.answer_after(elapsed, id, 0, server, Status::Good, Note::default());
+        g.tick(ms(10));
+    }
+}
