What all sessions keep is a row of the memory plan

Found by looking for the same mistake in related code. Cause: statements, portals and rows behind a row limit were limited for each client (512 KiB), not for all; errors repeated names of any length; the formats of a portal's parameters were not counted. Change: all sessions share two parts of 32 of the limit; beyond that Parse, Bind and Execute get 53200. Errors show 64 bytes of a name.

--- a/crates/pgwire/src/bind.rs
+++ b/crates/pgwire/src/bind.rs
@@ -162,7 +162,8 @@
     pub fn bytes(&self) -> usize {
         let shared = self.statement.number().is_some();
         let text = if shared { 0 } else { self.statement.text.len() };
-        self.values.len() + self.places.len() * size_of::<Option<Range<u32>>>() + text
+        let formats = self.formats.len() + self.results.len();
+        self.values.len() + self.places.len() * size_of::<Option<Range<u32>>>() + formats + text
     }
 
     /// Whether this column of the result is wanted in binary.
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -16,6 +16,7 @@
 use crate::frontend::{self, Local, Message};
 use crate::portal::{cost_of_portal, last_message, message_len, Portal, Run, ENTRY};
 use crate::request::{Body, Wanted};
+use crate::shared_bytes::{HeldBytes, SharedBytes};
 use crate::statement::{self, Malformed};
 use crate::table::{Description, Lease, NotTaken, Table};
 use crate::template::Purpose;
@@ -99,7 +100,7 @@
     statements: HashMap<Box<[u8]>, Lease>,
     unnamed: Option<Lease>,
     portals: HashMap<Box<[u8]>, Portal>,
-    bytes: usize,
+    bytes: HeldBytes,
     skipping: bool,
     open: bool,
     /// A portal whose description waits for its Execute, as its db host cannot describe.
@@ -113,12 +114,18 @@
     /// A client that has nothing yet.
     #[must_use]
     pub fn new(terms: Terms) -> Self {
+        Self::sharing(terms, &SharedBytes::new(usize::MAX))
+    }
+
+    /// The same, which keeps no more than there is for all sessions.
+    #[must_use]
+    pub fn sharing(terms: Terms, shared: &SharedBytes) -> Self {
         Self {
             terms,
             statements: HashMap::new(),
             unnamed: None,
             portals: HashMap::new(),
-            bytes: 0,
+            bytes: HeldBytes::none_of(shared),
             skipping: false,
             open: false,
             deferred: None,
@@ -141,7 +148,7 @@
     /// Bytes that are charged to this client.
     #[must_use]
     pub fn bytes(&self) -> usize {
-        self.bytes
+        self.bytes.get()
     }
 
     /// Takes a message and appends what it is answered at once.
@@ -228,7 +235,7 @@
     fn sync(&mut self, out: &mut Vec<u8>) {
         (self.skipping, self.open) = (false, false);
         for (name, portal) in std::mem::take(&mut self.portals) {
-            self.bytes -= cost_of_portal(&name, &portal);
+            self.bytes.subtract(cost_of_portal(&name, &portal));
         }
         frontend::put_ready(out);
     }
@@ -239,7 +246,7 @@
             return Ok(Took::Done);
         }
         if let Some(unnamed) = self.unnamed.take() {
-            self.bytes -= cost_of_statement(b"", &unnamed);
+            self.bytes.subtract(cost_of_statement(b"", &unnamed));
         }
         self.drop_portal(b"");
         if let Some(local) = frontend::local(&text) {
@@ -268,10 +275,10 @@
             parse(body).ok_or((code::PROTOCOL_VIOLATION, "malformed Parse".to_owned()))?;
         if name.is_empty() {
             if let Some(unnamed) = self.unnamed.take() {
-                self.bytes -= cost_of_statement(b"", &unnamed);
+                self.bytes.subtract(cost_of_statement(b"", &unnamed));
             }
         } else if self.statements.contains_key(name) {
-            let name = name.escape_ascii();
+            let name = shown(name);
             return Err((code::DUPLICATE_STATEMENT, format!("prepared statement \"{name}\" already exists")));
         } else if self.statements.len() >= self.terms.limits.statements {
             let most = self.terms.limits.statements;
@@ -290,11 +297,14 @@
 
     /// Guards against: one client that fills the memory with what it prepares or binds.
     fn charge(&mut self, bytes: usize) -> Result<(), Fault> {
-        if self.bytes + bytes > self.terms.limits.bytes {
+        if self.bytes.get() + bytes > self.terms.limits.bytes {
             let most = self.terms.limits.bytes;
             return Err((code::LIMIT, format!("statements and portals of one client over {most} bytes")));
         }
-        self.bytes += bytes;
+        if !self.bytes.has_room(bytes) {
+            return Err((code::OUT_OF_MEMORY, "no memory for more statements and portals".to_owned()));
+        }
+        self.bytes.add(bytes);
         Ok(())
     }
 
@@ -302,9 +312,7 @@
         let found = if name.is_empty() { self.unnamed.as_ref() } else { self.statements.get(name) };
         found.ok_or_else(|| match name {
             b"" => (code::NO_STATEMENT, "unnamed prepared statement does not exist".to_owned()),
-            name => {
-                (code::NO_STATEMENT, format!("prepared statement \"{}\" does not exist", name.escape_ascii()))
-            }
+            name => (code::NO_STATEMENT, format!("prepared statement \"{}\" does not exist", shown(name))),
         })
     }
 
@@ -316,7 +324,7 @@
         if name.is_empty() {
             self.drop_portal(b"");
         } else if self.portals.contains_key(&name) {
-            let name = name.escape_ascii();
+            let name = shown(&name);
             return Err((code::DUPLICATE_PORTAL, format!("portal \"{name}\" already exists")));
         }
         if self.portals.len() >= self.terms.limits.portals {
@@ -339,7 +347,7 @@
 
     fn drop_portal(&mut self, name: &[u8]) {
         if let Some(portal) = self.portals.remove(name) {
-            self.bytes -= cost_of_portal(name, &portal);
+            self.bytes.subtract(cost_of_portal(name, &portal));
         }
     }
 
@@ -372,7 +380,7 @@
         } else {
             let closed = if name.is_empty() { self.unnamed.take() } else { self.statements.remove(name) };
             if let Some(closed) = closed {
-                self.bytes -= cost_of_statement(name, &closed);
+                self.bytes.subtract(cost_of_statement(name, &closed));
                 // Its portals go with it.
                 let own = |portal: &Portal| portal.bound.statement.same(&closed);
                 let gone =
@@ -409,11 +417,11 @@
             Run::Part { .. } => {
                 let before = cost_of_portal(name, portal);
                 portal.serve(limit, out);
-                self.bytes = self.bytes + cost_of_portal(name, portal) - before;
+                self.bytes.replace(before, cost_of_portal(name, portal));
                 return Ok(Took::Done);
             }
             Run::Done if template.writes => {
-                let name = name.escape_ascii();
+                let name = shown(name);
                 return Err((code::PORTAL_DONE, format!("portal \"{name}\" cannot be run anymore")));
             }
             Run::Done => {
@@ -527,8 +535,12 @@
         }
         portal.serve(limit, out);
         let after = cost_of_portal(name, portal);
-        self.bytes = self.bytes + after - before;
-        if self.bytes > self.terms.limits.bytes {
+        let room = self.bytes.has_room(after.saturating_sub(before));
+        self.bytes.replace(before, after);
+        if !room {
+            return Err((code::OUT_OF_MEMORY, "no memory for rows behind a row limit".to_owned()));
+        }
+        if self.bytes.get() > self.terms.limits.bytes {
             let most = self.terms.limits.bytes;
             return Err((code::LIMIT, format!("rows behind a row limit over {most} bytes of one client")));
         }
@@ -567,8 +579,17 @@
     parts().ok_or_else(|| (code::PROTOCOL_VIOLATION, format!("malformed {message}")))
 }
 
+/// A client's name for something, as an error tells it. Guards against: errors as long as the name.
+fn shown(name: &[u8]) -> String {
+    const LONGEST_SHOWN: usize = 64;
+    match name.get(..LONGEST_SHOWN) {
+        Some(head) if name.len() > LONGEST_SHOWN => format!("{}...", head.escape_ascii()),
+        _ => name.escape_ascii().to_string(),
+    }
+}
+
 fn no_portal(name: &[u8]) -> Fault {
-    (code::NO_PORTAL, format!("portal \"{}\" does not exist", name.escape_ascii()))
+    (code::NO_PORTAL, format!("portal \"{}\" does not exist", shown(name)))
 }
 
 fn cannot_describe() -> Fault {
--- a/gateway/src/memory_plan.rs
+++ b/gateway/src/memory_plan.rs
@@ -9,10 +9,10 @@
 //! | answers, under way or not taken | [`MemoryPlan::answers`] | 3 |
 //! | connections at rest | [`RETAINED_BUFFER`] for each direction, [`UNPAID_ANSWER`] for a db host's, and their entries | 3 |
 //! | ids, timers, requests | [`MemoryPlan::request_ids`], twice what is live, one for each connection | 1 |
-//! | what the allocator keeps | | 2 |
+//! | what the allocator keeps; or, where extended queries are on, [`MemoryPlan::sessions`] | | 2 |
 //!
 //! A part is a thirty-second of the limit. With the least memory and the most connections that the README names all rows
-//! together are the limit; more memory leaves the rest to the allocator, and fewer connections have larger shares.
+//! together are the limit, but for the table of prepared statements, which the operator's file sizes; more memory leaves the rest to the allocator, and fewer connections have larger shares.
 
 /// The largest buffer that an empty connection keeps for each direction. A usual request or answer is shorter.
 pub const RETAINED_BUFFER: usize = 1024;
@@ -27,6 +27,7 @@
 const CLIENT_READ_PARTS: usize = 1;
 const CLIENT_WRITE_PARTS: usize = 1;
 const ANSWER_PARTS: usize = 3;
+const SESSION_PARTS: usize = 2;
 /// A remembered id with its place in the tables.
 const REQUEST_ID_BYTES: usize = 96;
 /// One part in so many of a part goes to remembered ids.
@@ -50,6 +51,8 @@
     pub client_write: usize,
     /// All answers that are longer than [`UNPAID_ANSWER`], from their first byte to the last that their clients take.
     pub answers: usize,
+    /// What all sessions keep until it is closed, where extended queries are on.
+    pub sessions: usize,
     /// Requests whose ids are remembered, by number.
     pub request_ids: usize,
 }
@@ -66,6 +69,7 @@
             client_read: of_each_client(CLIENT_READ_PARTS).clamp(MIN_CLIENT_READ, MAX_CLIENT_READ),
             client_write: client_write.clamp(MIN_CLIENT_WRITE, MAX_CLIENT_WRITE),
             answers: part * ANSWER_PARTS,
+            sessions: part * SESSION_PARTS,
             request_ids: part / REQUEST_ID_SHARE / REQUEST_ID_BYTES,
         }
     }
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -19,7 +19,7 @@
 use crate::proto::pg::code;
 use crate::proto::pg::frontend::{self, CancelKey, Local, Opening};
 use crate::proto::pg::request::Wanted;
-use crate::proto::pg::session::{Session, Terms, Took};
+use crate::proto::pg::session::{Session, Took};
 use crate::proto::pg::table::Table;
 pub(super) use long_message::LongMessage;
 
@@ -127,7 +127,7 @@
         now: Instant,
         opened_after: Instant,
         wire: Wire,
-        terms: Terms,
+        session: Session,
         (key, shares): (CancelKey, BufferShares),
     ) -> Self {
         Self {
@@ -135,7 +135,7 @@
             phase: Phase::Opening,
             key,
             cancels: None,
-            session: Session::new(terms),
+            session,
             prompt: false,
             buffer: Vec::new(),
             arrivals: Arrivals::default(),
--- a/gateway/src/net/client/tests.rs
+++ b/gateway/src/net/client/tests.rs
@@ -6,7 +6,7 @@
 use crate::net::memory_wait::WaitTerms;
 use crate::net::wire::CHUNK;
 use yewroute_pgwire::exchange::Dialect;
-use yewroute_pgwire::session::Limits;
+use yewroute_pgwire::session::{Limits, Terms};
 use yewroute_settings::Deployment;
 
 const SHARES: BufferShares = BufferShares { read: 64 * 1024, write: 32 * 1024 };
@@ -19,7 +19,7 @@
     let limits = Limits { statements: 8, portals: 8, bytes: 65_536 };
     let terms = Terms { extended: false, hosts: Dialect::Simple, limits };
     let now = Instant::now();
-    let mut client = Client::new(now, now, wire, terms, (CancelKeys::default().of(1), SHARES));
+    let mut client = Client::new(now, now, wire, Session::new(terms), (CancelKeys::default().of(1), SHARES));
     client.phase = Phase::Idle(now);
     (peer, client)
 }
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -24,6 +24,7 @@
 use crate::proto::pg::code;
 use crate::proto::pg::frontend::CancelKey;
 use crate::proto::pg::session::Terms;
+use crate::proto::pg::shared_bytes::SharedBytes;
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
 use closes::{CloseReason, Closes};
@@ -65,6 +66,8 @@
     /// How long a connection may send no request where there are `most`.
     silent: Duration,
     shares: BufferShares,
+    /// What all sessions may keep.
+    sessions: SharedBytes,
     /// What answers may take that clients have not taken yet, and db hosts' answers under way.
     answers: ByteBudget,
     /// Long messages that wait for memory.
@@ -85,6 +88,8 @@
     pub statements: MemoryBudget,
     /// Answers.
     pub answers: ByteBudget,
+    /// What sessions keep.
+    pub sessions: SharedBytes,
 }
 
 /// What clients are told of this gateway's stage.
@@ -132,6 +137,7 @@
             most,
             silent: UNUSED_CONNECTION_TIMEOUT,
             shares,
+            sessions: memory.sessions,
             answers: memory.answers,
             waiting_messages: PermitQueue::new(memory.statements),
             wait_terms,
@@ -144,9 +150,10 @@
         }
     }
 
-    /// Connections that may be open, and the share of each, from now on.
-    pub fn limit(&mut self, most: usize, shares: BufferShares) {
+    /// Connections that may be open, the share of each, and what all sessions may keep, from now on.
+    pub fn limit(&mut self, most: usize, shares: BufferShares, session_bytes: usize) {
         self.most = most;
+        self.sessions.limit(session_bytes);
         if self.shares != shares {
             self.shares = shares;
             self.clients.values_mut().for_each(|client| client.shares = shares);
--- a/gateway/src/net/clients/listener.rs
+++ b/gateway/src/net/clients/listener.rs
@@ -12,6 +12,7 @@
 use crate::net::eviction::evict;
 use crate::net::poller::{Interest, Poller, Token};
 use crate::net::wire::Wire;
+use crate::proto::pg::session::Session;
 
 impl Clients {
     /// Takes connections from this listener.
@@ -62,7 +63,7 @@
                                 now,
                                 poller.unread_since(),
                                 wire,
-                                self.protocol.terms,
+                                Session::sharing(self.protocol.terms, &self.sessions),
                                 (self.keys.of(number), self.shares),
                             );
                             self.clients.insert(number, client);
--- a/gateway/src/net/replacement.rs
+++ b/gateway/src/net/replacement.rs
@@ -36,7 +36,7 @@
         // Guards against: statements that wait for memory which this process has handed on for good.
         let later = if self.life.is_handed() { means } else { self.limits };
         let widest = MemoryPlan::of(later.kib, most_clients).statements;
-        self.clients.limit(most_clients, buffer_shares(&plan));
+        self.clients.limit(most_clients, buffer_shares(&plan), plan.sessions);
         self.hosts.limit(most_hosts, plan.client_write);
         self.answer_memory.limit(plan.answers);
         self.core.limit_ids(plan.request_ids);
--- a/gateway/tests/memory_plan.rs
+++ b/gateway/tests/memory_plan.rs
@@ -9,6 +9,7 @@
 
 use common::crowd::{Crowd, Habits, Member};
 use common::*;
+use yewroute_standin::client::{bind, parse};
 
 /// The least that the README names, and the descriptors of the incident.
 const LIMITS: Limits = Limits { memory_mb: 32, sockets: 1_024 };
@@ -26,25 +27,30 @@
 /// A gateway, its most memory beside its program, and what an ordinary client gets meanwhile.
 struct Watched {
     gateway: Gateway,
+    limits: Limits,
     ends: Arc<AtomicBool>,
     peak: thread::JoinHandle<usize>,
     ordinary: thread::JoinHandle<(usize, usize, Duration)>,
 }
 
 impl Watched {
-    fn start(primary: &Host, replica: &Host, edge: Option<&str>) -> Self {
-        let gateway = Gateway::limited(&pair(primary, replica), edge, LIMITS);
+    fn start(primary: &Host, replica: &Host) -> Self {
+        Self::limited(primary, replica, None, LIMITS)
+    }
+
+    fn limited(primary: &Host, replica: &Host, edge: Option<&str>, limits: Limits) -> Self {
+        let gateway = Gateway::limited(&pair(primary, replica), edge, limits);
         let ends = Arc::new(AtomicBool::new(false));
         let peak = watch_memory(gateway.pid(), Arc::clone(&ends));
         let ordinary = ask_on(gateway.client(), Arc::clone(&ends));
-        Self { gateway, ends, peak, ordinary }
+        Self { gateway, limits, ends, peak, ordinary }
     }
 
     /// Ends the watch and holds what was seen against the limits.
     fn check(self) {
         self.ends.store(true, Ordering::SeqCst);
         let peak = self.peak.join().unwrap() >> 10;
-        let most = LIMITS.memory_mb as usize * 1024 - PROGRAM_KIB;
+        let most = self.limits.memory_mb as usize * 1024 - PROGRAM_KIB;
         let (asked, served, longest) = self.ordinary.join().unwrap();
         println!("peak {peak} KiB of {most}; ordinary: {served} of {asked} served, longest {longest:?}");
         assert!(peak < most, "{peak} KiB beside the program, of {most}: {}", self.gateway.log());
@@ -109,7 +115,7 @@
 fn clients_that_stop_half_way_through_a_message_stay_within_the_memory() {
     let [primary, replica] = hosts(Duration::ZERO, 2);
     for bytes in [6_000, 30_000, 60_000, 250_000, 4_000_000] {
-        let watched = Watched::start(&primary, &replica, None);
+        let watched = Watched::start(&primary, &replica);
         let half = |_| {
             let mut message = long_order(bytes);
             message.truncate(message.len() / 2);
@@ -126,7 +132,7 @@
 fn crowds_that_write_slowly_are_answered_and_stay_within_the_memory() {
     let [primary, replica] = hosts(Duration::ZERO, 2);
     for bytes in [6_000, 30_000, 60_000, 250_000] {
-        let watched = Watched::start(&primary, &replica, None);
+        let watched = Watched::start(&primary, &replica);
         let habits = Habits { write_per_tick: bytes / 100, read_per_tick: usize::MAX };
         let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, habits, |_| long_order(bytes));
         crowd.run(Duration::from_secs(15), |crowd| crowd.answered() + crowd.closed() >= CROWD);
@@ -142,7 +148,7 @@
 #[test]
 fn requests_sent_ahead_of_answers_stay_within_the_memory() {
     let [primary, replica] = hosts(Duration::from_secs(1), 2);
-    let watched = Watched::start(&primary, &replica, None);
+    let watched = Watched::start(&primary, &replica);
     let ahead =
         |_| [order_of_long_value(), vec![order_of_long_value(); 400].concat(), long_order(60_000)].concat();
     let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, Habits::QUICK, ahead);
@@ -163,7 +169,7 @@
         Box::new(|n| format!("SELECT 'k' /* id=c{n},c={name},d=1200,cluster=2,k=long */")),
     ];
     for text in texts {
-        let watched = Watched::start(&primary, &replica, None);
+        let watched = Watched::start(&primary, &replica);
         let message = |n| frame(b'Q', &[text(n).as_bytes(), b"\0"].concat());
         let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, Habits::QUICK, message);
         crowd.run(Duration::from_secs(3), |_| false);
@@ -182,7 +188,7 @@
         format!("SELECT 'k' /* id=2,c={name},d=1200,cluster=2,k=long */"),
         format!("SELECT 'k' /* id=2,c=view,d=1200,cluster=2,k=long{name} */"),
     ] {
-        let watched = Watched::start(&primary, &replica, None);
+        let watched = Watched::start(&primary, &replica);
         let mut client = watched.gateway.client();
         client.ask(&text);
         thread::sleep(Duration::from_millis(200));
@@ -195,7 +201,7 @@
 fn answers_that_clients_read_slowly_stay_within_the_memory() {
     for value in [3_000, 30_000, 60_000, 1_000_000] {
         let [primary, replica] = hosts(Duration::ZERO, value);
-        let watched = Watched::start(&primary, &replica, None);
+        let watched = Watched::start(&primary, &replica);
         let habits = Habits { write_per_tick: usize::MAX, read_per_tick: 40 };
         let views = 4_000_000 / value;
         let message = |_| (0..views.min(100)).flat_map(|_| order_of_long_value()).collect();
@@ -209,7 +215,7 @@
 #[test]
 fn connections_that_rest_after_long_messages_stay_within_the_memory() {
     let [primary, replica] = hosts(Duration::from_millis(100), 28_000);
-    let watched = Watched::start(&primary, &replica, None);
+    let watched = Watched::start(&primary, &replica);
     let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, Habits::QUICK, |_| long_order(28_000));
     crowd.run(Duration::from_secs(5), |crowd| crowd.answered() >= CROWD);
     let answered = crowd.answered();
@@ -230,7 +236,7 @@
         _ => Do::SayLater(ORDINARY_WORK, served("primary")),
     });
     let [_, replica] = hosts(Duration::ZERO, 2);
-    let watched = Watched::start(&primary, &replica, None);
+    let watched = Watched::start(&primary, &replica);
     let addr = watched.gateway.addr;
     let slow = Habits { write_per_tick: usize::MAX, read_per_tick: 40 };
     let keyed = |key: &str| frame(b'Q', &[statement("order", 3_000, key).as_bytes(), b"\0"].concat());
@@ -258,3 +264,24 @@
     }
     watched.check();
 }
+
+// Guards against: portals and statements that each client may keep, and all of them together may not.
+#[test]
+fn what_sessions_keep_stays_within_the_memory() {
+    const EDGE: &str = "postgres()\nhosts(protocol = 'extended')";
+    let limits = Limits { memory_mb: 64, ..LIMITS };
+    let [primary, replica] = hosts(Duration::ZERO, 2);
+    let watched = Watched::limited(&primary, &replica, Some(EDGE), limits);
+    let value = "9".repeat(60_000);
+    let keeps = |n: usize| {
+        let text =
+            format!("INSERT INTO items (id, doc) VALUES ($1, $2) /* id=s{n},c=order,d=3000,cluster=2 */");
+        let bound = |portal: usize| bind(&portal.to_string(), "s", &[Some("k"), Some(&value)]);
+        [parse("s", &text, &[25, 25]), (0..8).flat_map(bound).collect()].concat()
+    };
+    let mut crowd = Crowd::connect(watched.gateway.addr, CROWD, Habits::QUICK, keeps);
+    crowd.run(Duration::from_secs(4), |_| false);
+    let refused = crowd.0.iter().filter(|member| member.kinds().contains(&b'E')).count();
+    watched.check();
+    assert!(refused > 0, "more than there is was kept");
+}
