Soak: least memory, crowds that stop within statements, and a rule on processes

Gateways of the soak have 32 MB, the least, in place of 64. Half of a crowd stops within a statement of 45 KB, 250 KB or 4 MB; a play says the most memory that a process had, and breaks a rule if that is over the limit or a process ends by itself.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -107,11 +107,11 @@
 }
 
 fn summary(report: &soak::Report) -> String {
-    let soak::Report { seed, processes, requests, served, arrivals, .. } = report;
+    let soak::Report { seed, processes, requests, served, arrivals, peak_memory_kib, .. } = report;
     let percent = 100.0 * *served as f64 / (*requests).max(1) as f64;
     let (broken, deadline) = (report.violations.len(), report.deadline);
     format!(
-        "seed {seed}: {processes} gateways, deadline {deadline:?}, {requests} requests, {percent:.1}% served, {arrivals} arrivals, {broken} broken"
+        "seed {seed}: {processes} gateways, deadline {deadline:?}, {requests} requests, {percent:.1}% served, {arrivals} arrivals, {peak_memory_kib} KiB at the most, {broken} broken"
     )
 }
 
--- a/crates/rig/src/soak/checker.rs
+++ b/crates/rig/src/soak/checker.rs
@@ -147,6 +147,8 @@
     Deadline,
     /// Nothing begins for a client that has gone.
     ClientGone,
+    /// A process stays within its memory, and ends only when it is told to.
+    Process,
 }
 
 /// A rule that was broken.
--- a/crates/rig/src/soak/clients.rs
+++ b/crates/rig/src/soak/clients.rs
@@ -1,5 +1,6 @@
 //! Clients that use a connection for as long as it stays open, and now and then leave in the middle of a request.
 
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -8,7 +9,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use yewroute_standin::Client;
+use yewroute_standin::{startup, Client};
 
 use super::checker::{Asked, End};
 use super::plan::Deadlines;
@@ -23,6 +24,9 @@
 const MIN_PAUSE: Duration = Duration::from_millis(40);
 /// Idle clients of a crowd: about as many as a gateway of 256 descriptors takes.
 const CROWD: usize = 110;
+/// The lengths of the statements within which some of them stop, and how much they write of each.
+const CROWD_STATEMENTS: [u32; 3] = [45_000, 250_000, 4_000_000];
+const CROWD_WRITTEN: usize = 40_000;
 const GIVEN_UP: Duration = Duration::from_secs(5);
 
 struct Shared {
@@ -67,9 +71,18 @@
     }
 }
 
-/// Clients that connect and stay idle.
+/// Clients that connect and stay idle, a half of them within a statement.
 pub fn crowd(addr: SocketAddr) -> Vec<TcpStream> {
-    (0..CROWD).filter_map(|_| TcpStream::connect(addr).ok()).collect()
+    let member = |number: usize| {
+        let mut stream = TcpStream::connect(addr).ok()?;
+        let stops_within = CROWD_STATEMENTS.get(number % (2 * CROWD_STATEMENTS.len()));
+        if let Some(bytes) = stops_within {
+            let head = [b"Q".as_slice(), &bytes.to_be_bytes(), b"INSERT"].concat();
+            stream.write_all(&[startup(), head, vec![b' '; CROWD_WRITTEN]].concat()).ok()?;
+        }
+        Some(stream)
+    };
+    (0..CROWD).filter_map(member).collect()
 }
 
 fn run(shared: &Shared, mut rng: ChaCha8Rng) {
--- a/crates/rig/src/soak/gateways.rs
+++ b/crates/rig/src/soak/gateways.rs
@@ -21,6 +21,8 @@
 
 /// The front goes on sending new connections to a gateway that was told to end for so long.
 const FRONT_NOTICES_AFTER: Duration = Duration::from_millis(300);
+/// The least that a gateway may be given.
+const MEMORY_MB: usize = 32;
 const READY_WITHIN: Duration = Duration::from_secs(10);
 const SETTINGS: &str = include_str!("../../../../gateway/tests/common/settings.json");
 
@@ -59,6 +61,10 @@
     pub reloads: Vec<GatewayEvent>,
     /// When each process began.
     pub starts: Vec<GatewayEvent>,
+    /// Processes that ended by themselves, or had more memory than they may have.
+    pub broken: Vec<(Instant, String)>,
+    /// The most memory that one of them had, in KiB.
+    pub peak_memory_kib: usize,
 }
 
 impl Gateways {
@@ -89,6 +95,8 @@
             process_ids: (0..count).map(|_| AtomicU32::new(0)).collect(),
             reloads: Vec::new(),
             starts: Vec::new(),
+            broken: Vec::new(),
+            peak_memory_kib: 0,
         };
         for n in 0..count {
             gateways.restart(n, discovery, 0)?;
@@ -119,7 +127,7 @@
         let settings = &self.settings;
         let text = format!(
             r#"{{"name":"n{n}","listen":"{listen}","discovery":"{at}","seed":"{seed:016x}",
-            "limits":{{"cores":1.0,"memory_mb":64,"sockets":256}},"known":{known},"settings":{settings}}}"#
+            "limits":{{"cores":1.0,"memory_mb":{MEMORY_MB},"sockets":256}},"known":{known},"settings":{settings}}}"#
         );
         fs::write(self.path(n, "json"), text)
     }
@@ -206,11 +214,33 @@
         held(&self.front).retain(|(other, _)| *other != n);
         self.process_ids[n].store(0, Ordering::SeqCst);
         if let Some(mut child) = self.all[n].child.take() {
+            self.look_at(n, &mut child);
             let _ = child.kill();
             let _ = child.wait();
         }
     }
 
+    /// Sees whether a process has ended by itself, and how much memory it has had.
+    fn look_at(&mut self, n: usize, child: &mut Child) {
+        let now = Instant::now();
+        if let Ok(Some(status)) = child.try_wait() {
+            if self.all[n].told_to_end.is_none() || !status.success() {
+                self.broken.push((now, format!("g{n} ended by itself: {status}")));
+            }
+            return;
+        }
+        let peak = peak_memory_kib(child.id()).unwrap_or(0);
+        self.peak_memory_kib = self.peak_memory_kib.max(peak);
+        if peak > MEMORY_MB * 1024 {
+            self.broken.push((now, format!("g{n} had {peak} KiB, {MEMORY_MB} MB are allowed")));
+        }
+    }
+
+    /// Ends all that still run.
+    pub fn end(&mut self) {
+        (0..self.all.len()).for_each(|n| self.kill(n));
+    }
+
     pub fn logs(&self) -> Vec<String> {
         (0..self.all.len()).map(|n| fs::read_to_string(self.path(n, "log")).unwrap_or_default()).collect()
     }
@@ -218,6 +248,19 @@
 
 impl Drop for Gateways {
     fn drop(&mut self) {
-        (0..self.all.len()).for_each(|n| self.kill(n));
+        self.end();
     }
 }
+
+/// The most that a process has had in memory; of a build without optimization the program's file is larger and counts as the release's.
+fn peak_memory_kib(process: u32) -> Option<usize> {
+    /// What of the release's file is in memory at the most.
+    const PROGRAM_KIB: usize = 8 * 1024;
+    let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let kib = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+        line.split_whitespace().next()?.parse::<usize>().ok()
+    };
+    let program = kib("RssFile:")?;
+    Some(kib("VmHWM:")?.saturating_sub(program.saturating_sub(PROGRAM_KIB)))
+}
--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -59,6 +59,8 @@
     pub requests: usize,
     /// Of them.
     pub served: usize,
+    /// The most memory that a process had, in KiB.
+    pub peak_memory_kib: usize,
     /// Requests that reached db hosts.
     pub arrivals: usize,
     /// The longest deadline; SIGKILL comes 0.7 s later than that after SIGTERM.
@@ -121,6 +123,7 @@
     discovery.set_down(false);
     thread::sleep(SETTLE);
     let requests = clients.end();
+    gateways.end();
     let record = checker::Record {
         changes: discovery.changes(),
         written: discovery.written(),
@@ -134,10 +137,16 @@
     };
     let (told, traffic) = (record.told_lines(start), record.traffic_lines(start));
     let stayed: Vec<_> = record.requests.iter().filter(|request| request.left.is_none()).collect();
+    let mut violations = checker::violations(&record, start);
+    violations.extend(gateways.broken.drain(..).map(|(at, what)| {
+        let at_s = at.saturating_duration_since(start).as_secs_f64();
+        Violation { rule: Rule::Process, at_s, what }
+    }));
     Ok(Report {
         seed: options.seed,
         processes: plan.processes,
-        violations: checker::violations(&record, start),
+        violations,
+        peak_memory_kib: gateways.peak_memory_kib,
         requests: stayed.len(),
         served: stayed.iter().filter(|request| request.served()).count(),
         arrivals: record.arrivals.len(),
