--- a/gateway/tests/memory_plan.rs
+++ b/gateway/tests/memory_plan.rs
@@ -285,3 +285,15 @@
     watched.check();
     assert!(refused > 0, "more than there is was kept");
 }
+
+// Guards against: a startup message that is longer than a connection's share, and was taken before there were shares.
+#[test]
+fn a_startup_message_longer_than_the_share_is_taken() {
+    let [primary, replica] = hosts(Duration::ZERO, 2);
+    let gateway = Gateway::limited(&pair(&primary, &replica), None, LIMITS);
+    let body = [b"\0\x03\0\0user\0".as_slice(), &[b'a'; 9_000], b"\0\0"].concat();
+    let mut client = Client::raw(gateway.addr);
+    client.write(&[&(body.len() as u32 + 4).to_be_bytes(), body.as_slice()].concat());
+    assert_eq!(client.answer().last(), Some(&b'Z'), "{}", gateway.log());
+    assert_eq!(client.ask(&statement("view", VIEW_WAIT_MS, "")), SERVED);
+}
