A message that has come whole is not kept out by others that never end

What callers saw: beside clients that stop half way, statements of some 40 KB of other clients were refused after half of their time (53300) where memory is little; found while holding the memory plan against "nothing refused that was served before". Cause: those that stopped held the bytes that the others waited for, for 2.5 s. Change: a message of up to 64 KiB that lies whole in the kernel may take its bytes out of half of the eighth that is left to short statements. Test: clients_that_stop_half_way_do_not_keep_out_statements_that_come_whole, refused unread after 1,500 ms before, 10 of 10 served within 1 s now.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -123,6 +123,15 @@
         self.0.held.get()
     }
 
+    /// Bytes for a message that has come whole and waits only to be read, if half of the short statements' eighth has them. So
+    /// messages that never end do not keep out those that do.
+    #[must_use]
+    pub fn whole(&self, bytes: usize) -> Option<MemoryPermit> {
+        let Account { limits, held, long, .. } = &*self.0;
+        let (total, short) = (limits.get().total, held.get() - long.get());
+        (short + bytes <= total / SHORT_PARTS / 2).then(|| self.0.give(bytes, Kind::Short))
+    }
+
     /// Bytes for a short statement, if there are any. An eighth is left to short ones whatever long ones take, and no more
     /// than that while a long one waits.
     #[must_use]
--- a/crates/ledger/src/tests.rs
+++ b/crates/ledger/src/tests.rs
@@ -114,6 +114,20 @@
     assert_eq!(queue.next_turn().expect("its turn").0, 2);
 }
 
+// Guards against: messages that have come whole and wait behind others that never end.
+#[test]
+fn a_message_that_has_come_whole_has_half_of_the_short_ones_eighth() {
+    let budget = MemoryBudget::new(Limits::fixed(160));
+    let mut queue = PermitQueue::new(budget.clone());
+    let endless = given(queue.reserve(1, 140));
+    assert!(waits(queue.reserve(2, 10)));
+    let whole = budget.whole(10).expect("half of an eighth");
+    assert!(budget.whole(1).is_none());
+    let short = budget.short(10).expect("the other half");
+    drop((endless, whole, short));
+    assert_eq!(budget.held(), 0);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, rng_seed: RngSeed::Fixed(5),
         ..ProptestConfig::default() })]
--- a/gateway/src/net/client/long_message.rs
+++ b/gateway/src/net/client/long_message.rs
@@ -6,7 +6,7 @@
 use tracing::warn;
 use yewroute_ledger::MemoryPermit;
 
-use super::{Client, Origin, Phase};
+use super::{Client, Origin, Phase, MIN_LONG_MESSAGE};
 use crate::net::memory_wait::{MemoryWait, Step, WaitTerms};
 use crate::net::Input;
 use crate::proto::pg::code;
@@ -93,6 +93,13 @@
         matches!(self.long, Some(LongMessage::Discarded(_)))
     }
 
+    /// Its message waits for memory, is no long one, and has come whole: how many bytes it has.
+    pub(in crate::net) fn awaits_reading_only(&self) -> Option<usize> {
+        let Some(LongMessage::AwaitsMemory(len)) = self.long else { return None };
+        let has_come = self.buffer.len().saturating_add(self.wire.unread());
+        (len <= MIN_LONG_MESSAGE && has_come >= len).then_some(len)
+    }
+
     /// Throws away what has come of a message that begins at `from`, and says where that ends; none if nothing has come.
     pub(super) fn discard(
         &mut self,
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -70,7 +70,8 @@
     sessions: SharedBytes,
     /// What answers may take that clients have not taken yet, and db hosts' answers under way.
     answers: ByteBudget,
-    /// Long messages that wait for memory.
+    /// What statements are paid for out of, and the long messages that wait for it.
+    statements: MemoryBudget,
     waiting_messages: PermitQueue,
     wait_terms: WaitTerms,
     admission: Admission,
@@ -139,6 +140,7 @@
             shares,
             sessions: memory.sessions,
             answers: memory.answers,
+            statements: memory.statements.clone(),
             waiting_messages: PermitQueue::new(memory.statements),
             wait_terms,
             admission: Admission { leaving: Leaving::None, yes: true, accepts: true, listens: true },
--- a/gateway/src/net/clients/long_messages.rs
+++ b/gateway/src/net/clients/long_messages.rs
@@ -25,6 +25,9 @@
             }
             Grant::Waits => {
                 client.begin_memory_wait(now, len, &self.wait_terms);
+                if self.pay_for_whole_message(now, number) {
+                    return true;
+                }
                 self.timers.set(now, TimerEvent::MemoryWait(number));
                 return false;
             }
@@ -52,6 +55,16 @@
         }
     }
 
+    /// Sets bytes aside for a message that waits for them, if it has come whole and there are some for such ones.
+    fn pay_for_whole_message(&mut self, now: Instant, number: u64) -> bool {
+        let Some(client) = self.clients.get_mut(&number) else { return false };
+        let permit = client.awaits_reading_only().and_then(|len| self.statements.whole(len));
+        let Some(permit) = permit else { return false };
+        self.waiting_messages.cancel(number);
+        client.hold(now, permit);
+        true
+    }
+
     /// Sees how long a client's message has waited for memory, and refuses it if that is too long.
     pub(super) fn check_memory_wait(
         &mut self,
@@ -60,6 +73,10 @@
         poller: &Poller,
         inbox: &mut VecDeque<Input>,
     ) {
+        if self.pay_for_whole_message(now, number) {
+            self.work(now, number, poller, inbox);
+            return;
+        }
         let step = self.clients.get_mut(&number).and_then(|client| client.check_memory_wait(now));
         match step {
             Some(Step::CheckAt(at)) => self.timers.set(at, TimerEvent::MemoryWait(number)),
--- a/gateway/tests/memory_plan.rs
+++ b/gateway/tests/memory_plan.rs
@@ -144,6 +144,28 @@
     }
 }
 
+// Guards against: statements of a usual length that wait for memory behind those of clients that stop half way.
+#[test]
+fn clients_that_stop_half_way_do_not_keep_out_statements_that_come_whole() {
+    let [primary, replica] = hosts(Duration::ZERO, 2);
+    let watched = Watched::start(&primary, &replica);
+    let half = |_| {
+        let mut message = long_order(60_000);
+        message.truncate(message.len() / 2);
+        message
+    };
+    let mut crowd = Crowd::connect(watched.gateway.addr, CROWD - 20, Habits::QUICK, half);
+    crowd.run(Duration::from_millis(500), |_| false);
+    for turn in 0..10 {
+        let (mut client, since) = (watched.gateway.client(), Instant::now());
+        client.write(&long_order(40_000));
+        assert_eq!(client.answer(), SERVED, "turn {turn}: {}", watched.gateway.log());
+        assert!(since.elapsed() < Duration::from_secs(1), "turn {turn}: {:?}", since.elapsed());
+        crowd.run(Duration::from_millis(100), |_| false);
+    }
+    watched.check();
+}
+
 // Guards against: requests sent ahead on connections whose request is out, which were read into buffers that nothing counted.
 #[test]
 fn requests_sent_ahead_of_answers_stay_within_the_memory() {
