--- a/gateway/src/core/request_ids.rs
+++ b/gateway/src/core/request_ids.rs
@@ -6,7 +6,7 @@
 
 use yewroute::interface::{Class, Effect};
 
-use super::AttemptId;
+use super::{AttemptId, Core, Payload};
 use crate::proto::pg::names;
 
 /// What stands for an id.
@@ -144,5 +144,32 @@
     }
 }
 
+impl<B: Payload> Core<B> {
+    /// How many ids of requests that may have run are remembered from now on.
+    pub fn limit_ids(&mut self, most: usize) {
+        self.ids.limit(most);
+    }
+
+    /// Whether another process of this gateway is told of the ids that are sent from here.
+    pub fn share_ids(&mut self, now: Instant, shared: bool) {
+        self.ids.share(now, shared);
+    }
+
+    /// The ids that it is to be told of.
+    pub fn take_sent_ids(&mut self) -> Vec<SentId> {
+        self.ids.take_news()
+    }
+
+    /// The other process has sent a request of this id.
+    pub fn remember_id(&mut self, now: Instant, id: SentId) {
+        self.ids.remember(now, id);
+    }
+
+    /// Ids that were forgotten before their windows were over.
+    pub fn ids_forgotten_early(&self) -> u64 {
+        self.ids.forgotten_early()
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -1,6 +1,7 @@
 //! One client's connection: the messages that have come, and what is to be written.
 
 mod long_message;
+mod presence;
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -22,6 +23,7 @@
 use crate::proto::pg::session::{Session, Took};
 use crate::proto::pg::table::Table;
 pub(super) use long_message::LongMessage;
+pub(super) use presence::{PRESENCE_PROBE_INTERVAL, RESET_TIMEOUT};
 
 /// A connection on which no query has come is closed after so long without a byte, and so is one that leaves a message
 /// unfinished. A client may spend 2 s on a head.
@@ -35,13 +37,6 @@
 const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Reads of what is thrown away before a connection is closed at once: more than a system keeps for one that is not read.
 const MAX_DISCARDED_READS: usize = 256;
-/// How often a client that is not read from is asked whether it is still there, while a request of it is out. Nothing may
-/// be sent for one that has been gone for 0.1 s.
-pub(super) const PRESENCE_PROBE_INTERVAL: Duration = Duration::from_millis(40);
-/// A client whose request lay unread for less cannot have been gone for 0.1 s when it is taken, a wait for its reset included.
-const CERTAIN_PRESENCE: Duration = Duration::from_millis(50);
-/// How long the reset of a client that has gone may take.
-pub(super) const RESET_TIMEOUT: Duration = Duration::from_millis(20);
 /// How long a closed connection is given to take its last bytes.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// While clients leave, a connection is given so long to say what it came for.
@@ -280,38 +275,6 @@
         poller.change(&self.wire, Token::Client(number), wanted).is_ok()
     }
 
-    /// Asks a client whose leaving would not be seen whether it is still there: a notice, which it passes over, and which a
-    /// reset answers if it has gone. True if it is to be asked again later.
-    ///
-    /// Guards against: requests sent for a client that has gone, where no end of its connection tells. That of one that has
-    /// ended its sending only does not, and that of one whose commands are not read on now lies behind them.
-    pub(super) fn probe_presence(&mut self) -> bool {
-        let waits = self.phase == Phase::Busy && !self.passing;
-        if self.probed || !waits || self.reads() {
-            return false;
-        }
-        // What is not taken yet asks as well.
-        if self.stuck.is_none() {
-            frontend::put_notice(self.wire.out(), "still waiting for the answer");
-        }
-        (self.probed, self.prompt) = (true, true);
-        true
-    }
-
-    /// What it has sent lay unread for so long that it may have closed its connection long ago, or only its sending. Asks which, as
-    /// [`Self::probe_presence`] does; true if an answer is to be waited for.
-    ///
-    /// Guards against: requests sent for a client that had gone while this process got no processor.
-    pub(super) fn doubt_presence(&mut self, lay_unread: Duration) -> bool {
-        let may_have_gone = lay_unread >= CERTAIN_PRESENCE && self.wire.is_ended();
-        if self.presence_unsure || !may_have_gone || !matches!(self.phase, Phase::Idle(_)) {
-            return false;
-        }
-        frontend::put_notice(self.wire.out(), "the request is taken late");
-        self.presence_unsure = true;
-        true
-    }
-
     /// How many bytes its buffer may have now.
     pub(super) fn most_read(&self) -> usize {
         match (self.phase, self.long) {
--- a/gateway/src/net/client/tests.rs
+++ b/gateway/src/net/client/tests.rs
@@ -1,6 +1,7 @@
 use std::io::Write;
 use std::net::{Shutdown, TcpListener, TcpStream};
 
+use super::presence::CERTAIN_PRESENCE;
 use super::*;
 use crate::net::cancel::CancelKeys;
 use crate::net::memory_wait::WaitTerms;
