--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -14,7 +14,7 @@
 use super::memory_wait::MemoryWait;
 use super::poller::{Interest, Poller, Token};
 use super::statement::Statement;
-use super::wire::{release, Taken, Wire};
+use super::wire::{release, Taken, Wire, CHUNK};
 use super::Input;
 use crate::core::{Ask, ClientId, Scope};
 use crate::proto::pg::code;
@@ -281,6 +281,8 @@
             (Phase::Busy, _) if self.last_command => 0,
             (_, Some(LongMessage::Announced(_) | LongMessage::AwaitsMemory(_))) => 0,
             (_, Some(LongMessage::Reserved(len))) => len,
+            // Nothing of it stays, unless what has come is not taken now.
+            (_, Some(LongMessage::Discarded(_))) if self.wire.unwritten() < self.shares.write => CHUNK,
             _ => self.shares.read,
         }
     }
--- a/gateway/src/net/client/tests.rs
+++ b/gateway/src/net/client/tests.rs
@@ -5,7 +5,6 @@
 use super::*;
 use crate::net::cancel::CancelKeys;
 use crate::net::memory_wait::WaitTerms;
-use crate::net::wire::CHUNK;
 use yewroute_pgwire::exchange::Dialect;
 use yewroute_pgwire::session::{Limits, Terms};
 use yewroute_settings::Deployment;
