--- a/gateway/src/net/operations.rs
+++ b/gateway/src/net/operations.rs
@@ -98,6 +98,7 @@
         let (client_read, client_write) = self.clients.buffer_bytes();
         MemoryFigures {
             resident: resident_bytes(),
+            answers: self.answer_memory.held(),
             client_read,
             client_write,
             host: self.hosts.buffer_bytes(),
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -391,6 +391,8 @@
     pub client_read: usize,
     /// Buffers for what clients have not taken yet.
     pub client_write: usize,
+    /// Set aside for answers, under way or not taken.
+    pub answers: usize,
     /// Buffers of connections to db hosts.
     pub host: usize,
     /// Connections of clients.
@@ -434,6 +436,7 @@
         ("statement_bytes", figures.statement_bytes),
         ("statements_waiting", figures.statements_waiting),
         ("resident_bytes", figures.memory.resident),
+        ("answer_bytes", figures.memory.answers),
         ("client_read_bytes", figures.memory.client_read),
         ("client_write_bytes", figures.memory.client_write),
         ("host_bytes", figures.memory.host),
--- a/gateway/src/proto/console/tests.rs
+++ b/gateway/src/proto/console/tests.rs
@@ -150,6 +150,7 @@
         statements_waiting: 4,
         memory: MemoryFigures {
             resident: 9_000_000,
+            answers: 6,
             client_read: 1,
             client_write: 2,
             host: 3,
@@ -183,6 +184,7 @@
             "svc_statement_bytes 8192",
             "svc_statements_waiting 4",
             "svc_resident_bytes 9000000",
+            "svc_answer_bytes 6",
             "svc_client_read_bytes 1",
             "svc_client_write_bytes 2",
             "svc_host_bytes 3",
--- a/gateway/tests/memory_plan.rs
+++ b/gateway/tests/memory_plan.rs
@@ -247,6 +247,13 @@
     crowd.run(Duration::from_secs(5), |crowd| crowd.answered() >= CROWD);
     let answered = crowd.answered();
     assert_eq!(answered, CROWD, "{}", watched.gateway.log());
+    let figure = |name: &str| watched.gateway.figure(name) as usize;
+    assert_eq!((figure("svc_statement_bytes"), figure("svc_answer_bytes")), (0, 0), "all given back");
+    let buffers = ["svc_client_read_bytes", "svc_client_write_bytes", "svc_host_bytes"].map(figure);
+    assert!(buffers.iter().sum::<usize>() < 4 * CROWD * 1024, "1 KiB for each direction: {buffers:?}");
+    let told = figure("svc_resident_bytes");
+    let (all, _) = resident(watched.gateway.pid());
+    assert!(told.abs_diff(all) < 1024 * 1024, "told {told}, seen {all}");
     watched.check();
 }
 
