No bytes are set aside for a value that is passed on as it comes

Found by reading: where only 5 to 10 bytes of the head of a long row had come, its whole length, up to 16 MiB, was asked for out of the memory of answers, and its connection was not read on until that was there. Such a row is passed on in pieces and needs none. Tests: the_length_of_a_long_row_is_no_bytes_that_an_answer_takes failed before (100,011 bytes told); a_long_answer_whose_head_comes_in_pieces_is_passed_on_whole (floods.rs) passed before too, as its row fitted. A connection that cannot be registered again while it waits is given up at once.

--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -221,7 +221,8 @@
     pub fn stated(&self, bytes: &[u8]) -> Option<usize> {
         let (kind, rest) = bytes.split_first()?;
         let len = frame::length(rest, frame::LONGEST_STREAMED).ok()??;
-        let streamed = matches!(self.stage, Stage::Value(_));
+        let long_row = self.stage == Stage::Row && *kind == b'D' && len > frame::LONGEST_HELD + ROW_HEAD;
+        let streamed = matches!(self.stage, Stage::Value(_)) || long_row;
         let whole = self.longest(*kind).is_some_and(|longest| len <= longest);
         (whole && !streamed).then_some(1 + len)
     }
--- a/crates/pgwire/tests/long_rows.rs
+++ b/crates/pgwire/tests/long_rows.rs
@@ -84,3 +84,17 @@
     huge[row_at + 1..row_at + 5].copy_from_slice(&(LONGEST_STREAMED as u32 + 1).to_be_bytes());
     assert!(pass(&huge, 1_000).unwrap_err().starts_with("invalid message length"));
 }
+
+// Guards against: bytes set aside for all of a value that is passed on as it comes, when its head comes in two pieces.
+#[test]
+fn the_length_of_a_long_row_is_no_bytes_that_an_answer_takes() {
+    let answer = answer(100_000, 0);
+    let description = 1 + u32::from_be_bytes(answer[1..5].try_into().unwrap()) as usize;
+    let mut gather = welcomed();
+    assert_eq!(gather.stated(&answer), Some(description));
+    assert!(matches!(gather.next(&answer[..description]), Ok(Some((Step::More, _)))));
+    for came in 0..11 {
+        let head = &answer[description..description + came];
+        assert_eq!((gather.stated(head), gather.next(head)), (None, Ok(None)), "{came} bytes of its head");
+    }
+}
--- a/gateway/src/net/hosts/answer_memory.rs
+++ b/gateway/src/net/hosts/answer_memory.rs
@@ -5,7 +5,7 @@
 
 impl Hosts {
     /// Sets bytes aside for what is coming on a connection; without any it is not read from until there are.
-    pub(super) fn pay_for_answer(&mut self, number: u64, a: &HostsContext) {
+    pub(super) fn pay_for_answer(&mut self, number: u64, a: &mut HostsContext) {
         let Some(conn) = self.conns.get_mut(&number).filter(|conn| !conn.starved) else { return };
         let needed = conn.answer_bytes();
         if needed <= conn.paid_bytes() {
@@ -19,7 +19,7 @@
         self.starved.push_back(number);
         self.answers.set_short(true);
         if conn.starve(number, true, a).is_err() {
-            self.lose_starved(number);
+            self.lose(number, a);
         }
     }
 
@@ -41,10 +41,6 @@
         self.answers.set_short(false);
     }
 
-    fn lose_starved(&mut self, number: u64) {
-        self.starved.retain(|starved| *starved != number);
-    }
-
     /// How many bytes may be read from a connection now.
     pub(super) fn read_size(&self, number: u64) -> usize {
         let Some(conn) = self.conns.get(&number) else { return 0 };
--- a/gateway/tests/floods.rs
+++ b/gateway/tests/floods.rs
@@ -168,6 +168,25 @@
     }
 }
 
+// Guards against: a long answer that is waited for in vain, as the head of its row came in two pieces.
+#[test]
+fn a_long_answer_whose_head_comes_in_pieces_is_passed_on_whole() {
+    const VALUE: usize = 70_000;
+    let primary = Host::start(|query| match query {
+        "SHOW load" => well(true, query),
+        _ => {
+            let answer = served_value("primary", &[7; VALUE]);
+            let description = 1 + u32::from_be_bytes(answer[1..5].try_into().unwrap()) as usize;
+            Do::SayInPieces(answer, description + 7, Duration::from_millis(1))
+        }
+    });
+    let replica = Host::well(false);
+    let gateway = Gateway::limited(&pair(&primary, &replica), None, LIMITS);
+    let mut client = gateway.client();
+    assert_eq!(client.ask(&statement("order", 3_000, "")), SERVED, "{}", gateway.log());
+    assert!(client.rows.concat().len() > VALUE);
+}
+
 // Guards against: a final answer that comes long after its time, as a db host reads a long request slowly.
 #[test]
 fn a_long_request_that_its_db_host_reads_slowly_is_answered_in_time() {
