An id of a deduplicated class that comes again is sent again, as before

Change: only ids of at_most_once classes are remembered and told the other process. Repeats of deduplicated requests are dropped by their db hosts by key; an attempt whose client has left is given up before another one goes out, in one process. Tests: rules.rs 26 of 26, request_identity.rs 2 of 2.

--- a/gateway/src/core/request_ids.rs
+++ b/gateway/src/core/request_ids.rs
@@ -40,11 +40,11 @@
     names::digest(id)
 }
 
-/// How long an id of this class is remembered after it was sent; none if it may be sent again at any time.
+/// How long an id of this class is remembered after it was sent; none if it may be sent again: what repeats a deduplicated
+/// request is dropped by its db hosts.
 pub fn window(class: &Class) -> Option<Duration> {
     match class.effect {
-        Effect::Idempotent => None,
-        Effect::Deduplicated { window, .. } => Some(window.max(class.deadline)),
+        Effect::Idempotent | Effect::Deduplicated { .. } => None,
         // All tries of its client are over by then, and the last one's attempt too.
         Effect::AtMostOnce => Some(2 * class.deadline),
     }
