Test: statements and answers at the bounds of the memory plan together

In this one 190 statements stop one byte short and 150 clients wait for answers that db hosts of eight groups hold back, beside clients that send ahead. It fails unless statements reach 10 MiB of 10.5 and answers 2 MiB of 3.

--- a/gateway/tests/memory_plan.rs
+++ b/gateway/tests/memory_plan.rs
@@ -43,8 +43,12 @@
     }
 
     fn limited(primary: &Host, replica: &Host, edge: Option<&str>, limits: Limits) -> Self {
+        Self::knowing(&pair(primary, replica), edge, limits)
+    }
+
+    fn knowing(known: &str, edge: Option<&str>, limits: Limits) -> Self {
         let alone = ONE_CROWD.lock().unwrap_or_else(PoisonError::into_inner);
-        let gateway = Gateway::limited(&pair(primary, replica), edge, limits);
+        let gateway = Gateway::limited(known, edge, limits);
         let ends = Arc::new(AtomicBool::new(false));
         let peak = watch_memory(gateway.pid(), Arc::clone(&ends));
         let ordinary = ask_on(gateway.client(), Arc::clone(&ends));
@@ -373,3 +377,62 @@
     assert_eq!(client.answer().last(), Some(&b'Z'), "{}", gateway.log());
     assert_eq!(client.ask(&statement("view", VIEW_WAIT_MS, "")), SERVED);
 }
+
+// Drives statements, answers, what is sent ahead and what waits to be read to their bounds together, and holds the figures of the rows as
+// well, so that a row which was not reached is seen.
+#[test]
+fn all_rows_at_their_bounds_together_stay_within_the_memory() {
+    const MIB: u64 = 1024 * 1024;
+    // A db host is given only so many requests at once, so there are several.
+    const GROUPS: usize = 8;
+    // Answers come nearly whole and go on a while later, so that their bytes stay set aside.
+    let stalls = |answer: Vec<u8>| Do::SayInPieces(answer, 58_000, Duration::from_millis(200));
+    let primary = || {
+        Host::start(move |query| match query {
+            "SHOW load" => well(true, query),
+            query if query.contains("k=stalls") => stalls(served_value("primary", &[7; 60_000])),
+            query if query.contains("k=late") => Do::SayLater(Duration::from_secs(2), served("primary")),
+            _ => Do::SayLater(ORDINARY_WORK, served("primary")),
+        })
+    };
+    let [_, replica] = hosts(Duration::ZERO, 2);
+    let primaries: Vec<Host> = (0..GROUPS).map(|_| primary()).collect();
+    let in_group = |(group, host): (usize, &Host)| {
+        let entry = entry(&format!("s-{group}"), host, "primary", "Ready", 0);
+        entry.replace("\"cell\":2", &format!("\"cell\":{}", 2 + group))
+    };
+    let mut entries: Vec<String> = primaries.iter().enumerate().map(in_group).collect();
+    entries.push(entry("s-r", &replica, "replica", "Ready", 0));
+    let watched = Watched::knowing(&list(41, true, &entries), None, LIMITS);
+    let addr = watched.gateway.addr;
+    let keyed = |key: &str, group: usize| {
+        let text = statement("order", 3_000, key).replace("cluster=2", &format!("cluster={}", 2 + group));
+        frame(b'Q', &[text.as_bytes(), b"\0"].concat())
+    };
+    // All but the last byte, so that what is set aside is in memory.
+    let unfinished = |_| {
+        let mut message = long_order(60_000);
+        message.pop();
+        message
+    };
+    let mut crowds = [
+        Crowd::connect(addr, 190, Habits::QUICK, unfinished),
+        Crowd::connect(addr, 150, Habits::QUICK, |n| {
+            (0..40).flat_map(|_| keyed(",k=stalls", n % GROUPS)).collect()
+        }),
+        Crowd::connect(addr, 130, Habits::QUICK, |_| {
+            [keyed(",k=late", 0), vec![keyed("", 0); 600].concat()].concat()
+        }),
+    ];
+    let (mut statements, mut answers, since) = (0, 0, Instant::now());
+    while since.elapsed() < Duration::from_secs(4) {
+        crowds.iter_mut().flat_map(|crowd| &mut crowd.0).for_each(Member::tick);
+        statements = statements.max(watched.gateway.figure("svc_statement_bytes"));
+        answers = answers.max(watched.gateway.figure("svc_answer_bytes"));
+        thread::sleep(Duration::from_millis(10));
+    }
+    println!("statements {statements}, answers {answers}");
+    let seen = watched.end();
+    seen.check_memory();
+    assert!(statements > 10 * MIB && answers > 2 * MIB, "{statements} of statements, {answers} of answers");
+}
