--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -3,24 +3,30 @@
 //! Messages go in one after the other; none is taken while a request is out, so answers keep the order of the
 //! messages whatever db hosts do. One Execute is one request.
 
+mod answer;
+mod description;
+mod fault;
+
 use std::borrow::Cow;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hashbrown::HashMap;
 
-use crate::backend::{columns, parameters};
+use crate::backend::parameters;
 use crate::bind::{self, Bind, Bound, NotBound};
+use crate::code;
 use crate::exchange::Dialect;
 use crate::frame;
-use crate::frontend::{self, Local, Message};
-use crate::portal::{cost_of_portal, last_message, message_len, Portal, Run, ENTRY};
+use crate::frontend::{self, Message};
+use crate::portal::{cost_of_portal, Portal, Run, ENTRY};
 use crate::request::{Body, Wanted};
 use crate::shared_bytes::{HeldBytes, SharedBytes};
 use crate::statement::{self, Malformed};
-use crate::table::{Description, Lease, NotTaken, Table};
+use crate::table::{Lease, NotTaken, Table};
 use crate::template::Purpose;
-use crate::{backend, code};
+use description::{known_description, put_description};
+use fault::{cannot_describe, no_portal, shown, sqlstate_of, sqlstate_of_bind, Fault};
 
 /// What extended queries may take of one client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,8 +114,6 @@
     waiting: Waiting,
 }
 
-type Fault = (&'static str, String);
-
 impl Session {
     /// A client that has nothing yet.
     #[must_use]
@@ -448,111 +452,6 @@
         self.waiting = Waiting::Execute { portal: name.into(), limit, describe };
         Ok(Took::Ask(wanted))
     }
-
-    /// Takes the answer to the request that was asked for last, and appends what the client is to read.
-    pub fn answered(&mut self, answer: Final, table: &mut Table, out: &mut Vec<u8>) {
-        let waiting = std::mem::take(&mut self.waiting);
-        let simple = matches!(waiting, Waiting::Simple);
-        match (answer, waiting) {
-            (Final::Served(messages), Waiting::Nothing | Waiting::Simple) => put_answer(out, &messages),
-            (Final::Served(messages), waiting) if messages.first() == Some(&b'E') => {
-                if let Waiting::Execute { portal, .. } = waiting {
-                    self.outdate(&portal, &messages, table);
-                }
-                out.extend(messages);
-                self.skip();
-            }
-            (Final::Served(messages), Waiting::Execute { portal, limit, describe }) => {
-                if let Err(fault) = self.rows(&portal, messages, limit, describe, out) {
-                    self.fail(out, fault);
-                }
-            }
-            (Final::Served(messages), Waiting::Describe { statement, portal }) => {
-                match description(&messages) {
-                    Some(description) => {
-                        put_description(out, &description, portal.as_deref());
-                        table.describe(&statement, Some(description));
-                    }
-                    None => self.fail(out, (code::UNKNOWN_COMPLETION, "no description came".to_owned())),
-                }
-            }
-            (refused, _) => {
-                match refused {
-                    Final::Refused(retry_after) => frontend::put_refusal(out, retry_after),
-                    Final::OutOfTurn(full, why, retry_after) => {
-                        frontend::put_out_of_turn(out, full, &why, retry_after);
-                    }
-                    Final::Invalid(why) => frontend::put_invalid(out, why),
-                    Final::Cancelled => frontend::put_cancelled(out),
-                    Final::Failed | Final::Served(_) => frontend::put_failure(out),
-                }
-                self.skip();
-            }
-        }
-        if simple {
-            // A simple query ends the pipeline that it stands in, as a Sync would.
-            self.sync(out);
-        }
-    }
-
-    /// An error that speaks of the schema: what is known of that statement's columns may no longer hold.
-    fn outdate(&mut self, name: &[u8], messages: &[u8], table: &mut Table) {
-        let sqlstate = messages.get(5..).and_then(backend::error_code).unwrap_or_default();
-        let schema = [b"0A000", b"42P01", b"42703"].iter().any(|code| sqlstate == *code);
-        if let (true, Some(portal)) = (schema, self.portals.get(name)) {
-            table.outdate(&portal.bound.statement);
-        }
-    }
-
-    /// Passes on the rows of an answer, up to the limit, and keeps the rest.
-    fn rows(
-        &mut self,
-        name: &[u8],
-        messages: Vec<u8>,
-        limit: usize,
-        describe: bool,
-        out: &mut Vec<u8>,
-    ) -> Result<(), Fault> {
-        let spoilt =
-            || (code::UNKNOWN_COMPLETION, "the answer cannot be passed on in the form asked for".to_owned());
-        let Some(portal) = self.portals.get_mut(name) else { return Ok(()) };
-        let (messages, head) = portal.in_form(messages).ok_or_else(spoilt)?;
-        if describe {
-            match head {
-                Some(head) => out.extend(head),
-                None => frame::put(out, b'n', |_| {}),
-            }
-        }
-        let tag_at = last_message(&messages).ok_or_else(spoilt)?;
-        let before = cost_of_portal(name, portal);
-        if limit == 0 {
-            put_answer(out, &messages);
-            return Ok(());
-        }
-        portal.run = Run::Part { from: 0, tag: messages[tag_at..].to_vec(), rows: messages };
-        if let Run::Part { rows, .. } = &mut portal.run {
-            rows.truncate(tag_at);
-        }
-        portal.serve(limit, out);
-        let after = cost_of_portal(name, portal);
-        let room = self.bytes.has_room(after.saturating_sub(before));
-        self.bytes.replace(before, after);
-        if !room {
-            return Err((code::OUT_OF_MEMORY, "no memory for rows behind a row limit".to_owned()));
-        }
-        if self.bytes.get() > self.terms.limits.bytes {
-            let most = self.terms.limits.bytes;
-            return Err((code::LIMIT, format!("rows behind a row limit over {most} bytes of one client")));
-        }
-        Ok(())
-    }
-}
-
-/// Appends an answer, with room for the ReadyForQuery behind it, so that it does not double the buffer.
-fn put_answer(out: &mut Vec<u8>, messages: &[u8]) {
-    const READY: usize = 6;
-    out.reserve_exact(messages.len() + READY);
-    out.extend_from_slice(messages);
 }
 
 fn cost_of_statement(name: &[u8], lease: &Lease) -> usize {
@@ -578,83 +477,3 @@
     };
     parts().ok_or_else(|| (code::PROTOCOL_VIOLATION, format!("malformed {message}")))
 }
-
-/// A client's name for something, as an error tells it. Guards against: errors as long as the name.
-fn shown(name: &[u8]) -> String {
-    const LONGEST_SHOWN: usize = 64;
-    match name.get(..LONGEST_SHOWN) {
-        Some(head) if name.len() > LONGEST_SHOWN => format!("{}...", head.escape_ascii()),
-        _ => name.escape_ascii().to_string(),
-    }
-}
-
-fn no_portal(name: &[u8]) -> Fault {
-    (code::NO_PORTAL, format!("portal \"{}\" does not exist", shown(name)))
-}
-
-fn cannot_describe() -> Fault {
-    let why = "db hosts that take simple queries only cannot describe a statement before it has run";
-    (code::NOT_SUPPORTED, why.to_owned())
-}
-
-fn sqlstate_of(why: &NotTaken) -> &'static str {
-    match why {
-        NotTaken::Malformed(Malformed::Verb) => code::NOT_SUPPORTED,
-        NotTaken::Malformed(Malformed::NotOne) => code::SYNTAX,
-        NotTaken::Malformed(_) => code::INVALID_VALUE,
-        NotTaken::TooMany(_) => code::LIMIT,
-        NotTaken::Full(_) => code::OUT_OF_MEMORY,
-    }
-}
-
-fn sqlstate_of_bind(why: &NotBound) -> &'static str {
-    match why {
-        NotBound::Message(_) | NotBound::Count(..) => code::PROTOCOL_VIOLATION,
-        NotBound::Told(_) | NotBound::Parameter(..) => code::INVALID_VALUE,
-        NotBound::NotSimple(_) => code::NOT_SUPPORTED,
-    }
-}
-
-/// What is known without asking: all that is answered here returns no rows.
-fn known_description(statement: &Lease) -> Option<Rc<Description>> {
-    match statement.purpose {
-        Purpose::Local(Local::Empty | Local::Parameter(_)) => {
-            Some(Rc::new(Description { parameters: statement.types.to_vec(), row: None }))
-        }
-        Purpose::Request(_) => statement.description(),
-    }
-}
-
-/// Reads the messages of a description.
-fn description(messages: &[u8]) -> Option<Description> {
-    let (first, second) = messages.split_at_checked(message_len(messages)?)?;
-    let parameters = (first[0] == b't').then(|| parameters(&first[5..]))??;
-    let row = match second.first()? {
-        b'T' => Some(second[5..].to_vec()),
-        b'n' => None,
-        _ => return None,
-    };
-    Some(Description { parameters, row })
-}
-
-/// A statement's description, or a portal's with the formats that were bound.
-fn put_description(out: &mut Vec<u8>, description: &Description, portal: Option<&Bound>) {
-    if portal.is_none() {
-        frame::put(out, b't', |b| {
-            b.extend(u16::try_from(description.parameters.len()).unwrap_or(u16::MAX).to_be_bytes());
-            description.parameters.iter().for_each(|kind| b.extend(kind.to_be_bytes()));
-        });
-    }
-    let Some(row) = &description.row else {
-        frame::put(out, b'n', |_| {});
-        return;
-    };
-    frame::put(out, b'T', |b| {
-        let start = b.len();
-        b.extend(row);
-        for (n, column) in columns(row).unwrap_or_default().into_iter().enumerate() {
-            let binary = portal.is_some_and(|portal| portal.result_binary(n));
-            b[start + column.format_at..][..2].copy_from_slice(&u16::from(binary).to_be_bytes());
-        }
-    });
-}
