One budget of bytes for answers and sessions; crowds of clients are a stand-in

No change of behaviour. What sessions keep was counted by a copy of the ledger's budget; the ledger has HeldBytes now, and pgwire uses it.

--- a/crates/ledger/src/bytes.rs
+++ b/crates/ledger/src/bytes.rs
@@ -59,6 +59,57 @@
     }
 }
 
+/// What one holder has of a budget: it grows and shrinks, and all is given back when this is dropped.
+#[derive(Debug)]
+pub struct HeldBytes {
+    budget: ByteBudget,
+    bytes: usize,
+}
+
+impl HeldBytes {
+    /// Nothing of this budget.
+    #[must_use]
+    pub fn none_of(budget: &ByteBudget) -> Self {
+        Self { budget: budget.clone(), bytes: 0 }
+    }
+
+    /// How many.
+    #[must_use]
+    pub fn get(&self) -> usize {
+        self.bytes
+    }
+
+    /// There are so many more.
+    #[must_use]
+    pub fn has_room(&self, bytes: usize) -> bool {
+        self.budget.held() + bytes <= self.budget.0.limit.get()
+    }
+
+    /// Holds so many more, whether there are any or not.
+    pub fn add(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        self.budget.0.held.set(self.budget.held() + bytes);
+    }
+
+    /// Gives so many back.
+    pub fn subtract(&mut self, bytes: usize) {
+        self.bytes -= bytes;
+        self.budget.0.held.set(self.budget.held() - bytes);
+    }
+
+    /// What took `before` bytes takes `after` now.
+    pub fn replace(&mut self, before: usize, after: usize) {
+        self.add(after);
+        self.subtract(before);
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.subtract(self.bytes);
+    }
+}
+
 /// Bytes that are held until this is dropped.
 #[derive(Debug)]
 pub struct BytePermit {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -14,7 +14,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-pub use bytes::{ByteBudget, BytePermit};
+pub use bytes::{ByteBudget, BytePermit, HeldBytes};
 pub use queue::{Grant, PermitQueue};
 
 /// One part in so many of the whole budget is left to short statements, whatever long ones take.
--- a/crates/ledger/src/tests.rs
+++ b/crates/ledger/src/tests.rs
@@ -128,6 +128,20 @@
     assert_eq!(budget.held(), 0);
 }
 
+#[test]
+fn bytes_that_are_held_and_taken_come_out_of_one_budget_and_go_back_when_dropped() {
+    let budget = ByteBudget::new(10);
+    let mut held = HeldBytes::none_of(&budget);
+    held.add(6);
+    held.replace(6, 4);
+    assert!(held.has_room(6) && !held.has_room(7));
+    let permit = budget.try_take(6).expect("all that is left");
+    assert!(budget.try_take(1).is_none());
+    drop((held, permit));
+    assert_eq!(budget.held(), 0);
+    assert!(budget.try_take(11).is_some(), "what is longer than all has its turn when nobody holds any");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, rng_seed: RngSeed::Fixed(5),
         ..ProptestConfig::default() })]
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -10,7 +10,6 @@
 mod portal;
 pub mod request;
 pub mod session;
-pub mod shared_bytes;
 pub mod statement;
 pub mod table;
 pub mod template;
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use hashbrown::HashMap;
+use yewroute_ledger::{ByteBudget, HeldBytes};
 
 use crate::backend::parameters;
 use crate::bind::{self, Bind, Bound, NotBound};
@@ -21,7 +22,6 @@
 use crate::frontend::{self, Message};
 use crate::portal::{cost_of_portal, Portal, Run, ENTRY};
 use crate::request::{Body, Wanted};
-use crate::shared_bytes::{HeldBytes, SharedBytes};
 use crate::statement::{self, Malformed};
 use crate::table::{Lease, NotTaken, Table};
 use crate::template::Purpose;
@@ -118,12 +118,12 @@
     /// A client that has nothing yet.
     #[must_use]
     pub fn new(terms: Terms) -> Self {
-        Self::sharing(terms, &SharedBytes::new(usize::MAX))
+        Self::sharing(terms, &ByteBudget::new(usize::MAX))
     }
 
     /// The same, which keeps no more than there is for all sessions.
     #[must_use]
-    pub fn sharing(terms: Terms, shared: &SharedBytes) -> Self {
+    pub fn sharing(terms: Terms, shared: &ByteBudget) -> Self {
         Self {
             terms,
             statements: HashMap::new(),
--- a/gateway/tests/common/crowd.rs
+++ b/crates/standin/src/crowd.rs
@@ -5,9 +5,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::client::startup;
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use rustix::net::{connect, ipproto, socket_with, AddressFamily, SocketFlags, SocketType};
-use yewroute_standin::startup;
 
 const TICK: Duration = Duration::from_millis(10);
 /// What a client's system takes of answers that the client does not read.
@@ -23,6 +23,7 @@
 }
 
 impl Habits {
+    /// As fast as the systems of both sides allow.
     pub const QUICK: Self = Self { write_per_tick: usize::MAX, read_per_tick: usize::MAX };
 }
 
@@ -32,22 +33,24 @@
     bytes: Vec<u8>,
     written: usize,
     habits: Habits,
+    /// All that has come.
     pub received: Vec<u8>,
+    /// The other side has closed the connection, or it broke.
     pub closed: bool,
 }
 
 impl Member {
     fn connect(addr: SocketAddr, bytes: Vec<u8>, habits: Habits) -> Self {
         let kind = SocketType::STREAM;
-        let socket =
-            socket_with(AddressFamily::INET, kind, SocketFlags::CLOEXEC, Some(ipproto::TCP)).unwrap();
+        let socket = socket_with(AddressFamily::INET, kind, SocketFlags::CLOEXEC, Some(ipproto::TCP));
+        let socket = socket.expect("a descriptor");
         if habits.read_per_tick < usize::MAX {
-            set_socket_recv_buffer_size(&socket, SMALL_RECEIVE_BUFFER).unwrap();
+            set_socket_recv_buffer_size(&socket, SMALL_RECEIVE_BUFFER).expect("a socket");
         }
-        connect(&socket, &addr).unwrap();
+        connect(&socket, &addr).expect("somebody listens");
         let stream = TcpStream::from(socket);
-        stream.set_nodelay(true).unwrap();
-        stream.set_nonblocking(true).unwrap();
+        stream.set_nodelay(true).expect("a TCP socket");
+        stream.set_nonblocking(true).expect("a socket");
         let bytes = [startup(), bytes].concat();
         Self { stream, bytes, written: 0, habits, received: Vec::new(), closed: false }
     }
@@ -95,6 +98,7 @@
     }
 
     /// The types of the messages that have come whole, but for notices and parameters.
+    #[must_use]
     pub fn kinds(&self) -> Vec<u8> {
         let (mut kinds, mut rest) = (Vec::new(), self.received.as_slice());
         while let Some(head) = rest.first_chunk::<5>() {
@@ -111,11 +115,13 @@
     }
 
     /// How many requests were served.
+    #[must_use]
     pub fn served(&self) -> usize {
         self.kinds().iter().filter(|kind| **kind == b'C').count()
     }
 
     /// How many requests had a final answer, whatever it was; the welcome is none.
+    #[must_use]
     pub fn answered(&self) -> usize {
         self.kinds().iter().filter(|kind| **kind == b'Z').count().saturating_sub(1)
     }
@@ -125,7 +131,10 @@
 pub struct Crowd(pub Vec<Member>);
 
 impl Crowd {
-    /// So many that connect at once; each writes what `bytes` makes for its number behind its startup.
+    /// So many that connect at once over IPv4; each writes what `bytes` makes for its number behind its startup.
+    ///
+    /// # Panics
+    /// If nobody listens there, or descriptors have run out.
     pub fn connect(addr: SocketAddr, count: usize, habits: Habits, bytes: impl Fn(usize) -> Vec<u8>) -> Self {
         Self((0..count).map(|number| Member::connect(addr, bytes(number), habits)).collect())
     }
@@ -143,14 +152,20 @@
         done(self)
     }
 
+    /// How many requests of all were served.
+    #[must_use]
     pub fn served(&self) -> usize {
         self.0.iter().map(Member::served).sum()
     }
 
+    /// How many requests of all had a final answer.
+    #[must_use]
     pub fn answered(&self) -> usize {
         self.0.iter().map(Member::answered).sum()
     }
 
+    /// How many connections are over.
+    #[must_use]
     pub fn closed(&self) -> usize {
         self.0.iter().filter(|member| member.closed).count()
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answers;
 pub mod client;
+pub mod crowd;
 pub mod discovery;
 pub mod host;
 
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -24,7 +24,6 @@
 use crate::proto::pg::code;
 use crate::proto::pg::frontend::CancelKey;
 use crate::proto::pg::session::Terms;
-use crate::proto::pg::shared_bytes::SharedBytes;
 use crate::proto::pg::table::Table;
 use crate::timers::Timers;
 use closes::{CloseReason, Closes};
@@ -67,7 +66,7 @@
     silent: Duration,
     shares: BufferShares,
     /// What all sessions may keep.
-    sessions: SharedBytes,
+    sessions: ByteBudget,
     /// What answers may take that clients have not taken yet, and db hosts' answers under way.
     answers: ByteBudget,
     /// What statements are paid for out of, and the long messages that wait for it.
@@ -90,7 +89,7 @@
     /// Answers.
     pub answers: ByteBudget,
     /// What sessions keep.
-    pub sessions: SharedBytes,
+    pub sessions: ByteBudget,
 }
 
 /// What clients are told of this gateway's stage.
--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -34,7 +34,6 @@
 use crate::memory_plan::MemoryPlan;
 use crate::proto::pg::exchange::Dialect;
 use crate::proto::pg::session::{Limits, Terms};
-use crate::proto::pg::shared_bytes::SharedBytes;
 
 /// How long a gateway that is run by a console waits for a list before it serves without one.
 const FIRST_LIST_TIMEOUT: Duration = Duration::from_secs(3);
@@ -153,7 +152,7 @@
         let memory = ClientMemory {
             statements: statement_memory.clone(),
             answers: answer_memory.clone(),
-            sessions: SharedBytes::new(plan.sessions),
+            sessions: ByteBudget::new(plan.sessions),
         };
         let memory = (memory, WaitTerms::of(&config.deployment.module));
         let clients = Clients::new(now, most_clients, buffer_shares(&plan), memory, client_protocol);
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -4,7 +4,6 @@
 #![allow(dead_code)]
 
 pub mod calls;
-pub mod crowd;
 pub mod pair;
 
 use std::io::{BufRead, BufReader, Read, Write};
