Requests that are not served and attempts that fail are counted and logged with their reasons

Action::Refuse and Action::Fail have an UnservedReason. The gateway adds its own (repeated id, memory, too many open, ending, rate limit, order, cancelled, overdue) and counts each under svc_unserved{reason}; attempts that were not served are counted under svc_failed_attempts{status}. A line each with the client's id (64 bytes at the most), class, attempts, address and reason, five in 10 s as for all lines.

What turns a request away has one way out (turn_away) in place of three that stood side by side; counts by label are one type, used by the closes as well. Decisions and the order of random draws are as before.

Test: requests_that_are_not_served_and_attempts_that_fail_are_told_with_their_reasons. The module's tests of a failed request name its reason now, which is stricter. The failing test of read refusals says these figures.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -382,10 +382,10 @@
             cut_at_ms: span_ms(cut_at.saturating_duration_since(*ZERO)),
             server: server.0,
         },
-        Action::Refuse { request, retry_after } => {
+        Action::Refuse { request, retry_after, .. } => {
             WireAction::NotNow { op_id: op(request), retry_after_ms: retry_after.map(span_ms) }
         }
-        Action::Fail(request) => WireAction::GiveUp { op_id: op(request) },
+        Action::Fail { request, .. } => WireAction::GiveUp { op_id: op(request) },
         Action::Probe(server) => WireAction::Probe { server: server.0 },
         Action::Close(server) => WireAction::Release { server: server.0 },
         Action::Subscribe => WireAction::StreamChanges { active: true },
--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -15,6 +15,7 @@
         let Some(attempt) = self.attempts.remove(&id) else { return };
         self.end_id(id, &attempt, ended.status);
         self.end_spent(id, attempt.sent, ended.status);
+        self.note_failed_attempt(id, &attempt, ended.status);
         let (request, _) = id;
         self.orders.ended(request, &ended);
         let answered = matches!(ended.status, Status::Good | Status::Error | Status::Full | Status::Miss);
--- a/gateway/src/core/channels.rs
+++ b/gateway/src/core/channels.rs
@@ -13,7 +13,8 @@
 use yewroute_federation::permit::Permit;
 use yewroute_table::Order;
 
-use super::{Answer, Ask, Core, Effect, Ended, Payload};
+use super::unserved::TurnedAway;
+use super::{Answer, Ask, Core, Effect, Ended, Payload, Reason};
 
 /// When a client is to come back where nobody can be asked yet.
 const SOON: Duration = Duration::from_millis(500);
@@ -94,13 +95,14 @@
 
 impl<B: Payload> Core<B> {
     /// The contract that a request stands under, if any; or why it cannot be taken in.
-    pub(super) fn order_of(&mut self, class: usize, ask: &Ask<B>) -> Result<Option<Contracted>, Answer> {
+    pub(super) fn order_of(&mut self, class: usize, ask: &Ask<B>) -> Result<Option<Contracted>, TurnedAway> {
         if let Some(common) = &self.common {
             let acting = common.acting.load();
             if acting.version == 0 && (ask.channel.is_some() || ask.number.is_some()) {
                 // Guards against: an order that is not kept until the first table is known.
                 let why = "no table is known yet".to_owned();
-                return Err(Answer::OutOfTurn { full: false, why, retry_after: Some(SOON) });
+                let answer = Answer::OutOfTurn { full: false, why, retry_after: Some(SOON) };
+                return Err(TurnedAway { class: Some(class), answer, reason: Reason::Order });
             }
             if acting.version != self.orders.contracts.0 {
                 let contracts = self.deployment.class_names.iter().map(|name| {
@@ -113,7 +115,8 @@
         let contracted = self.orders.contracts.1.get(class).copied().flatten();
         match contracted {
             Some(contracted) if contracted.rule.order == Order::Numbered && ask.number.is_none() => {
-                Err(Answer::Invalid("the contract on this class's order wants a number: n"))
+                let answer = Answer::Invalid("the contract on this class's order wants a number: n");
+                Err(TurnedAway { class: Some(class), answer, reason: Reason::Invalid })
             }
             contracted => Ok(contracted),
         }
@@ -183,13 +186,13 @@
             (What::Finish(finish), Some(_)) => {
                 self.orders.held.remove(&id);
                 let answer = match finish {
-                    Finish::Kept(bytes) => Answer::Served(bytes),
+                    Finish::Kept(bytes) => return self.relay(id, Answer::Served(bytes), effects),
                     Finish::Failed => Answer::Failed,
                     Finish::Refused { full, why, retry } => {
                         Answer::OutOfTurn { full, why, retry_after: self.retry(retry) }
                     }
                 };
-                self.relay(id, answer, effects);
+                self.end_unserved(id, answer, Reason::Order, effects);
             }
             (What::Finish(_), None) => {}
         }
@@ -237,7 +240,12 @@
                     self.orders.held.remove(&id);
                     let why = "the order of channels cannot be kept at this gateway now".to_owned();
                     let retry_after = self.retry(Some(SOON));
-                    self.relay(id, Answer::OutOfTurn { full: false, why, retry_after }, effects);
+                    self.end_unserved(
+                        id,
+                        Answer::OutOfTurn { full: false, why, retry_after },
+                        Reason::Order,
+                        effects,
+                    );
                 }
                 (None, Some(kept)) if self.common.is_some() => {
                     // Guards against: a channel that waits for ever for an end that was lost.
@@ -253,7 +261,7 @@
     pub(super) fn too_late(&mut self, id: RequestId, effects: &mut Vec<Effect<B>>) {
         let why = "its turn in the channel's order did not come in time".to_owned();
         let retry_after = self.retry(Some(SOON));
-        self.relay(id, Answer::OutOfTurn { full: false, why, retry_after }, effects);
+        self.end_unserved(id, Answer::OutOfTurn { full: false, why, retry_after }, Reason::Order, effects);
     }
 }
 
--- a/gateway/src/core/limit.rs
+++ b/gateway/src/core/limit.rs
@@ -8,7 +8,8 @@
 use yewroute_federation::bridge::Shared;
 use yewroute_federation::limits::{Classes, Refused, Spent};
 
-use super::{Answer, AttemptId, Core, Due, Effect, Ended, Payload};
+use super::unserved::TurnedAway;
+use super::{Answer, AttemptId, Core, Due, Effect, Ended, Payload, Reason};
 
 /// What attempts have spent.
 #[derive(Default)]
@@ -115,7 +116,7 @@
     }
 
     /// Takes what a request's first attempt spends, or refuses it: the module never sees it.
-    pub(super) fn reserve(&mut self, now: Instant, class: usize, group: u64) -> Result<(), Answer> {
+    pub(super) fn reserve(&mut self, now: Instant, class: usize, group: u64) -> Result<(), TurnedAway> {
         let Some(common) = &self.spending.common else { return Ok(()) };
         let meters = common.meters.load();
         if meters.is_empty() {
@@ -129,7 +130,8 @@
             Err(refused) => {
                 let limits = &self.deployment.module.limits;
                 let retry_after = limits.retry_after.then_some(limits.max_retry_after.min(refused.retry));
-                Err(Answer::Refused { retry_after })
+                let answer = Answer::Refused { retry_after };
+                Err(TurnedAway { class: Some(class), answer, reason: Reason::RateLimit })
             }
         }
     }
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -9,6 +9,7 @@
 mod book;
 mod channels;
 mod directory;
+mod failed_attempts;
 mod limit;
 mod reach;
 mod relay;
@@ -21,6 +22,7 @@
 mod tally;
 #[cfg(test)]
 mod tests;
+mod unserved;
 mod verdicts;
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -45,10 +47,12 @@
 use crate::timers::Timers;
 use channels::Orders;
 pub use directory::Directory;
+pub use failed_attempts::FailedAttempts;
 pub use request_ids::SentId;
 use request_ids::{IdDigest, RequestIds};
 use tally::End;
 pub use tally::{Results, Tally};
+pub use unserved::{Reason, UnservedCounts};
 
 /// A client connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -334,6 +338,8 @@
     /// What requests are paid out of that have no permit yet.
     budget: MemoryBudget,
     tally: Tally,
+    unserved: UnservedCounts,
+    failed_attempts: FailedAttempts,
     /// What other gateways are told; nothing is counted while there are none.
     loads: Option<Loads>,
     /// Another process of this gateway takes writes as well, and the module has been told.
@@ -385,6 +391,8 @@
             answers_by: None,
             budget,
             tally,
+            unserved: UnservedCounts::default(),
+            failed_attempts: FailedAttempts::default(),
             loads: None,
             other_process_writes: false,
             near: None,
@@ -419,8 +427,8 @@
             Input::Part(attempt, bytes) => self.pass_on(attempt, bytes, effects),
             Input::Full(client) => self.throttle(client, true, effects),
             Input::Room(client) => self.throttle(client, false, effects),
-            Input::Unreadable => self.tally.count(None, End::Aborted),
-            Input::RefusedUnread => self.tally.count(None, End::Declined),
+            Input::Unreadable => self.count_unread(End::Aborted, Reason::Invalid),
+            Input::RefusedUnread => self.count_unread(End::Declined, Reason::Memory),
         }
     }
 
@@ -470,6 +478,16 @@
         &self.tally
     }
 
+    /// How many requests were not served, by reason.
+    pub fn unserved(&self) -> &UnservedCounts {
+        &self.unserved
+    }
+
+    /// How many attempts failed, by status.
+    pub fn failed_attempts(&self) -> &FailedAttempts {
+        &self.failed_attempts
+    }
+
     /// Requests held.
     pub fn outstanding(&self) -> usize {
         self.held.len()
--- a/gateway/src/core/relay.rs
+++ b/gateway/src/core/relay.rs
@@ -5,7 +5,7 @@
 use tracing::error;
 use yewroute::interface::{Effect as Repeats, Event, RequestId};
 
-use super::{Answer, AttemptId, ClientId, Core, Effect, End, Held, Payload};
+use super::{Answer, AttemptId, ClientId, Core, Effect, End, Held, Payload, Reason};
 
 impl Answer {
     /// What a request that gets this counts as.
@@ -56,7 +56,7 @@
         let repeatable = self.deployment.module.classes[held.class].effect == Repeats::Idempotent;
         let may_have_effect = !repeatable && (held.reached || out.is_some());
         let answer = if may_have_effect { Answer::Failed } else { Answer::Cancelled };
-        self.relay(id, answer, effects);
+        self.end_unserved(id, answer, Reason::Cancelled, effects);
         out.into_iter().for_each(|out| self.withdraw(out, effects));
         self.route(now, Event::Gone(id), effects);
     }
@@ -80,7 +80,7 @@
             return;
         }
         error!(attempt_out = out.is_some(), "request overdue: failed by the gateway itself");
-        self.relay(id, Answer::Failed, effects);
+        self.end_unserved(id, Answer::Failed, Reason::Overdue, effects);
         out.into_iter().for_each(|out| self.withdraw(out, effects));
         self.route(now, Event::Gone(id), effects);
     }
--- a/gateway/src/core/route.rs
+++ b/gateway/src/core/route.rs
@@ -4,7 +4,7 @@
 
 use yewroute::interface::{Action, Event, ListKind};
 
-use super::{Answer, Core, Due, Effect, Payload};
+use super::{Answer, Core, Due, Effect, Payload, Reason};
 use crate::proto::catalog::Members;
 
 impl<B: Payload> Core<B> {
@@ -30,11 +30,13 @@
     fn act(&mut self, now: Instant, action: Action, effects: &mut Vec<Effect<B>>) {
         match action {
             Action::Send { request, server, cut_at } => self.send(now, request, server, cut_at, effects),
-            Action::Refuse { request, retry_after } => {
+            Action::Refuse { request, reason, retry_after } => {
                 let retry_after = self.spending.sooner(request, retry_after);
-                self.relay(request, Answer::Refused { retry_after }, effects);
+                self.end_unserved(request, Answer::Refused { retry_after }, Reason::Decided(reason), effects);
+            }
+            Action::Fail { request, reason } => {
+                self.end_unserved(request, Answer::Failed, Reason::Decided(reason), effects);
             }
-            Action::Fail(request) => self.relay(request, Answer::Failed, effects),
             Action::Probe(server) => {
                 self.note_probe(now, server);
                 effects.push(Effect::Probe(server));
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -6,13 +6,22 @@
 
 use yewroute::interface::{Event, GroupId, Request, RequestId, SessionKey, Stand, Status};
 
+use super::channels::Contracted;
 use super::request_ids::{self, IdDigest};
+use super::unserved::TurnedAway;
 use super::{Ask, ClientId, Core, Due, Effect, Ended, Held, Payload};
 
 /// How long after its time a request that nobody answered is failed here: later than the module's own last
 /// moment, sooner than the rules' slack ends.
 const OVERDUE: Duration = Duration::from_millis(10);
 
+/// Where a request belongs.
+struct Placement {
+    class: usize,
+    group: u64,
+    order: Option<Contracted>,
+}
+
 impl<B: Payload> Core<B> {
     pub(super) fn take_in(
         &mut self,
@@ -21,27 +30,10 @@
         mut ask: Ask<B>,
         effects: &mut Vec<Effect<B>>,
     ) {
-        let (class, group) = match self.admit(now, &mut ask) {
-            Ok(placed) => placed,
-            Err((class, answer)) => {
-                self.tally.count(class, answer.end());
-                effects.push(Effect::Answer(client, answer));
-                return;
-            }
-        };
-        let (order, channel) = match self.order_of(class, &ask) {
-            Ok(order) => (order, ask.channel.clone()),
-            Err(answer) => {
-                self.tally.count(Some(class), answer.end());
-                effects.push(Effect::Answer(client, answer));
-                return;
-            }
+        let Placement { class, group, order } = match self.place(now, &mut ask) {
+            Ok(placement) => placement,
+            Err(turned_away) => return self.turn_away(client, &ask.name, turned_away, effects),
         };
-        if let Err(answer) = self.reserve(now, class, group) {
-            self.tally.count(Some(class), answer.end());
-            effects.push(Effect::Answer(client, answer));
-            return;
-        }
         // Clients repeat their own ids when they send once more on a new connection; ours never come twice.
         self.taken += 1;
         // Guards against: timers and db hosts' work kept for longer than any client of the class waits.
@@ -86,12 +78,20 @@
         self.by_client.insert(client, id);
         self.timers.set(now + wait + OVERDUE, Due::Overdue(id));
         match order {
-            Some(order) => self.enter(now, request, order, (channel, ask.number, ask.key)),
+            Some(order) => self.enter(now, request, order, (ask.channel, ask.number, ask.key)),
             None => self.route(now, Event::Request(request), effects),
         }
         self.spending.give_back();
     }
 
+    /// The class and group of a request that is let in, the order that its channel keeps, and what it spends.
+    fn place(&mut self, now: Instant, ask: &mut Ask<B>) -> Result<Placement, TurnedAway> {
+        let (class, group) = self.admit(now, ask)?;
+        let order = self.order_of(class, ask)?;
+        self.reserve(now, class, group)?;
+        Ok(Placement { class, group, order })
+    }
+
     /// Gives up the attempt of an earlier request of the same id, whose client has left. Guards against: a second copy.
     fn end_abandoned(&mut self, now: Instant, digest: IdDigest, effects: &mut Vec<Effect<B>>) {
         if let Some(attempt) = self.ids.abandoned(digest) {
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod core;
 mod demo;
+mod label_counts;
 mod log;
 mod memory_plan;
 mod net;
--- a/gateway/src/net/clients/closes.rs
+++ b/gateway/src/net/clients/closes.rs
@@ -1,5 +1,7 @@
 //! How many connections of clients were closed, and why.
 
+use crate::label_counts::LabelCounts;
+
 /// Why a client's connection was closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReason {
@@ -20,7 +22,7 @@
 }
 
 impl CloseReason {
-    /// All of them, each at the place of its number.
+    /// All of them.
     const ALL: [Self; 7] = [
         Self::Left,
         Self::Malformed,
@@ -46,17 +48,23 @@
 }
 
 /// Counts since the start of the process.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Closes([u64; CloseReason::ALL.len()]);
+#[derive(Clone, Debug)]
+pub struct Closes(LabelCounts);
+
+impl Default for Closes {
+    fn default() -> Self {
+        Self(LabelCounts::new(CloseReason::ALL.map(CloseReason::label)))
+    }
+}
 
 impl Closes {
     /// Counts one.
     pub fn count(&mut self, reason: CloseReason) {
-        self.0[reason as usize] += 1;
+        self.0.count(reason.label());
     }
 
     /// The labels with their counts.
     pub fn by_reason(&self) -> Vec<(&'static str, u64)> {
-        CloseReason::ALL.iter().map(|reason| (reason.label(), self.0[*reason as usize])).collect()
+        self.0.all()
     }
 }
--- a/gateway/src/net/operations.rs
+++ b/gateway/src/net/operations.rs
@@ -125,6 +125,8 @@
             statements_waiting: self.clients.waiting_messages(),
             memory: self.memory_figures(),
             client_closes: self.clients.closes(),
+            unserved: self.core.unserved().by_reason(),
+            failed_attempts: self.core.failed_attempts().by_status(),
             ids_forgotten_early: self.core.ids_forgotten_early(),
             log_lines_dropped: log::dropped_lines(),
             fleet: {
--- a/gateway/src/proto/console.rs
+++ b/gateway/src/proto/console.rs
@@ -374,6 +374,10 @@
     pub memory: MemoryFigures,
     /// How many connections of clients were closed, by reason.
     pub client_closes: Vec<(&'a str, u64)>,
+    /// How many requests were not served, by reason.
+    pub unserved: Vec<(&'a str, u64)>,
+    /// How many attempts failed, by status.
+    pub failed_attempts: Vec<(&'a str, u64)>,
     /// Ids of requests that may have run, forgotten before their windows were over.
     pub ids_forgotten_early: u64,
     /// Lines of the log that were lost, as standard error took nothing.
@@ -460,9 +464,16 @@
     for (name, value) in counters {
         let _ = writeln!(body, "# TYPE svc_{name} counter\nsvc_{name} {value}");
     }
-    body.push_str("# TYPE svc_client_closes counter\n");
-    for (reason, count) in &figures.client_closes {
-        let _ = writeln!(body, "svc_client_closes{{reason=\"{reason}\"}} {count}");
+    let labelled = [
+        ("client_closes", "reason", &figures.client_closes),
+        ("unserved", "reason", &figures.unserved),
+        ("failed_attempts", "status", &figures.failed_attempts),
+    ];
+    for (name, label, counts) in labelled {
+        let _ = writeln!(body, "# TYPE svc_{name} counter");
+        for (value, count) in counts {
+            let _ = writeln!(body, "svc_{name}{{{label}=\"{value}\"}} {count}");
+        }
     }
     let mut kind = "";
     for (name, value) in &figures.fleet {
--- a/gateway/src/proto/console/tests.rs
+++ b/gateway/src/proto/console/tests.rs
@@ -158,6 +158,8 @@
             hosts: 5,
         },
         client_closes: vec![("left", 11)],
+        unserved: vec![("overloaded", 12)],
+        failed_attempts: vec![("timeout", 13)],
         ids_forgotten_early: 9,
         log_lines_dropped: 7,
         fleet: vec![("svc_fleet_members{state=\"alive\"}".to_owned(), 3)],
@@ -199,6 +201,8 @@
             "svc_log_lines_dropped 7",
             "svc_ids_forgotten_early 9",
             r#"svc_client_closes{reason="left"} 11"#,
+            r#"svc_unserved{reason="overloaded"} 12"#,
+            r#"svc_failed_attempts{status="timeout"} 13"#,
             r#"svc_fleet_members{state="alive"} 3"#,
         ]
     );
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -271,6 +271,15 @@
         value.unwrap_or_else(|| panic!("no {name} in {body}")).parse().unwrap()
     }
 
+    /// The figures of requests that were not served and of attempts that failed.
+    pub fn refusals(&self) -> String {
+        let (_, body) = self.call("GET /metrics");
+        let told =
+            |line: &&str| line.starts_with("svc_unserved{") || line.starts_with("svc_failed_attempts{");
+        let lines = body.lines().filter(|line| told(line) && !line.ends_with(" 0"));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
--- a/gateway/tests/list_lease.rs
+++ b/gateway/tests/list_lease.rs
@@ -386,5 +386,5 @@
     let (renewed, refused_before) = (Instant::now(), refused_without_list());
     let reads = read_until(&new, renewed, renewed + Duration::from_millis(500));
     assert_eq!(refused_without_list(), refused_before, "since the list has come: {reads:?} {}", new.log());
-    (reads, new.log())
+    (reads, format!("{}\n{}", new.refusals(), new.log()))
 }
--- a/gateway/tests/log.rs
+++ b/gateway/tests/log.rs
@@ -97,3 +97,26 @@
         || format!("taken again: {}", gateway.log()),
     );
 }
+
+// Guards against: a request that is refused or sent again, of which nobody can tell which it was and why.
+#[test]
+fn requests_that_are_not_served_and_attempts_that_fail_are_told_with_their_reasons() {
+    let primary = Host::start(|query| match query {
+        "SHOW load" => well(true, query),
+        _ => Do::Break,
+    });
+    let gateway = Gateway::operated(&pair(&primary, &Host::well(false)));
+    let mut client = gateway.client();
+    let unknown_group = statement("order", 3_000, "").replace("cluster=2", "cluster=3");
+    client.ask(&unknown_group);
+    client.ask(&statement("order", 700, ",k=1"));
+    assert_eq!(gateway.figure("svc_unserved{reason=\"no_servers\"}"), 1);
+    assert!(gateway.figure("svc_failed_attempts{status=\"reset\"}") > 0);
+    let id = |statement: &str| statement.split_once("id=").unwrap().1.split_once(',').unwrap().0.to_owned();
+    let refused = format!(
+        "msg=\"request not served\" id={} class=order attempts=0 reason=no_servers",
+        id(&unknown_group)
+    );
+    gateway.logs(&refused);
+    gateway.logs(&format!("attempt=0 addr={} status=reset", primary.addr));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -469,6 +469,31 @@
     },
 }
 
+/// Why a request is not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnservedReason {
+    /// Its class is not in the settings.
+    UnlistedClass,
+    /// Its group has no server that takes requests.
+    NoServers,
+    /// The lease of the list expired, and the list was not renewed in time.
+    ListExpired,
+    /// It was shed on arrival, or after a full queue, as its servers are overloaded.
+    Overloaded,
+    /// No server was free, or could be asked, in time.
+    NoServerFree,
+    /// Less time is left than an attempt takes.
+    OutOfTime,
+    /// It has had as many attempts as the settings allow.
+    AttemptsSpent,
+    /// An attempt of it may have run, and it may not be sent again.
+    MayHaveRun,
+    /// Two servers answered it with an error.
+    Errors,
+    /// The gateway barred it ([`Event::Barred`]).
+    Barred,
+}
+
 /// Something to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -485,11 +510,18 @@
     Refuse {
         /// The request.
         request: RequestId,
+        /// Why it is not served.
+        reason: UnservedReason,
         /// When the client should come back.
         retry_after: Option<Duration>,
     },
     /// Final answer: failed, and nothing is promised.
-    Fail(RequestId),
+    Fail {
+        /// The request.
+        request: RequestId,
+        /// Why it is not served.
+        reason: UnservedReason,
+    },
     /// Check a server.
     Probe(ServerId),
     /// Close the idle connections to a server.
--- a/src/policy/blame.rs
+++ b/src/policy/blame.rs
@@ -76,9 +76,12 @@
                 if !o.status.never_ran() {
                     p.may_have_run = p.may_have_run.or(attempt.map(|a| a.sent)).or(Some(now));
                 }
+                let errors = p.erred.len() >= 2;
                 let full = o.status == Status::Full && write;
-                if p.erred.len() >= 2 || full && self.sheds(now, o.request) {
-                    self.finish(now, o.request, out);
+                if errors {
+                    self.finish(now, o.request, UnservedReason::Errors, out);
+                } else if full && self.sheds(now, o.request) {
+                    self.finish(now, o.request, UnservedReason::Overloaded, out);
                 } else {
                     self.dispatch(now, o.request, out);
                 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -192,7 +192,7 @@
                 self.servers.entry(server).and_modify(|s| s.chill(Some(started), settings));
             }
             Event::OtherProcessWrites(writes) => self.commits.set_incomplete(now, writes),
-            Event::Barred(id) => self.finish(now, id, out),
+            Event::Barred(id) => self.finish(now, id, UnservedReason::Barred, out),
             Event::Timer(_) | Event::Started { .. } => {}
             Event::Verdict { server, verdict } => self.on_verdict(now, server, verdict, out),
             Event::Primary { server, seen } => self.on_primary(server, seen),
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -33,8 +33,15 @@
         let listed = members.iter().any(|m| self.servers[m].usable);
         // Shed at once what cannot be answered in time any more.
         let least = self.latency.unloaded[p.request.class].mul_f64(WORTH_TRYING);
-        if barred || !listed || now + least >= ends || p.sends >= self.settings.limits.max_attempts {
-            return self.finish(now, id, out);
+        let unserved = match () {
+            () if barred => Some(UnservedReason::MayHaveRun),
+            () if !listed => Some(UnservedReason::NoServers),
+            () if now + least >= ends => Some(UnservedReason::OutOfTime),
+            () if p.sends >= self.settings.limits.max_attempts => Some(UnservedReason::AttemptsSpent),
+            () => None,
+        };
+        if let Some(reason) = unserved {
+            return self.finish(now, id, reason, out);
         }
         let needs_primary = matches!(class.freshness, Freshness::Write | Freshness::Fresh);
         let (reached, patient) = (p.reached, p.patient);
@@ -56,7 +63,9 @@
             // little is left after that or nobody in its group answers, so that its client can come again.
             // Guards against: holding requests in vain. Hurts where the group comes back in the second half.
             None if now + 2 * TICK_EVERY >= (if reached || answered { ends } else { ends.min(patient) }) => {
-                self.finish(now, id, out);
+                let listed = self.list_is_current(now);
+                let reason = if listed { UnservedReason::NoServerFree } else { UnservedReason::ListExpired };
+                self.finish(now, id, reason, out);
             }
             None => self.groups.get_mut(&group).expect("listed").waiting.push(id),
         }
@@ -101,14 +110,17 @@
     }
 
     /// Final answer for a request without an attempt out: refused where a further try is harmless.
-    pub(super) fn finish(&mut self, now: Instant, id: RequestId, out: Out) {
+    pub(super) fn finish(&mut self, now: Instant, id: RequestId, reason: UnservedReason, out: Out) {
         let Some(p) = self.requests.remove(&id) else { return };
         self.refused_without_list += u64::from(!self.list_is_current(now));
         let effect = self.settings.classes[p.request.class].effect;
         let everywhere = matches!(effect, Effect::Deduplicated { scope: KeyScope::All, .. });
         let harmless = p.may_have_run.is_none() || effect == Effect::Idempotent || everywhere;
         let retry_after = self.settings.limits.retry_after.then_some(self.settings.limits.max_retry_after);
-        out.push(if harmless { Action::Refuse { request: id, retry_after } } else { Action::Fail(id) });
+        out.push(match harmless {
+            true => Action::Refuse { request: id, reason, retry_after },
+            false => Action::Fail { request: id, reason },
+        });
     }
 
     /// Commits up to here must be seen by a request that is sent now.
--- a/src/policy/waiting.rs
+++ b/src/policy/waiting.rs
@@ -9,7 +9,11 @@
             return;
         }
         let Some(class) = self.settings.classes.get(request.class) else {
-            return out.push(Action::Refuse { request: id, retry_after: None });
+            return out.push(Action::Refuse {
+                request: id,
+                reason: UnservedReason::UnlistedClass,
+                retry_after: None,
+            });
         };
         let ago = |age: Option<Duration>| age.filter(|a| !a.is_zero()).and_then(|a| now.checked_sub(a));
         let floor = match class.freshness {
@@ -46,7 +50,7 @@
         self.probe_down(now, group, out);
         self.warm_up(now, group);
         if self.sheds(now, id) {
-            self.finish(now, id, out);
+            self.finish(now, id, UnservedReason::Overloaded, out);
         } else {
             self.dispatch(now, id, out);
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -205,7 +205,7 @@
 }
 
 pub fn finals(actions: &[Action]) -> Vec<Action> {
-    let last = |a: &&Action| matches!(a, Action::Refuse { .. } | Action::Fail(_));
+    let last = |a: &&Action| matches!(a, Action::Refuse { .. } | Action::Fail { .. });
     actions.iter().filter(last).cloned().collect()
 }
 
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -67,7 +67,7 @@
                     assert!(!(bound && open.may_have_run.is_some()), "refused though it may have run");
                     assert!(!self.out.iter().any(|o| o.0 == *request), "refused with an attempt out");
                 }
-                Action::Fail(request) => {
+                Action::Fail { request, .. } => {
                     self.open.remove(request).expect("one final answer");
                 }
                 _ => {}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -44,7 +44,10 @@
 fn an_unsafe_request_that_may_have_run_fails() {
     let mut g = Gateway::start(settings(), 1);
     let (id, _) = g.request(ONCE);
-    assert_eq!(finals(&g.outcome(id, 0, 0, Status::Timeout)), [Action::Fail(id)]);
+    assert_eq!(
+        finals(&g.outcome(id, 0, 0, Status::Timeout)),
+        [Action::Fail { request: id, reason: UnservedReason::MayHaveRun }]
+    );
 }
 
 #[test]
@@ -56,7 +59,7 @@
     assert_eq!(sends(&out), [(id, 0)]);
     g.now += ms(800);
     let out = g.outcome(id, 1, 0, Status::Error);
-    assert_eq!(finals(&out), [Action::Fail(id)]);
+    assert_eq!(finals(&out), [Action::Fail { request: id, reason: UnservedReason::MayHaveRun }]);
 }
 
 #[test]
