A gateway that is held up no longer uses all attempts of a request up at once

Cause: a turn of the loop decides by the time of its beginning, and the first byte of an attempt is held against the clock. Held up for longer than an attempt has (100 ms for quick reads), an attempt was over before it began; its request was decided on by the old time again, eight times in one moment.

Change: settle takes the time anew once attempts have ended before they began. Status::HeldUp tells the module so: the db host is not left out, and it is no sign of a jam.

Result: a_gateway_that_is_held_up_while_it_sends_uses_no_attempts_up, an_answer_that_came_while_the_gateway_did_not_run_is_taken and an_attempt_that_a_held_up_gateway_did_not_send_says_nothing_of_its_server fail before and pass.

--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -36,7 +36,7 @@
         if let Some(held) = held {
             held.out = None;
             held.may_have_run |= !ended.status.never_ran();
-            held.reached |= !matches!(ended.status, Status::ConnectFailed | Status::NotSent);
+            held.reached |= !matches!(ended.status, Status::ConnectFailed | Status::NotSent | Status::HeldUp);
         }
         self.check_clock(now, &ended.note, effects);
         let outcome = Outcome { finished, ..self.outcome(now, id, &attempt, ended.status, ended.note) };
--- a/gateway/src/core/failed_attempts.rs
+++ b/gateway/src/core/failed_attempts.rs
@@ -26,6 +26,7 @@
         Status::Reset => Some("reset"),
         Status::Cancelled => Some("cancelled"),
         Status::NotSent => Some("not_sent"),
+        Status::HeldUp => Some("held_up"),
         Status::Miss => Some("wrong_role_or_position"),
     }
 }
@@ -45,6 +46,7 @@
             Status::Reset,
             Status::Cancelled,
             Status::NotSent,
+            Status::HeldUp,
             Status::Miss,
         ];
         Self(LabelCounts::new(statuses.into_iter().filter_map(label)))
--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -98,8 +98,8 @@
                 self.end(id, Ended::silent(Status::NotSent), a);
                 continue;
             };
-            if !self.may_write(id, a) {
-                self.end(id, Ended::silent(Status::NotSent), a);
+            if let Err(status) = self.may_write(id, a) {
+                self.end(id, Ended::silent(status), a);
                 continue;
             }
             let pool = self.pools.entry(server).or_default();
@@ -145,14 +145,19 @@
         }
     }
 
-    /// Whether a job's first byte may go out now, however long it has waited.
-    fn may_write(&self, id: JobId, a: &HostsContext) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return false };
+    /// Whether a job's first byte may go out now, however long it has waited; if not, how it ends.
+    fn may_write(&self, id: JobId, a: &HostsContext) -> Result<(), Status> {
+        let job = self.jobs.get(&id).ok_or(Status::NotSent)?;
         let fits = match id {
             JobId::Attempt(attempt) => a.core.may_begin(a.now, attempt),
             JobId::Probe(_) => a.core.list_is_current(a.now),
         };
-        fits && !job.is_over(a.now) && !job.leave.over()
+        match () {
+            () if !fits || job.cut_at <= a.now || job.leave.over() => Err(Status::NotSent),
+            // In time when the turn of the loop began.
+            () if job.is_over(a.now) => Err(Status::HeldUp),
+            () => Ok(()),
+        }
     }
 
     /// Closes the idle connection that was used longest ago.
--- a/gateway/src/net/hosts/first_byte.rs
+++ b/gateway/src/net/hosts/first_byte.rs
@@ -5,8 +5,8 @@
 use yewroute_federation::limits::{Refused, Spent};
 use yewroute_federation::permit::Permit;
 
-/// A turn of the loop that has lasted longer was held up: what was spent at its beginning is spent anew.
-const HELD_UP: Duration = Duration::from_millis(5);
+/// A turn of the loop, or a wait, that has lasted longer than it should by this was held up: what was spent before is spent anew.
+pub const HELD_UP: Duration = Duration::from_millis(5);
 
 /// What an attempt has spent of rate limits.
 #[derive(Debug)]
--- a/gateway/src/net/mod.rs
+++ b/gateway/src/net/mod.rs
@@ -45,7 +45,7 @@
 use federation::FederationLink;
 use fleet::FleetLink;
 use handover::Handover;
-use hosts::first_byte::{FirstByteLimit, Spending};
+use hosts::first_byte::{FirstByteLimit, Spending, HELD_UP};
 use hosts::{Hosts, HostsContext};
 use poller::{Poller, Ready, Token};
 use sent_ids::SentIdLink;
@@ -123,14 +123,12 @@
 pub fn run(config: Config, signals: Signals) -> Result<(), RunError> {
     let mut gateway = Gateway::new(config, signals)?;
     let mut ready = Vec::new();
-    let mut now = Instant::now();
-    gateway.settle(now);
+    let mut now = gateway.settle(Instant::now());
     while !gateway.life.done(now, gateway.clients.len(), || gateway.clients.owes_answers()) {
-        gateway.poller.wait(now, gateway.next(now), &mut ready)?;
-        now = Instant::now();
+        now = gateway.wait(now, &mut ready)?;
         gateway.all_ready(now, &mut ready);
-        gateway.tick(now);
-        gateway.settle(now);
+        now = gateway.tick(now);
+        now = gateway.settle(now);
         gateway.start(now)?;
     }
     gateway.fleet.iter_mut().for_each(|fleet| fleet.leave(now));
@@ -139,6 +137,20 @@
 }
 
 impl Gateway {
+    /// Waits for what is ready or due, and says what time it is then.
+    ///
+    /// Guards against: an attempt that is given up as overdue while its answer lies unread, as this process did not run between the
+    /// poller's look and this moment, or was woken by a signal and not by what has come.
+    fn wait(&mut self, now: Instant, ready: &mut Vec<Ready>) -> io::Result<Instant> {
+        let due = self.next(now);
+        self.poller.wait(now, due, ready)?;
+        let now = Instant::now();
+        if due.is_some_and(|due| now.saturating_duration_since(due) >= HELD_UP) {
+            self.poller.look_again(ready)?;
+        }
+        Ok(now)
+    }
+
     fn next(&self, now: Instant) -> Option<Instant> {
         let next = [
             self.core.next(),
@@ -199,14 +211,15 @@
         }
     }
 
-    fn tick(&mut self, now: Instant) {
+    /// Does what is due, and says what time it is then.
+    fn tick(&mut self, now: Instant) -> Instant {
         let (hosts, mut around) = self.hosts(now);
         hosts.tick(&mut around);
         self.clients.tick(now, &self.poller, &mut self.inbox);
         let (discovery, mut context) = self.discovery(now);
         discovery.tick(&mut context);
         // What has come counts before what is overdue.
-        self.settle(now);
+        let now = self.settle(now);
         self.core.tick(now, &mut self.effects);
         if let Some(console) = &mut self.console {
             console.tick(now, &self.poller);
@@ -221,6 +234,7 @@
         self.federate(now);
         self.attend(now);
         self.log_list_lease(now);
+        now
     }
 
     /// Says when requests begin and cease to wait for a list.
@@ -284,8 +298,11 @@
 
     /// Tells the core what has come and does what it says, until there is nothing more to do. All that has
     /// come is told before anything is done, and attempts begin last, so that news of a drain and clients that have gone
-    /// come before the next send.
-    fn settle(&mut self, now: Instant) {
+    /// come before the next send. Says what time it is then.
+    ///
+    /// Guards against: an attempt that is over before it begins, as the turn was held up since `now`, and is decided on by that
+    /// time again and again, until its request has none left.
+    fn settle(&mut self, mut now: Instant) -> Instant {
         loop {
             self.hear_sent_ids(now);
             while let Some(input) = self.inbox.pop_front() {
@@ -304,8 +321,9 @@
             let (hosts, mut around) = self.hosts(now);
             hosts.serve_waiting(&mut around);
             if self.inbox.is_empty() {
-                return;
+                return now;
             }
+            now = Instant::now();
         }
     }
 
--- a/gateway/src/net/poller.rs
+++ b/gateway/src/net/poller.rs
@@ -136,8 +136,17 @@
     pub fn wait(&mut self, now: Instant, until: Option<Instant>, ready: &mut Vec<Ready>) -> io::Result<()> {
         let timeout = until.map(|until| timespec(until.saturating_duration_since(now)));
         self.asked_before = std::mem::replace(&mut self.asked, now);
+        self.collect(timeout.as_ref(), ready)
+    }
+
+    /// Adds what has become ready since the last wait; what that has found may be added once more.
+    pub fn look_again(&mut self, ready: &mut Vec<Ready>) -> io::Result<()> {
+        self.collect(Some(&Timespec::default()), ready)
+    }
+
+    fn collect(&mut self, timeout: Option<&Timespec>, ready: &mut Vec<Ready>) -> io::Result<()> {
         self.events.clear();
-        match epoll::wait(&self.epoll, spare_capacity(&mut self.events), timeout.as_ref()) {
+        match epoll::wait(&self.epoll, spare_capacity(&mut self.events), timeout) {
             Ok(_) | Err(rustix::io::Errno::INTR) => {}
             Err(error) => return Err(error.into()),
         }
--- a/gateway/tests/db_hosts.rs
+++ b/gateway/tests/db_hosts.rs
@@ -7,6 +7,9 @@
 
 use std::io::{Read, Write};
 use std::process::Command;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
+use std::sync::{Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -543,3 +546,68 @@
     assert_eq!(client.answer(), SERVED);
     assert!(first.is_silent());
 }
+
+/// Longer than an attempt of a quick read has, shorter than a read is worth anything.
+const HELD_UP: Duration = ms(150);
+
+// Guards against: a gateway that is held up between what it decides and what it sends, and then uses up all attempts of a request at
+// once: each is over by the clock, and in time by the moment in which the turn of the loop began.
+#[test]
+fn a_gateway_that_is_held_up_while_it_sends_uses_no_attempts_up() {
+    const STOPS: usize = 24;
+    const CLIENTS: usize = 8;
+    let gateway = Gateway::operated(&pair(&Host::well(true), &Host::well(false)));
+    let ends = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..CLIENTS {
+            scope.spawn(|| {
+                let mut client = gateway.client();
+                while !ends.load(Ordering::SeqCst) {
+                    client.ask(&statement("view", 1200, ""));
+                }
+            });
+        }
+        for _ in 0..STOPS {
+            thread::sleep(ms(30));
+            signal(&gateway, "-STOP");
+            thread::sleep(HELD_UP);
+            signal(&gateway, "-CONT");
+        }
+        ends.store(true, Ordering::SeqCst);
+    });
+    let spent = gateway.figure("svc_unserved{reason=\"attempts_spent\"}");
+    assert_eq!(spent, 0, "{}\n{}", gateway.refusals(), gateway.log());
+}
+
+// Guards against: an attempt that is given up as overdue while its answer lies unread, as the gateway did not run for a while.
+#[test]
+fn an_answer_that_came_while_the_gateway_did_not_run_is_taken() {
+    const TURNS: usize = 10;
+    static GATEWAY: OnceLock<u32> = OnceLock::new();
+    let (stopped, stops) = channel();
+    let stopped = Mutex::new(stopped);
+    let replica = Host::start(move |query| {
+        if query.contains("k=held-up") {
+            let gateway = GATEWAY.get().expect("it asks").to_string();
+            assert!(Command::new("kill").args(["-STOP", &gateway]).status().unwrap().success());
+            stopped.lock().unwrap().send(()).unwrap();
+        }
+        well(false, query)
+    });
+    let gateway = Gateway::operated(&pair(&Host::well(true), &replica));
+    GATEWAY.set(gateway.pid()).expect("set once");
+    let mut client = gateway.client();
+    for _ in 0..TURNS {
+        // It learns how quick reads are.
+        for _ in 0..20 {
+            assert_eq!(client.ask(&statement("view", 1200, "")), SERVED);
+        }
+        client.send(&statement("view", 1200, ",k=held-up"));
+        stops.recv().unwrap();
+        thread::sleep(HELD_UP);
+        signal(&gateway, "-CONT");
+        assert_eq!(client.answer(), SERVED);
+    }
+    let given_up = gateway.figure("svc_failed_attempts{status=\"timeout\"}");
+    assert_eq!(given_up, 0, "{}\n{}", gateway.refusals(), gateway.log());
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -362,6 +362,8 @@
     Cancelled,
     /// Never sent.
     NotSent,
+    /// Never sent: the gateway was held up, and the attempt was over before its first byte. It says nothing of the server.
+    HeldUp,
     /// Turned away untouched, by role or position: never ran.
     Miss,
 }
@@ -370,7 +372,7 @@
     /// The attempt is known not to have run.
     #[must_use]
     pub fn never_ran(self) -> bool {
-        matches!(self, Self::Full | Self::ConnectFailed | Self::NotSent | Self::Miss)
+        matches!(self, Self::Full | Self::ConnectFailed | Self::NotSent | Self::HeldUp | Self::Miss)
     }
 }
 
--- a/src/policy/blame.rs
+++ b/src/policy/blame.rs
@@ -37,7 +37,8 @@
             let pressure = group.pressure.get(now, PRESSURE_HALF);
             let least = if o.status == Status::Timeout { CROWDED } else { JAMMED };
             let soon = o.status == Status::Good && o.elapsed <= aim.mul_f64(NO_JAM_WITHIN_AIM);
-            let jammed = !lost && !soon && o.elapsed > unloaded.mul_f64(least) || o.status == Status::Full;
+            let long = !soon && o.status != Status::HeldUp && o.elapsed > unloaded.mul_f64(least);
+            let jammed = !lost && long || o.status == Status::Full;
             if group.primary != Some(a.server) && jammed && a.alone {
                 group.pressure.set(now, pressure + PRESSURE_UP * (1.0 - pressure));
             } else if o.status == Status::Good {
@@ -72,7 +73,11 @@
                 self.requests.remove(&o.request);
             } else if p.out == Some(o.attempt) {
                 p.out = None;
-                p.reached |= !matches!(o.status, Status::ConnectFailed | Status::NotSent);
+                p.reached |= !matches!(o.status, Status::ConnectFailed | Status::NotSent | Status::HeldUp);
+                if o.status == Status::HeldUp {
+                    // Guards against: a server that is left out though nothing was sent there.
+                    p.tried.pop();
+                }
                 if !o.status.never_ran() {
                     p.may_have_run = p.may_have_run.or(attempt.map(|a| a.sent)).or(Some(now));
                 }
@@ -116,7 +121,7 @@
             server.heard(now, &self.settings);
         }
         match status {
-            Status::NotSent | Status::Error | Status::Spoilt => {}
+            Status::NotSent | Status::HeldUp | Status::Error | Status::Spoilt => {}
             Status::Good => server.blame.halve(now),
             // A write turned away says nothing against reads there.
             Status::Miss if write => server.denied_at = Some(now),
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::*;
 use yewroute::interface::*;
 
@@ -448,3 +450,19 @@
         g.tick(ms(10));
     }
 }
+
+// Guards against: a server that is left out, and one that passes for jammed, though nothing was sent there.
+#[test]
+fn an_attempt_that_a_held_up_gateway_did_not_send_says_nothing_of_its_server() {
+    const HELD_UP: Duration = ms(150);
+    let mut g = Gateway::start(settings(), 1);
+    for _ in 0..2_000 {
+        let (id, out) = g.request(ANY);
+        assert_eq!(sends(&out), [(id, 1)], "nothing is shed");
+        g.now += HELD_UP;
+        let out = g.answer_after(HELD_UP, id, 0, 1, Status::HeldUp, Note::default());
+        assert_eq!(sends(&out), [(id, 1)], "it is tried there again");
+        g.now += ms(1);
+        g.answer_after(ms(1), id, 1, 1, Status::Good, Note::default());
+    }
+}
