The short lease of a process that takes over counts from its yes

Cause, by reading: the yes was said at the end of a turn of the loop, and the lease began with the next turn, later by as long as the machine held the process up in between. The observation carries its time now.

a_process_that_takes_over_without_a_list_of_its_own_has_a_short_lease observes it 40 ms late, which fails before.

--- a/gateway/src/net/startup.rs
+++ b/gateway/src/net/startup.rs
@@ -262,7 +262,7 @@
         self.awaiting = None;
         self.life.serves();
         if in_place_of_another {
-            self.inbox.push_back(Input::ListObserved(ListObservation::TookOver));
+            self.inbox.push_back(Input::ListObserved(ListObservation::TookOver { at: now }));
         }
         if let Some(handover) = &mut self.handover {
             handover.serve(&self.poller);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -262,8 +262,11 @@
     },
     /// It is elsewhere from now on.
     Moved,
-    /// This process takes requests from now on in the place of another one, which has had lists of its own.
-    TookOver,
+    /// This process takes requests in the place of another one, which has had lists of its own.
+    TookOver {
+        /// From when on.
+        at: Instant,
+    },
 }
 
 /// A client's request.
--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -85,15 +85,15 @@
                 self.expires = self.expires.min(now + CHANGE_VISIBLE_AFTER_MOVE);
                 self.alive(now);
             }
-            ListObservation::TookOver => self.took_over(now),
+            ListObservation::TookOver { at } => self.took_over(at),
         }
     }
 
     /// Guards against: requests by the list in a new process's configuration, which knows nothing of what the
     /// process before it was told.
-    fn took_over(&mut self, now: Instant) {
+    fn took_over(&mut self, at: Instant) {
         if !self.listed {
-            self.expires = self.expires.min(now + CHANGE_VISIBLE_AFTER_TAKEOVER);
+            self.expires = self.expires.min(at + CHANGE_VISIBLE_AFTER_TAKEOVER);
         }
     }
 
--- a/src/policy/list_lease/tests.rs
+++ b/src/policy/list_lease/tests.rs
@@ -37,14 +37,14 @@
     let start = Instant::now();
     let mut lease = ListLease::begin(start, false);
     let took_over = start + seconds(0.1);
-    lease.observe(took_over, ListObservation::TookOver);
+    lease.observe(took_over + seconds(0.04), ListObservation::TookOver { at: took_over });
     lease.observe(took_over, ListObservation::AnswerBegun);
     assert_eq!(lease.expires(), took_over + CHANGE_VISIBLE_AFTER_TAKEOVER);
     let listed = start + seconds(4.0);
     lease.observe(listed, ListObservation::Current { at: listed });
     assert_eq!(lease.expires(), listed + CHANGE_VISIBLE_AFTER);
     let mut lease = asked(start);
-    lease.observe(took_over, ListObservation::TookOver);
+    lease.observe(took_over + seconds(0.04), ListObservation::TookOver { at: took_over });
     assert_eq!(lease.expires(), start + CHANGE_VISIBLE_AFTER, "it has a list of its own");
 }
 
