Test of clients that leave at once: they leave when all requests have been read

Cause: the test read svc_outstanding once, as soon as one request had reached a db host. By then the gateway may not have read all 300. No request was sent for a client that had left: the check behind this one was not reached.

Now db hosts answer nothing until the clients have left, so the test waits until all 300 are outstanding, and they leave then. The check of more than 50 and the one that nothing is sent later stay as they are; that all 300 are taken in is new.

--- a/gateway/tests/clients.rs
+++ b/gateway/tests/clients.rs
@@ -91,9 +91,16 @@
 #[test]
 fn hundreds_of_clients_that_leave_at_once_while_they_wait_get_no_attempt() {
     const CLIENTS: usize = 300;
+    let hold = Arc::new(AtomicBool::new(true));
     let slow = |primary: bool| {
+        let held = Arc::clone(&hold);
         Host::start(move |query| match well(primary, query) {
-            Do::Say(bytes) if query != "SHOW load" => Do::SayLater(Duration::from_millis(250), bytes),
+            Do::Say(bytes) if query != "SHOW load" => {
+                while held.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                Do::SayLater(Duration::from_millis(250), bytes)
+            }
             other => other,
         })
     };
@@ -104,11 +111,13 @@
     let mut clients: Vec<Client> = (0..CLIENTS).map(|_| gateway.client()).collect();
     clients.iter_mut().for_each(|client| client.send(&statement("view", 1_200, "")));
     let asked = || primary.asked().len() + replica.asked().len();
-    until(|| asked() > 0, || gateway.log());
-    let waiting = gateway.figure("svc_outstanding") as usize - asked();
+    // Nothing is answered yet, so all are outstanding once all have been read.
+    until(|| gateway.figure("svc_outstanding") as usize == CLIENTS && asked() > 0, || gateway.log());
+    let waiting = CLIENTS - asked();
     drop(clients);
     thread::sleep(Duration::from_millis(100));
     let begun = asked();
+    hold.store(false, Ordering::SeqCst);
     assert!(waiting > 50, "{waiting} waited, {begun} were sent");
     until(|| gateway.figure("svc_outstanding") == 0, || gateway.log());
     thread::sleep(Duration::from_millis(600));
