Answers that db hosts write slowly are passed on whole while their clients wait

A request whose answer has up to 64 KiB failed where its db host paused for 250 ms within it. An order was sent 8 times within 2 s and cut off each time; one that may be sent once only failed at the first pause; a read failed 500 ms after it had come, with most of its answer here and 700 ms of its client's time left.

Cause: a silence of 250 ms and the end of the attempt's time were taken for signs that an answer will not come, whether bytes were coming or not, and whether anything could be won by giving up.

Evidence, on the code before: with two pieces and a pause of 300 ms svc_failed_attempts{status="unreadable"} 7 and svc_unserved{reason="may_have_run"} 1 for one order; with 40 pieces over 1 s {status="timeout"} 1 and {reason="out_of_time"} 1 for a read. A value of 400 KB over 0.9 s, which is passed on as it comes, came whole.

Change: the module says how long an answer may stop. 250 ms at first, as before, so that a read whose answer is spoilt is served elsewhere in time; twice as long after each spoilt answer of the request; to the end of its client's time where no other attempt may follow. The end of an attempt is put off to the end of its client's time once a part of its answer has come.

--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -266,8 +266,9 @@
     out: Option<AttemptId>,
     /// An attempt of it has been written whole, or may have been.
     reached: bool,
-    /// Half of its time is over.
+    /// Half of its time is over; and all of it.
     half_at: Instant,
+    deadline: Instant,
     /// Its value is being passed on.
     passing: bool,
 }
--- a/gateway/src/core/send.rs
+++ b/gateway/src/core/send.rs
@@ -21,6 +21,17 @@
         sent.is_some_and(|sent| self.router.may_begin(now, attempt.0, sent.server))
     }
 
+    /// Until when the client of an attempt waits; none if that has left.
+    pub fn client_waits_until(&self, attempt: AttemptId) -> Option<Instant> {
+        let held = self.held.get(&attempt.0).filter(|held| held.out == Some(attempt));
+        held.map(|held| held.deadline)
+    }
+
+    /// How long the answer to an attempt may stop in the middle; none if it is awaited for as long as its client waits.
+    pub fn answer_stall_timeout(&self, now: Instant, attempt: AttemptId) -> Option<Duration> {
+        self.router.answer_stall_timeout(now, attempt.0)
+    }
+
     pub(super) fn send(
         &mut self,
         now: Instant,
--- a/gateway/src/core/take_in.rs
+++ b/gateway/src/core/take_in.rs
@@ -72,6 +72,7 @@
             out: None,
             reached: false,
             half_at: now + wait / 2,
+            deadline: now + wait,
             passing: false,
         };
         self.held.insert(id, held);
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -25,8 +25,9 @@
 
 /// Idle connections are retired after this share of the time that a db host leaves them open.
 const RETIRE_AT_KEEPALIVE_SHARE: f64 = 0.6;
-/// An answer of which a part has come goes on within this time, or is spoilt; and so does a value that is passed on.
+/// The answer to a probe of which a part has come goes on within this time, or is spoilt; that to an attempt is first looked at then.
 const ANSWER_STALL_TIMEOUT: Duration = Duration::from_millis(250);
+/// A value that is passed on goes on within this time, or is spoilt.
 const VALUE_STALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// How often that is looked after.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
@@ -304,7 +305,12 @@
     fn answer_due(&mut self, number: u64, id: JobId, a: &mut HostsContext) {
         let conn = self.conns.get(&number).filter(|conn| conn.state == State::Busy(id) && !conn.passing);
         let Some(conn) = conn else { return };
-        let at = conn.moved + ANSWER_STALL_TIMEOUT;
+        let timeout = match id {
+            JobId::Probe(_) => Some(ANSWER_STALL_TIMEOUT),
+            JobId::Attempt(attempt) => a.core.answer_stall_timeout(a.now, attempt),
+        };
+        let Some(timeout) = timeout else { return };
+        let at = conn.moved + timeout;
         if conn.starved {
             self.timers.set(a.now + ANSWER_STALL_TIMEOUT, TimerEvent::Answer(number, id));
         } else if at <= a.now {
@@ -339,6 +345,11 @@
         if job.conn.and_then(|conn| self.conns.get(&conn)).is_some_and(|conn| conn.passing) {
             return;
         }
+        if let Some(until) = self.awaits_rest_until(id, a) {
+            self.timers.set(until, TimerEvent::Cut(id, number));
+            return;
+        }
+        let Some(job) = self.jobs.get(&id) else { return };
         let written = job.conn.and_then(|conn| self.conns.remove(&conn)).map(|conn| conn.may_have_run());
         let status = match (id, written) {
             (_, Some(true)) => Status::Timeout,
@@ -348,6 +359,15 @@
         self.end(id, Ended::silent(status), a);
     }
 
+    /// Until when the rest of an answer is awaited of which a part has come, beyond the time of its attempt. One that stops is
+    /// given up sooner, see [`Self::answer_due`].
+    fn awaits_rest_until(&self, id: JobId, a: &HostsContext) -> Option<Instant> {
+        let JobId::Attempt(attempt) = id else { return None };
+        let conn = self.jobs.get(&id).and_then(|job| self.conns.get(&job.conn?))?;
+        let until = a.core.client_waits_until(attempt).filter(|_| conn.begun)?;
+        (until > a.now).then_some(until)
+    }
+
     /// Closes connections that have been idle for long, before the db host does, and those to db hosts that
     /// are to get nothing more.
     fn sweep(&mut self, a: &mut HostsContext) {
--- a/src/pending.rs
+++ b/src/pending.rs
@@ -18,6 +18,8 @@
     pub may_have_run: Option<Instant>,
     pub tried: Vec<ServerId>,
     pub erred: Vec<ServerId>,
+    /// Answers that could not be read to their end.
+    pub spoilt: u32,
     pub asked_at: Option<Instant>,
 }
 
--- a/src/policy/blame.rs
+++ b/src/policy/blame.rs
@@ -63,6 +63,7 @@
             // Guards against: requests that fail wherever they go. Errors at two servers accuse the request;
             // one counts against its server once another has served it. Hurts where two fail at once.
             match o.status {
+                Status::Spoilt => p.spoilt += 1,
                 Status::Error if !p.erred.contains(&o.server) => p.erred.push(o.server),
                 Status::Good => p.erred.iter().for_each(|id| {
                     self.servers.entry(*id).and_modify(|s| s.blame.add(now, FAILED));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod pick;
 mod probes;
 mod shedding;
+mod stalled_answers;
 mod waiting;
 mod warmth;
 
@@ -77,6 +78,8 @@
 const READ_QUEUE: f64 = 2.0;
 /// Where gateways are many no read goes to a replica whose queue takes this share of the aim.
 const READ_LATE: f64 = 0.3;
+/// An attempt is worth starting with this many unloaded latencies left; one request in five takes longer.
+const WORTH_TRYING: f64 = 1.5;
 const REPORT_AGE: Duration = Duration::from_millis(500); // of role claims, against answers' at the most
 
 #[derive(Default)]
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -7,8 +7,6 @@
 /// Writes may go so far over a server's limit; reads that overflow to the primary stay under a share.
 const WRITE_ROOM: f64 = 2.0;
 const OVERFLOW_SHARE: f64 = 0.5;
-/// An attempt is worth starting with this many unloaded latencies left; one request in five takes longer.
-const WORTH_TRYING: f64 = 1.5;
 
 impl Router {
     /// Sends a request, keeps it waiting or gives it its final answer.
@@ -17,22 +15,14 @@
         let Some(p) = self.requests.get(&id).filter(|p| p.out.is_none()) else { return };
         let roll = if self.crowd(p.request.class) { self.taste } else { chance };
         let class = &self.settings.classes[p.request.class];
-        let mut ends = p.ends;
-        let barred = match (class.effect, p.may_have_run) {
-            (Effect::Deduplicated { window, .. }, Some(since)) => {
-                // One tick short: the window is counted from the send, as the servers see it.
-                let last = since + window.saturating_sub(TICK_EVERY);
-                ends = ends.min(last);
-                now >= last
-            }
-            (Effect::AtMostOnce, Some(_)) => true,
-            _ => false,
-        };
+        let repeatable_until = self.repeatable_until(p, p.may_have_run);
+        let ends = repeatable_until.map_or(p.ends, |until| until.min(p.ends));
+        let barred = repeatable_until.is_some_and(|until| now >= until);
         let group = p.request.group;
         let members = self.groups.get(&group).map_or(&[][..], |g| &g.members);
         let listed = members.iter().any(|m| self.servers[m].usable);
         // Shed at once what cannot be answered in time any more.
-        let least = self.latency.unloaded[p.request.class].mul_f64(WORTH_TRYING);
+        let least = self.least_time(p.request.class);
         let unserved = match () {
             () if barred => Some(UnservedReason::MayHaveRun),
             () if !listed => Some(UnservedReason::NoServers),
--- a/src/policy/waiting.rs
+++ b/src/policy/waiting.rs
@@ -41,6 +41,7 @@
             may_have_run: None,
             tried: Vec::new(),
             erred: Vec::new(),
+            spoilt: 0,
             asked_at: None,
         };
         self.requests.insert(id, pending);
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -466,3 +466,25 @@
         g.answer_after(ms(1), id, 1, 1, Status::Good, Note::default());
     }
 }
+
+// Guards against: answers of a server that writes slowly, given up one after the other, or when nothing may be sent instead.
+#[test]
+fn an_answer_may_stop_for_longer_at_each_attempt_and_at_will_when_no_attempt_may_follow() {
+    let mut g = Gateway::start(settings(), 2);
+    let (once, _) = g.request(ONCE);
+    assert_eq!(g.router.answer_stall_timeout(g.now, once), None, "it may not be sent again");
+    let (write, _) = g.request(WRITE);
+    for (attempt, timeout) in [(0, 250), (1, 500)] {
+        assert_eq!(g.router.answer_stall_timeout(g.now, write), Some(ms(timeout)), "attempt {attempt}");
+        g.now += ms(timeout);
+        let out = g.answer_after(ms(timeout), write, attempt, 0, Status::Spoilt, Note::default());
+        assert_eq!(sends(&out), [(write, 0)]);
+    }
+    assert_eq!(g.router.answer_stall_timeout(g.now, write), Some(ms(1_000)));
+    g.now += ms(240);
+    assert_eq!(g.router.answer_stall_timeout(g.now, write), None, "its window for repeats is over");
+    let (read, _) = g.decided(ANY, |_| {});
+    assert_eq!(g.router.answer_stall_timeout(g.now, read), Some(ms(250)));
+    g.now += ms(300);
+    assert_eq!(g.router.answer_stall_timeout(g.now, read), None, "no time is left for another attempt");
+}
