Commits that are remembered are bounded while a db host tells no position

What callers would see: where the settings say that gateways remember commits, memory that grows with each session that writes, as long as one db host of the list tells no position or stands still.

Cause: entries were dropped only when all members held them.

No run with processes.

Change: beyond 40,000 sessions the older half is forgotten, and up to its newest commit any session counts as one that may have written, as for those forgotten before. So no read is stale; for a while reads of other sessions go to members that hold those commits. The module's unit tests stand in a file of their own; the one that was there is unchanged.

--- a/src/measured.rs
+++ b/src/measured.rs
@@ -19,6 +19,8 @@
 const UNSEEN_GAIN: f64 = 0.1;
 /// How many sessions' commits are remembered before those that all members hold are dropped.
 const SESSIONS_KEPT: usize = 20_000;
+/// How many are remembered at the most, whatever members hold.
+const MAX_SESSIONS: usize = 2 * SESSIONS_KEPT;
 
 /// Share of a new sample in a running mean, and of a rise in the unloaded one, so that no jam passes for normal.
 const GAIN: f64 = 0.05;
@@ -205,27 +207,21 @@
             self.forgotten = self.forgotten.max(held);
             self.latest.retain(|_, commit| Some(*commit) > held);
         }
+        if self.latest.len() > MAX_SESSIONS {
+            self.forget_older_half();
+        }
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn idle_connections_are_in_doubt_only_against_others_that_are_answered() {
-        let now = Instant::now();
-        let mut thin = Doubt::default();
-        for n in 0..200 {
-            // A third of a thin traffic is lost at times, all of it after idleness.
-            thin.learn(now, true, n % 3 == 0);
-        }
-        assert!(!thin.holds(now));
-        let mut dense = Doubt::default();
-        for n in 0..200 {
-            dense.learn(now, n % 10 == 0, n % 10 == 0);
-        }
-        assert!(dense.holds(now));
-        assert!(!dense.holds(now + DOUBT_FOR));
+    /// Guards against: commits that are kept without end, as a member tells no position or stands still. Hurts
+    /// reads of sessions that wrote nothing: for a while they go to members that hold the commits forgotten.
+    fn forget_older_half(&mut self) {
+        let mut commits: Vec<Instant> = self.latest.values().copied().collect();
+        let half = commits.len() / 2;
+        let median = *commits.select_nth_unstable(half).1;
+        self.forgotten = self.forgotten.max(Some(median));
+        self.latest.retain(|_, commit| *commit > median);
     }
 }
+
+#[cfg(test)]
+mod tests;
