--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -124,7 +124,8 @@
     over.store(true, Ordering::SeqCst);
     threads.into_iter().for_each(|t| drop(t.join()));
     let by = begun + TOLD_MS + GRACE_MS;
-    let late: Vec<f64> = sent.lock().unwrap().iter().filter(|(at, _)| *at > by).map(|(at, _)| at - begun).collect();
+    let late: Vec<f64> =
+        sent.lock().unwrap().iter().filter(|(at, _)| *at > by).map(|(at, _)| at - begun).collect();
     let (ok, not) = *counts.lock().unwrap();
     let text = format!(
         "{ok} served, {not} not; s-b got {} requests later than {:.0} ms after the gateway's start{}",
--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -46,7 +46,12 @@
             let value = format!("value of {}", key(&query.sql));
             let out = served("SELECT 1", value.as_bytes(), role, unix_ms());
             let doubled = trouble() && rng.lock().unwrap().below(ONE_IN) == 0;
-            record.say(format!("{name} conn {} ran id={} key={}", query.conn, named(&query.sql, "id"), key(&query.sql)));
+            record.say(format!(
+                "{name} conn {} ran id={} key={}",
+                query.conn,
+                named(&query.sql, "id"),
+                key(&query.sql)
+            ));
             if stream.write_all(&out).is_err() {
                 return false;
             }
@@ -61,7 +66,11 @@
                 stream.set_nonblocking(false).unwrap();
                 if !waits {
                     copies.fetch_add(1, Ordering::SeqCst);
-                    record.say(format!("{name} conn {} second copy of id={}", query.conn, named(&query.sql, "id")));
+                    record.say(format!(
+                        "{name} conn {} second copy of id={}",
+                        query.conn,
+                        named(&query.sql, "id")
+                    ));
                     return stream.write_all(&out).is_ok();
                 }
             }
@@ -103,14 +112,19 @@
             let kept = idle.lock().unwrap().pop_back();
             let Some(mut client) = kept.or_else(|| Client::connect(listen).ok()) else { return };
             let (id, item) = (format!("{n:016x}"), format!("k{n:015x}"));
-            let sql = format!("SELECT doc FROM items WHERE id = '{item}' /* id={id},c=flight-view,d=1200,cluster=2 */");
+            let sql = format!(
+                "SELECT doc FROM items WHERE id = '{item}' /* id={id},c=flight-view,d=1200,cluster=2 */"
+            );
             let answer = client.ask(&sql, ms(2000));
             let mut results = results.lock().unwrap();
             match &answer {
                 Answer::Served(value) if *value == format!("value of {item}").into_bytes() => results.0 += 1,
                 Answer::Served(value) => {
                     results.1 += 1;
-                    record.say(format!("FOREIGN: id={id} asked for {item} and got {:?}", String::from_utf8_lossy(value)));
+                    record.say(format!(
+                        "FOREIGN: id={id} asked for {item} and got {:?}",
+                        String::from_utf8_lossy(value)
+                    ));
                 }
                 other => {
                     results.2 += 1;
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -46,7 +46,14 @@
             thread::sleep(ms(50));
             record.say(format!("{name} ran id={id} and gives {VALUE} bytes"));
             let well = stream.write_all(&served("SELECT 1", &vec![7; VALUE], role, unix_ms())).is_ok();
-            record.say(format!("{name} id={id}: {}", if well { "all is written" } else { "the gateway ended the connection while more was to come" }));
+            record.say(format!(
+                "{name} id={id}: {}",
+                if well {
+                    "all is written"
+                } else {
+                    "the gateway ended the connection while more was to come"
+                }
+            ));
             well
         });
         db_host(handler, Arc::new(move || (unix_ms(), role == "primary")))
@@ -109,7 +116,12 @@
     let cut: Vec<String> = seen
         .iter()
         .filter(|(unknown, seen)| !unknown && !seen.whole)
-        .map(|(_, seen)| format!("at {} KiB/s after {} bytes, never without bytes for over {:?}", seen.rate, seen.bytes, seen.pause))
+        .map(|(_, seen)| {
+            format!(
+                "at {} KiB/s after {} bytes, never without bytes for over {:?}",
+                seen.rate, seen.bytes, seen.pause
+            )
+        })
         .collect();
     let whole = seen.iter().filter(|(_, seen)| seen.whole).count();
     let text = format!("{whole} values whole, {} cut off: {cut:?}", cut.len());
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -85,7 +85,9 @@
         let handler: Handler = Arc::new(move |query, stream| {
             let sent = unix_ms();
             if query.sql.starts_with("INSERT") {
-                return stream.write_all(&error("25006", "replica", at.lock().unwrap().position as u64)).is_ok();
+                return stream
+                    .write_all(&error("25006", "replica", at.lock().unwrap().position as u64))
+                    .is_ok();
             }
             let position = at.lock().unwrap().position as u64;
             thread::sleep(READ_WORK);
@@ -177,7 +179,8 @@
     threads.into_iter().for_each(|t| drop(t.join()));
     let (reads, old) = *stale.lock().unwrap();
     let (ok, not) = *results.lock().unwrap();
-    let text = format!("{ok} served, {not} not; of {reads} reads at replicas {old} on data over {BOUND_MS} ms old");
+    let text =
+        format!("{ok} served, {not} not; of {reads} reads at replicas {old} on data over {BOUND_MS} ms old");
     record.say(&text);
     println!("{text}");
     let alive = gateway.ended().is_none();
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,5 +6,5 @@
 mkdir -p target/review-2
 for case in 6 7 8 9 10; do
     [ -f "review/$case/case.rs" ] || continue
-    rustc --edition 2021 -O -o "target/review-2/$case" "review/$case/case.rs"
+    "${RUSTC:-rustc}" --edition 2021 -O -o "target/review-2/$case" "review/$case/case.rs"
 done
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -36,7 +37,8 @@
 impl Record {
     pub fn new() -> Self {
         let dir = std::env::var("CASE_DIR").unwrap_or_else(|_| ".".to_owned());
-        let file = File::create(PathBuf::from(dir).join("record.txt")).unwrap_or_else(|e| cannot_run(&e.to_string()));
+        let file = File::create(PathBuf::from(dir).join("record.txt"))
+            .unwrap_or_else(|e| cannot_run(&e.to_string()));
         Self { file: Arc::new(Mutex::new(file)), start: Instant::now() }
     }
 
@@ -269,7 +271,8 @@
 
     pub fn known(&self) -> String {
         let listed = self.listed.lock().unwrap();
-        let entries: Vec<Entry> = listed.entries.iter().map(|(_, e)| e.clone()).filter(|e| e.state != "Gone").collect();
+        let entries: Vec<Entry> =
+            listed.entries.iter().map(|(_, e)| e.clone()).filter(|e| e.state != "Gone").collect();
         list_json(listed.version, true, &entries)
     }
 
@@ -285,7 +288,8 @@
     }
 
     pub fn set_state(&self, id: &str, state: &str) {
-        let entry = self.listed.lock().unwrap().entries.iter().find(|(_, e)| e.id == id).map(|(_, e)| e.clone());
+        let entry =
+            self.listed.lock().unwrap().entries.iter().find(|(_, e)| e.id == id).map(|(_, e)| e.clone());
         if let Some(mut entry) = entry {
             entry.state = state.to_owned();
             self.put(entry);
@@ -450,7 +454,9 @@
             match self.stream.read(&mut buffer[at..]) {
                 Ok(0) => return Err(false),
                 Ok(n) => at += n,
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Err(true),
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    return Err(true)
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return Err(false),
             }
@@ -472,7 +478,9 @@
 pub fn deploy(key: &str) -> String {
     let text = std::fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|e| cannot_run(&e.to_string()));
     let line = text.lines().find_map(|line| line.strip_prefix(key)?.trim_start().strip_prefix('='));
-    line.and_then(|value| value.split('"').nth(1)).map(str::to_owned).unwrap_or_else(|| cannot_run("deploy file"))
+    line.and_then(|value| value.split('"').nth(1))
+        .map(str::to_owned)
+        .unwrap_or_else(|| cannot_run("deploy file"))
 }
 
 /// A port that is free now.
@@ -504,6 +512,12 @@
     pub listen: SocketAddr,
 }
 
+extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// How a gateway is started.
 pub struct Start<'a> {
     pub name: &'a str,
@@ -539,10 +553,8 @@
         self.write_config();
         let tmp = self.folder.0.join(format!("tmp-{}", self.name));
         std::fs::create_dir_all(&tmp).unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let dir = std::env::var("CASE_DIR").unwrap_or_else(|_| ".".to_owned());
         let log = File::create(self.folder.0.join(format!("{}-{}.log", self.name, self.tag)))
             .unwrap_or_else(|e| cannot_run(&e.to_string()));
-        let _ = dir;
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(format!("{} {}", deploy("run"), self.args));
         command.env("EDGE_NAME", self.name).env("EDGE_LISTEN", self.listen.to_string());
@@ -552,6 +564,14 @@
             Some(console) => command.env("EDGE_CONSOLE", console.to_string()),
             None => command.env_remove("EDGE_CONSOLE"),
         };
+        // It ends with the case, however that ends: the main thread starts it.
+        // SAFETY: the call touches no memory and is allowed between fork and exec.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            });
+        }
         let child = command.spawn().unwrap_or_else(|e| cannot_run(&e.to_string()));
         Gateway { child, listen: self.listen }
     }
