Set the exchanges on a connection to a db host apart by empty queries

Callers saw: the value of another client's request.

Cause: the protocol ties an answer to its request by order alone. The two guards saw two orders of events, bytes read with an answer and bytes that lie unread right before the next write. A copy that arrives behind that write was taken for the answer to it, and the connection stayed one answer behind.

Change: each request but the first on a connection is written behind one or two empty queries in turn, in the same write. What was written before the request was read comes ahead of their answers, where it is out of place: the attempt is spoilt and the connection closed. The count alternates so that a copy of a whole exchange does not fit.

--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -6,6 +6,7 @@
 
 use crate::code;
 use crate::frame::{self, Frame};
+use crate::separator::PendingSeparators;
 
 /// The longest errors and notices, parameters and descriptions, and tags, as their lengths count; and the most
 /// bytes of a whole answer.
@@ -116,6 +117,8 @@
 pub enum Step {
     /// More is to come.
     More,
+    /// The separators before the request are answered: its own answer is next.
+    Separated,
     /// A value begins that is too long to be held: the description, and the head of its row. What follows are its
     /// parts, the messages behind it, and ReadyForQuery with those messages alone.
     Begins(Vec<u8>),
@@ -189,6 +192,8 @@
 #[derive(Debug, Default)]
 pub struct Gather {
     reply: Reply,
+    /// Separators whose answers come before the answer.
+    separators: PendingSeparators,
     stage: Stage,
     script: Script,
     failed: Option<Verdict>,
@@ -198,6 +203,11 @@
 }
 
 impl Gather {
+    /// So many separators were written before the request.
+    pub fn expect_separators(&mut self, count: u8) {
+        self.separators = PendingSeparators::new(count);
+    }
+
     /// What was sent is an extended query; its answer has these parts.
     pub fn expect(&mut self, mut script: Script) {
         self.stage = script.next();
@@ -231,6 +241,7 @@
     /// and bound may be told long before it has run.
     pub fn under_way(&self, rest: &[u8]) -> bool {
         match self.stage {
+            _ if !self.separators.is_empty() => false,
             Stage::Extended(Part::Rows) => !self.reply.messages.is_empty() || !rest.is_empty(),
             Stage::Extended(_) => false,
             _ => true,
@@ -277,6 +288,7 @@
         let longest = match (kind, self.stage) {
             (b'N', _) => LONGEST_SAYING,
             (b'S', _) => LONGEST_PARAMETER,
+            _ if !self.separators.is_empty() => return self.separators.longest(kind),
             (b'E', Stage::Welcome | Stage::Description | Stage::Loose | Stage::Extended(_)) => LONGEST_SAYING,
             (b'3', Stage::Extended(Part::Closed))
             | (b'1', Stage::Extended(Part::Parsed))
@@ -316,6 +328,9 @@
 
     /// Takes a message that is in place; none if its inside does not fit.
     fn take(&mut self, frame: &Frame<'_>, raw: &[u8]) -> Option<Step> {
+        if !self.separators.is_empty() {
+            return self.take_before_answer(frame);
+        }
         match frame.kind {
             b'E' if matches!(self.stage, Stage::Extended(_) | Stage::Loose) => {
                 let verdict = rejection(error_code(frame.body)?, self.stage);
@@ -375,6 +390,16 @@
         Some(Step::More)
     }
 
+    /// Takes a message that comes ahead of the answer. What it tells is no part of that, and teaches nothing.
+    fn take_before_answer(&mut self, frame: &Frame<'_>) -> Option<Step> {
+        match frame.kind {
+            b'N' => drop(error_code(frame.body)?),
+            b'S' => drop(parameter(frame.body)?),
+            _ => self.separators.take(frame)?,
+        }
+        Some(if self.separators.is_empty() && frame.kind == b'Z' { Step::Separated } else { Step::More })
+    }
+
     /// Takes a part of the answer to an extended query.
     fn take_part(&mut self, frame: &Frame<'_>, raw: &[u8]) -> Option<()> {
         let keep = match frame.kind {
@@ -402,9 +427,8 @@
         Some(())
     }
 
-    fn parameter(&mut self, mut body: &[u8]) -> Option<()> {
-        let name = frame::take_text(&mut body)?;
-        let value = frame::take_text(&mut body).filter(|_| body.is_empty())?;
+    fn parameter(&mut self, body: &[u8]) -> Option<()> {
+        let (name, value) = parameter(body)?;
         let value = std::str::from_utf8(value).ok();
         let readable = match name {
             b"role" => {
@@ -446,6 +470,13 @@
     fits
 }
 
+/// Name and value of a ParameterStatus.
+fn parameter(mut body: &[u8]) -> Option<(&[u8], &[u8])> {
+    let name = frame::take_text(&mut body)?;
+    let value = frame::take_text(&mut body).filter(|_| body.is_empty())?;
+    Some((name, value))
+}
+
 /// Checks a description of one column.
 fn one_column(body: &[u8]) -> Option<()> {
     /// Table, column, type, size, modifier and format.
--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod names;
 mod portal;
 pub mod request;
+pub mod separator;
 pub mod session;
 pub mod statement;
 pub mod table;
--- a/crates/pgwire/tests/long_rows.rs
+++ b/crates/pgwire/tests/long_rows.rs
@@ -42,7 +42,7 @@
         buffer.extend(piece);
         while let Some((step, len)) = gather.next(&buffer).map_err(|e| e.to_string())? {
             match step {
-                Step::More => {}
+                Step::More | Step::Separated => {}
                 Step::Begins(head) => {
                     begun = true;
                     passed.extend(head);
--- a/crates/standin/src/answers.rs
+++ b/crates/standin/src/answers.rs
@@ -23,6 +23,18 @@
     Some((head[0], body))
 }
 
+/// An empty query: what sets one exchange apart from the next, without effect.
+#[must_use]
+pub fn is_separator(kind: u8, body: &[u8]) -> bool {
+    kind == b'Q' && body == b"\0"
+}
+
+/// The answers to so many empty queries.
+#[must_use]
+pub fn separated(count: usize) -> Vec<u8> {
+    [frame(b'I', b""), frame(b'Z', b"I")].concat().repeat(count)
+}
+
 /// Unix time in milliseconds.
 #[must_use]
 pub fn unix_ms() -> u128 {
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -13,7 +13,7 @@
 use yewroute_pgwire::{backend, bind};
 use yewroute_receive_time::{self as receive_time, DatedReader};
 
-use crate::answers::{columns, error, frame, read_frame, report, served};
+use crate::answers::{columns, error, frame, is_separator, read_frame, report, separated, served};
 
 /// What a db host does with a query.
 pub enum Do {
@@ -25,6 +25,17 @@
     SayLaterAndReport(Duration, Vec<u8>, Box<dyn FnOnce(Instant)>),
     /// Says this in pieces of so many bytes, with a pause after each.
     SayInPieces(Vec<u8>, usize, Duration),
+    /// Says this, and after a while something more that was not asked for, if nothing else waits on the connection by then.
+    SayWithSurplus {
+        /// What was asked for.
+        answer: Vec<u8>,
+        /// What was not.
+        surplus: Vec<u8>,
+        /// From the answer to the surplus; with none, both are one write.
+        delay: Duration,
+        /// Counts what was written.
+        written: Arc<AtomicU32>,
+    },
     /// Says this and breaks the connection.
     SayAndBreak(Vec<u8>),
     /// Breaks the connection.
@@ -165,7 +176,7 @@
         self.seen.executed.lock().expect("no panic").clone()
     }
 
-    /// The types of the messages that have come after the startup, but for probes.
+    /// The types of the messages that have come after the startup, but for probes and separators.
     ///
     /// # Panics
     /// If a thread of it has panicked.
@@ -230,7 +241,7 @@
             if std::mem::replace(&mut self.forgotten, forgotten) != forgotten {
                 self.statements.clear();
             }
-            if body != b"SHOW load\0" {
+            if !is_separator(kind, &body) && body != b"SHOW load\0" {
                 self.seen.messages.lock().ok()?.push(char::from(kind));
             }
             match kind {
@@ -243,6 +254,10 @@
                 }
                 b'H' => self.flush()?,
                 _ if self.skipping => {}
+                b'Q' if is_separator(kind, &body) => {
+                    self.say(&separated(1))?;
+                    self.flush()?;
+                }
                 b'Q' => {
                     let query = String::from_utf8(body).ok()?.trim_end_matches('\0').to_owned();
                     self.run(&query, false)?;
@@ -269,6 +284,24 @@
         self.stream.write_all(&std::mem::take(&mut self.out)).ok()
     }
 
+    /// Says what was not asked for, so long behind the answer, if nothing else waits by then.
+    fn say_surplus(&mut self, surplus: &[u8], delay: Duration, written: &AtomicU32) -> Option<()> {
+        if delay.is_zero() {
+            written.fetch_add(1, Ordering::SeqCst);
+            return self.say(surplus);
+        }
+        self.flush()?;
+        thread::sleep(delay);
+        self.stream.set_nonblocking(true).ok()?;
+        let waits = self.stream.peek(&mut [0]).is_ok();
+        self.stream.set_nonblocking(false).ok()?;
+        if !waits {
+            written.fetch_add(1, Ordering::SeqCst);
+            self.say(surplus)?;
+        }
+        Some(())
+    }
+
     /// An error within an extended query: all is passed over up to Sync.
     fn refuse(&mut self, sqlstate: &str, text: &str) -> Option<()> {
         self.skipping = true;
@@ -400,6 +433,10 @@
                 }
                 Some(())
             }
+            Do::SayWithSurplus { answer, surplus, delay, written } => {
+                say(answer)?;
+                self.say_surplus(&surplus, delay, &written)
+            }
             Do::SayAndBreak(bytes) => {
                 say(bytes)?;
                 self.flush()?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod discovery;
 pub mod host;
 
-pub use answers::{error, frame, read_frame, report, rows, rows_at, served, served_value, unix_ms};
+pub use answers::{
+    error, frame, is_separator, read_frame, report, rows, rows_at, separated, served, served_value, unix_ms,
+};
 pub use client::{startup, Client};
 pub use discovery::{entry, list, pair, watch, Call, Discovery, Script};
 pub use host::{well, Do, Executed, Host};
--- a/gateway/src/net/hosts/assign.rs
+++ b/gateway/src/net/hosts/assign.rs
@@ -182,6 +182,7 @@
         let wait = job.cut_at.saturating_duration_since(a.now.max(Instant::now()));
         let statement = job.statement.clone();
         conn.sent = Sent::default();
+        conn.put_separators();
         match statement.as_ref().map(|statement| (statement, &statement.body)) {
             // A long statement is one buffer from its client to every db host that it is written to.
             Some((statement, Body::Simple(simple))) if simple.text.len() > LONGEST_COPIED_STATEMENT => {
--- a/gateway/src/net/hosts/connection.rs
+++ b/gateway/src/net/hosts/connection.rs
@@ -13,6 +13,7 @@
 use crate::net::wire::Wire;
 use crate::proto::pg::backend::{self, Gather, Reply, Verdict};
 use crate::proto::pg::exchange::{Prepared, Sent};
+use crate::proto::pg::separator::SeparatorSequence;
 
 /// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -38,6 +39,7 @@
     pub(super) state: State,
     pub(super) buffer: Vec<u8>,
     pub(super) gather: Gather,
+    separators: SeparatorSequence,
     /// What has been prepared on it, and what was written last.
     pub(super) prepared: Prepared,
     pub(super) sent: Sent,
@@ -65,6 +67,7 @@
             state: State::Connecting,
             buffer: Vec::new(),
             gather: Gather::default(),
+            separators: SeparatorSequence::default(),
             prepared: Prepared::default(),
             sent: Sent::default(),
             begun: false,
@@ -83,6 +86,13 @@
         self.buffer.capacity() + self.gather.held_bytes() + self.wire.buffer_bytes()
     }
 
+    /// Writes what sets the next exchange apart from the one before it. Guards against: bytes behind an answer, such as a second copy
+    /// of it, that are taken for the answer to the next request.
+    pub(super) fn put_separators(&mut self) {
+        let count = self.separators.put(self.wire.out());
+        self.gather.expect_separators(count);
+    }
+
     /// All has been written without which it cannot run.
     pub(super) fn may_have_run(&self) -> bool {
         self.wire.unwritten() <= self.sent.tail
--- a/gateway/src/net/hosts/receive.rs
+++ b/gateway/src/net/hosts/receive.rs
@@ -69,6 +69,7 @@
                     used += len;
                     match step {
                         Step::More => {}
+                        Step::Separated => whole = used,
                         Step::Ready(reply) => {
                             whole = used;
                             self.answered(number, reply, a);
--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -6,7 +6,7 @@
 
 use yewroute_ledger::{Limits, MemoryBudget};
 use yewroute_settings::Deployment;
-use yewroute_standin::{error, frame, read_frame, served};
+use yewroute_standin::{error, frame, read_frame, separated, served, served_value};
 
 use super::*;
 use crate::clock::Clock;
@@ -309,21 +309,91 @@
         assert_eq!(bench.ended(), [(first, Status::Good)]);
 
         let second = bench.ask(execute(), WAIT);
-        assert_eq!(kinds(&mut peer, 3), "BES", "it is prepared");
+        assert_eq!(kinds(&mut peer, 4), "QBES", "it is prepared");
         if leaves {
             bench.with(|hosts, around| hosts.withdraw(second, around));
         }
-        peer.write_all(&error("26000", "no such statement")).unwrap();
+        peer.write_all(&[separated(1), error("26000", "no such statement")].concat()).unwrap();
         bench.wake();
         bench.with(Hosts::serve_waiting);
         if leaves {
             assert_eq!(bench.ended(), [(second, Status::Full)], "it never ran");
             assert!(is_silent(&mut peer));
         } else {
-            assert_eq!(kinds(&mut peer, 4), "PBES");
-            peer.write_all(&[parsed, done].concat()).unwrap();
+            assert_eq!(kinds(&mut peer, 6), "QQPBES");
+            peer.write_all(&[separated(2), parsed, done].concat()).unwrap();
             bench.wake();
             assert_eq!(bench.ended(), [(second, Status::Good)]);
         }
     }
 }
+
+/// What a db host writes behind an exchange, which belongs to no request.
+fn surplus(answer: &[u8], exchange: &[u8]) -> Vec<(&'static str, Vec<u8>)> {
+    vec![
+        ("a second copy", answer.to_vec()),
+        ("two more copies", answer.repeat(2)),
+        ("a copy of the whole exchange", exchange.to_vec()),
+        ("the answer to a separator", separated(1)),
+        ("an error", error("53300", "too many requests")),
+        ("a copy cut short", answer[..answer.len() / 2].to_vec()),
+        ("noise", vec![0xff; 40]),
+    ]
+}
+
+/// How many separators come before the first exchanges on a connection.
+const SEPARATORS: [usize; 4] = [0, 1, 2, 1];
+
+/// So many exchanges on a new connection, each served with this answer.
+fn served_before(bench: &mut Bench, exchanges: usize, answer: &[u8]) -> TcpStream {
+    let mut peer = None;
+    for (exchange, separators) in SEPARATORS[..exchanges].iter().enumerate() {
+        let attempt = bench.ask(insert("before"), WAIT);
+        let peer = peer.get_or_insert_with(|| {
+            let mut peer = bench.accept();
+            peer.write_all(&welcome()).unwrap();
+            bench.wake();
+            bench.with(Hosts::serve_waiting);
+            peer
+        });
+        for _ in 0..=*separators {
+            read_frame(peer).unwrap();
+        }
+        peer.write_all(&[&separated(*separators), answer].concat()).unwrap();
+        bench.wake();
+        assert_eq!(bench.ended(), [(attempt, Status::Good)], "{exchange}");
+    }
+    peer.unwrap()
+}
+
+// Guards against: a db host's second copy of an answer, behind the write of the next request, that is taken for its answer.
+#[test]
+fn what_comes_behind_an_answer_is_never_the_answer_to_the_next_request() {
+    let foreign = served_value("primary", b"foreign");
+    for before in 1..SEPARATORS.len() {
+        let exchange = [&separated(SEPARATORS[before - 1]), &foreign[..]].concat();
+        // The db host's words on the next request come behind it, as far as the connection lasts.
+        let own = [separated(SEPARATORS[before]), served_value("primary", b"own")].concat();
+        for (what, surplus) in surplus(&foreign, &exchange) {
+            for piece in [1, 7, 1024] {
+                let mut bench = Bench::new(Dialect::Simple);
+                let mut peer = served_before(&mut bench, before, &foreign);
+                let next = bench.ask(insert("next"), WAIT);
+                for bytes in surplus.chunks(piece).chain([&own[..]]) {
+                    if bench.hosts.len() == 0 {
+                        break;
+                    }
+                    peer.write_all(bytes).unwrap();
+                    bench.wake();
+                    bench.with(Hosts::serve_waiting);
+                }
+                assert_eq!(
+                    bench.ended(),
+                    [(next, Status::Spoilt)],
+                    "{what} after {before}, pieces of {piece}"
+                );
+                assert_eq!(bench.hosts.len(), 0, "{what}: the connection is not used again");
+            }
+        }
+    }
+}
--- a/gateway/tests/common/scripted.rs
+++ b/gateway/tests/common/scripted.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::net::sockopt::{set_socket_linger, set_socket_recv_buffer_size};
-use yewroute_standin::{frame, read_frame, Host};
+use yewroute_standin::{frame, is_separator, read_frame, separated, Host};
 
 /// Longest wait for anything that comes at all, and how often it is looked for.
 const STEP_TIMEOUT: Duration = Duration::from_secs(10);
@@ -75,11 +75,29 @@
         self.say(&[frame(b'R', &[0; 4]), frame(b'Z', b"I")].concat());
     }
 
-    /// The next query; none if the connection has ended.
+    /// The next query, once the separators before it are answered; none if the connection has ended.
     pub fn query(&mut self) -> Option<String> {
-        let (kind, body) = read_frame(&mut self.stream)?;
-        assert_eq!(kind, b'Q');
-        Some(String::from_utf8(body).unwrap().trim_end_matches('\0').to_owned())
+        let (query, separators) = self.unanswered_query()?;
+        if separators > 0 {
+            self.say(&separated(separators));
+        }
+        Some(query)
+    }
+
+    /// The next query, and how many separators came before it, which are not answered; none if the connection has ended.
+    pub fn unanswered_query(&mut self) -> Option<(String, usize)> {
+        let mut separators = 0;
+        loop {
+            let (kind, body) = read_frame(&mut self.stream)?;
+            assert_eq!(kind, b'Q');
+            if !is_separator(kind, &body) {
+                return Some((
+                    String::from_utf8(body).unwrap().trim_end_matches('\0').to_owned(),
+                    separators,
+                ));
+            }
+            separators += 1;
+        }
     }
 
     /// The next query, which is to hold this.
