Judge a slow reader by what its system takes, and try writes again while there is no room

The request was lost.

Cause: what a client takes was judged by one system call, a write that moves no byte, and nothing was tried in between: the system wakes a writer only once a third of a send buffer of up to 4 MiB is free.

The time in which nothing moves is 10 s as before, and longer for a client whose system has taken more of the answer than a reader at 16 KiB a second takes in 10 s: as long as such a reader needs for that, 60 s at the most. What was taken is what was written less the size of the send buffer, and what moved since.

Price: a client that takes nothing is kept for 10 s as before, one that has taken much and then stops for up to 60 s; a call of the system five times a second for each connection that waits for room. One below 16 KiB a second may be given up.

--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -2,8 +2,10 @@
 
 mod long_message;
 mod presence;
+mod write_stall;
 
 use std::collections::VecDeque;
+use std::io;
 use std::time::{Duration, Instant};
 
 use tracing::warn;
@@ -24,6 +26,7 @@
 use crate::proto::pg::table::Table;
 pub(super) use long_message::LongMessage;
 pub(super) use presence::{PRESENCE_PROBE_INTERVAL, RESET_TIMEOUT};
+use write_stall::WriteStall;
 
 /// A connection on which no query has come is closed after so long without a byte, and so is one that leaves a message
 /// unfinished. A client may spend 2 s on a head.
@@ -33,8 +36,6 @@
 const LONG_TIMEOUT: Duration = Duration::from_secs(30);
 /// A message is long, and may take [`LONG_TIMEOUT`], from here on.
 const MIN_LONG_MESSAGE: usize = 64 * 1024;
-/// A client that has taken none of its answers for so long is given up.
-const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Reads of what is thrown away before a connection is closed at once: more than a system keeps for one that is not read.
 const MAX_DISCARDED_READS: usize = 256;
 /// How long a closed connection is given to take its last bytes.
@@ -111,9 +112,12 @@
     pub(super) answered_at: Option<Instant>,
     /// When bytes came last.
     pub(super) heard: Instant,
-    /// Since when a message lies unfinished, and since when the client has taken none of its answers.
+    /// Since when a message lies unfinished.
     pub(super) unfinished: Option<Instant>,
-    pub(super) stuck: Option<Instant>,
+    /// Bytes wait to be written that there was no room for.
+    pub(super) stall: Option<WriteStall>,
+    /// Bytes that had been written before its last request.
+    written_before: u64,
 }
 
 impl Client {
@@ -154,19 +158,19 @@
             answered_at: None,
             heard: now,
             unfinished: None,
-            stuck: None,
+            stall: None,
+            written_before: 0,
         }
     }
 
     /// It has kept its connection for longer than it may as things stand.
     pub(super) fn overdue(&self, now: Instant) -> bool {
-        let older = |since: Option<Instant>, than| since.is_some_and(|since| now - since >= than);
         let quiet = now.saturating_duration_since(self.heard);
         let age = now.saturating_duration_since(self.accepted);
         let silent = !self.asked && self.long.is_none() && (quiet >= MESSAGE_TIMEOUT || age >= HEAD_TIMEOUT);
-        older(self.stuck, STUCK_TIMEOUT)
+        self.stall.is_some_and(|stall| stall.is_over(now))
             || match self.phase {
-                Phase::Opening | Phase::Idle(_) => self.stuck.is_none() && (silent || self.late(now)),
+                Phase::Opening | Phase::Idle(_) => self.stall.is_none() && (silent || self.late(now)),
                 Phase::Busy | Phase::Closing => false,
                 Phase::Lingering(since) => now - since >= LINGER_TIMEOUT,
             }
@@ -193,7 +197,7 @@
     /// wake-up for each request. A final answer never waits.
     pub(super) fn holds_back(&self) -> bool {
         let little = self.wire.unwritten() < self.shares.write;
-        self.phase == Phase::Busy && self.session.open() && !self.prompt && little && self.stuck.is_none()
+        self.phase == Phase::Busy && self.session.open() && !self.prompt && little && self.stall.is_none()
     }
 
     /// An answer is owed to it, or will be unless it has gone, or has not been written whole.
@@ -237,7 +241,7 @@
     /// a client that will never come back to them.
     pub(super) fn stalled(&self, now: Instant, than: Duration) -> bool {
         let since = if let Phase::Idle(since) = self.phase { Some(since) } else { None };
-        self.session.open() && self.stuck.is_none() && since.is_some_and(|since| now - since >= than)
+        self.session.open() && self.stall.is_none() && since.is_some_and(|since| now - since >= than)
     }
 
     /// Says why, and closes once that is written.
@@ -302,8 +306,26 @@
         self.answered_at = (waits > 0).then_some(now);
     }
 
+    /// Writes as much as there is room for; true when nothing is left.
+    pub(super) fn flush(&mut self, now: Instant) -> io::Result<bool> {
+        let before = self.wire.unwritten();
+        let written = self.wire.flush()?;
+        self.prompt &= !written;
+        if written {
+            self.stall = None;
+            self.end_answer();
+            return Ok(true);
+        }
+        let moved = before - self.wire.unwritten();
+        match &mut self.stall {
+            Some(stall) => stall.tried(now, moved),
+            None => self.stall = Some(WriteStall::begin(now, self.wire.taken_since(self.written_before))),
+        }
+        Ok(false)
+    }
+
     /// All is written: what was set aside for its answer is given back.
-    pub(super) fn end_answer(&mut self) {
+    fn end_answer(&mut self) {
         (self.answer_permit, self.answered_at) = (None, None);
     }
 
@@ -431,6 +453,7 @@
                 inbox.push_back(Input::Ask(ClientId(number), ask(wanted, origin)));
                 self.phase = Phase::Busy;
                 (self.asked, self.requested) = (true, true);
+                self.written_before = self.wire.written();
             }
             Took::Flush => self.prompt = true,
             Took::Done => {
--- a/gateway/src/net/client/presence.rs
+++ b/gateway/src/net/client/presence.rs
@@ -25,7 +25,7 @@
             return false;
         }
         // What is not taken yet asks as well.
-        if self.stuck.is_none() {
+        if self.stall.is_none() {
             frontend::put_notice(self.wire.out(), "still waiting for the answer");
         }
         (self.probed, self.prompt) = (true, true);
--- a/gateway/src/net/client/tests.rs
+++ b/gateway/src/net/client/tests.rs
@@ -79,3 +79,38 @@
     std::io::Read::read_exact(&mut peer, &mut answer).unwrap();
     assert_eq!(answer[0], b'E');
 }
+
+const KIB: usize = 1024;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+// Guards against: a slow reader that is given up between two reports of its system, which come once for so many bytes.
+#[test]
+fn a_client_that_reads_slowly_is_not_given_up_for_the_reports_of_its_system() {
+    for (report, bytes_per_second) in [(64, 16), (128, 16), (640, 16), (640, 50), (960, 20)] {
+        let (start, report) = (Instant::now(), report * KIB);
+        // It has had all that its system holds, which opens its window once a good part of that is read.
+        let mut stall = WriteStall::begin(start, report);
+        let gap = seconds(report as f64 / (bytes_per_second * KIB) as f64);
+        for number in 1..30 {
+            let now = start + gap * number;
+            assert!(!stall.is_over(now - seconds(0.1)), "{report} bytes at {bytes_per_second} KiB/s");
+            stall.tried(now, report);
+        }
+    }
+}
+
+#[test]
+fn a_client_that_takes_nothing_is_given_up_in_time_however_often_a_write_is_tried() {
+    for (taken, timeout) in [(0, 10.0), (128 * KIB, 10.0), (640 * KIB, 40.0), (usize::MAX, 60.0)] {
+        let start = Instant::now();
+        let mut stall = WriteStall::begin(start, taken);
+        for tried in 1..50 {
+            stall.tried(start + seconds(timeout - 0.1) * tried / 50, 0);
+        }
+        assert!(!stall.is_over(start + seconds(timeout - 0.1)), "{taken}");
+        assert!(stall.is_over(start + seconds(timeout)), "{taken}");
+    }
+}
--- a/gateway/src/net/clients.rs
+++ b/gateway/src/net/clients.rs
@@ -241,13 +241,14 @@
             self.send_away(now, poller, inbox);
         }
         self.close_surplus(now);
+        self.write_on(now, poller, inbox);
         self.give_up_answers(now, inbox);
         let pipeline_idle = self.protocol.pipeline_idle;
         let overdue = |client: &Client| client.overdue(now) || client.stalled(now, pipeline_idle);
         let numbers = self.clients.iter().filter(|(_, client)| overdue(client)).map(|(number, _)| *number);
         for number in numbers.collect::<Vec<_>>() {
             match self.clients.get_mut(&number) {
-                Some(client) if client.unfinished.is_some() && client.takes() && client.stuck.is_none() => {
+                Some(client) if client.unfinished.is_some() && client.takes() && client.stall.is_none() => {
                     let (sqlstate, why) = match client.long {
                         Some(LongMessage::Discarded(_)) => {
                             (code::TOO_MANY, "no memory for so long a statement")
@@ -264,11 +265,11 @@
                     self.work(now, number, poller, inbox);
                 }
                 // Guards against: a request that has come and is not read yet, as when hundreds come at once.
-                Some(client) if client.takes() && client.stuck.is_none() && !client.silent() => {}
+                Some(client) if client.takes() && client.stall.is_none() && !client.silent() => {}
                 Some(client) => {
-                    let stuck = client.stuck.is_some();
+                    let stalled = client.stall.is_some();
                     if !matches!(client.phase, Phase::Lingering(_)) {
-                        self.closes.count(if stuck { CloseReason::Stuck } else { CloseReason::TimedOut });
+                        self.closes.count(if stalled { CloseReason::Stuck } else { CloseReason::TimedOut });
                     }
                     self.remove(number, inbox);
                 }
@@ -400,17 +401,7 @@
             // Guards against: a busy loop over bytes that are not read now.
             return client.listen(number, false, poller);
         }
-        let before = client.wire.unwritten();
-        let Ok(written) = client.wire.flush() else { return false };
-        client.prompt &= !written;
-        client.stuck = match client.stuck {
-            _ if written => {
-                client.end_answer();
-                None
-            }
-            Some(since) if client.wire.unwritten() == before => Some(since),
-            _ => Some(now),
-        };
+        let Ok(written) = client.flush(now) else { return false };
         if client.phase == Phase::Closing && written {
             if client.ended {
                 self.clients.remove(&number);
--- a/gateway/src/net/clients/answers.rs
+++ b/gateway/src/net/clients/answers.rs
@@ -47,6 +47,15 @@
         }
     }
 
+    /// Writes what there is room for to clients that had none. Guards against: a client that reads slowly and passes for one that
+    /// takes nothing, as the system tells of room only once a third of a large send buffer is free.
+    pub(super) fn write_on(&mut self, now: Instant, poller: &Poller, inbox: &mut VecDeque<Input>) {
+        let stalled = self.clients.iter().filter(|(_, client)| client.stall.is_some());
+        for number in stalled.map(|(number, _)| *number).collect::<Vec<_>>() {
+            self.work(now, number, poller, inbox);
+        }
+    }
+
     /// Gives clients up that hold on to answers while those of others wait for memory. Guards against: a crowd that reads
     /// slowly and keeps all other long answers out.
     pub(super) fn give_up_answers(&mut self, now: Instant, inbox: &mut VecDeque<Input>) {
--- a/gateway/src/net/eviction.rs
+++ b/gateway/src/net/eviction.rs
@@ -21,7 +21,7 @@
 ) -> bool {
     let place = |client: &Client| match client.phase {
         Phase::Lingering(since) => Some((0, since)),
-        Phase::Opening | Phase::Idle(_) if client.is_within_message() || client.stuck.is_some() => None,
+        Phase::Opening | Phase::Idle(_) if client.is_within_message() || client.stall.is_some() => None,
         Phase::Opening => Some((1, client.accepted)),
         Phase::Idle(since) if !client.requested => Some((1, since)),
         Phase::Idle(since) => Some((2, since)),
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -58,7 +58,10 @@
 pub struct Wire {
     stream: TcpStream,
     out: Vec<u8>,
+    /// Bytes of `out` that have been written.
     written: usize,
+    /// Bytes that the system has taken, in all.
+    sent: u64,
     /// Written after `out`, in this order.
     behind: VecDeque<Piece>,
 }
@@ -72,7 +75,7 @@
     }
 
     fn new(stream: TcpStream) -> Self {
-        Self { stream, out: Vec::new(), written: 0, behind: VecDeque::new() }
+        Self { stream, out: Vec::new(), written: 0, sent: 0, behind: VecDeque::new() }
     }
 
     /// Begins to connect; room to write tells that it is done, one way or the other.
@@ -133,7 +136,10 @@
                     while !range.is_empty() {
                         match self.write(&bytes.bytes()[range.clone()]) {
                             Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                            Ok(n) => range.start += n,
+                            Ok(n) => {
+                                range.start += n;
+                                self.sent += n as u64;
+                            }
                             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                                 self.behind.push_front(Piece::Shared(bytes, range));
                                 return Ok(false);
@@ -158,7 +164,10 @@
         while self.written < self.out.len() {
             match self.write(&self.out[self.written..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => self.written += n,
+                Ok(n) => {
+                    self.written += n;
+                    self.sent += n as u64;
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     // Guards against: what has been written of a long value being kept until all of it is.
                     if self.written > CHUNK {
@@ -176,6 +185,19 @@
         Ok(true)
     }
 
+    /// Bytes written so far.
+    pub fn written(&self) -> u64 {
+        self.sent
+    }
+
+    /// Bytes written after the first so many that the other side's system has taken, at the least: all but what fits into the
+    /// send buffer.
+    pub fn taken_since(&self, written: u64) -> usize {
+        let buffer = sockopt::socket_send_buffer_size(&self.stream).unwrap_or(usize::MAX);
+        let since = usize::try_from(self.written().saturating_sub(written)).unwrap_or(usize::MAX);
+        since.saturating_sub(buffer)
+    }
+
     /// Bytes still to be written.
     pub fn unwritten(&self) -> usize {
         self.out.len() - self.written + self.behind.iter().map(Piece::len).sum::<usize>()
