Split message bodies and load reports from the db host's side of the protocol

What the bodies of messages hold is in bodies.rs now, the load report in load_report.rs; code is moved, and visibility widened within the crate.

--- a/crates/pgwire/src/lib.rs
+++ b/crates/pgwire/src/lib.rs
@@ -2,10 +2,12 @@
 
 pub mod backend;
 pub mod bind;
+pub mod bodies;
 pub mod exchange;
 pub mod frame;
 pub mod frontend;
 pub mod lexer;
+pub mod load_report;
 pub mod names;
 mod portal;
 pub mod request;
--- a/crates/pgwire/src/portal.rs
+++ b/crates/pgwire/src/portal.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
-use crate::backend::{columns, values};
 use crate::bind::{text_form, Bound};
+use crate::bodies::{columns, values};
 use crate::frame;
 
 /// The book-keeping of a portal or statement, about.
--- a/crates/pgwire/src/session.rs
+++ b/crates/pgwire/src/session.rs
@@ -14,8 +14,8 @@
 use hashbrown::HashMap;
 use yewroute_ledger::{ByteBudget, HeldBytes};
 
-use crate::backend::parameters;
 use crate::bind::{self, Bind, Bound, NotBound};
+use crate::bodies::parameters;
 use crate::code;
 use crate::exchange::Dialect;
 use crate::frame;
--- a/crates/pgwire/src/session/answer.rs
+++ b/crates/pgwire/src/session/answer.rs
@@ -5,7 +5,7 @@
 use super::{Final, Session, Waiting};
 use crate::portal::{cost_of_portal, last_message, Run};
 use crate::table::Table;
-use crate::{backend, code, frame, frontend};
+use crate::{bodies, code, frame, frontend};
 
 impl Session {
     /// Takes the answer to the request that was asked for last, and appends what the client is to read.
@@ -56,7 +56,7 @@
 
     /// An error that speaks of the schema: what is known of that statement's columns may no longer hold.
     fn outdate(&mut self, name: &[u8], messages: &[u8], table: &mut Table) {
-        let sqlstate = messages.get(5..).and_then(backend::error_code).unwrap_or_default();
+        let sqlstate = messages.get(5..).and_then(bodies::error_code).unwrap_or_default();
         let schema = [b"0A000", b"42P01", b"42703"].iter().any(|code| sqlstate == *code);
         if let (true, Some(portal)) = (schema, self.portals.get(name)) {
             table.outdate(&portal.bound.statement);
--- a/crates/pgwire/src/session/description.rs
+++ b/crates/pgwire/src/session/description.rs
@@ -2,8 +2,8 @@
 
 use std::rc::Rc;
 
-use crate::backend::{columns, parameters};
 use crate::bind::Bound;
+use crate::bodies::{columns, parameters};
 use crate::frame;
 use crate::frontend::Local;
 use crate::portal::message_len;
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -10,7 +10,7 @@
 
 use yewroute_pgwire::frame::take_text;
 use yewroute_pgwire::lexer::lex;
-use yewroute_pgwire::{backend, bind};
+use yewroute_pgwire::{bind, bodies};
 use yewroute_receive_time::{self as receive_time, DatedReader};
 
 use crate::answers::{columns, error, frame, is_separator, read_frame, report, separated, served};
@@ -319,7 +319,7 @@
         match kind {
             b'P' => {
                 let (name, query) = (text(&mut rest)?, text(&mut rest)?);
-                let types = backend::parameters(rest).ok_or_else(malformed)?;
+                let types = bodies::parameters(rest).ok_or_else(malformed)?;
                 if !name.is_empty() && self.statements.contains_key(&name) {
                     return Err(("42P05", format!("prepared statement {name} already exists")));
                 }
--- a/crates/traffic/src/conversation.rs
+++ b/crates/traffic/src/conversation.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hashbrown::HashMap;
-use yewroute_pgwire::backend::{error_code, parameters};
 use yewroute_pgwire::bind::{self, Bound};
+use yewroute_pgwire::bodies::{error_code, parameters};
 use yewroute_pgwire::frame::{self, LONGEST_ANSWER, LONGEST_QUERY};
 use yewroute_pgwire::frontend::{self, Opening};
 use yewroute_pgwire::request::Wanted;
--- a/gateway/src/net/hosts/connection.rs
+++ b/gateway/src/net/hosts/connection.rs
@@ -13,6 +13,7 @@
 use crate::net::wire::Wire;
 use crate::proto::pg::backend::{self, Gather, Reply, Verdict};
 use crate::proto::pg::exchange::{Prepared, Sent};
+use crate::proto::pg::load_report;
 use crate::proto::pg::separator::SeparatorSequence;
 
 /// What a connection is used for.
@@ -165,7 +166,7 @@
     let probe = matches!(id, JobId::Probe(_));
     let row = if probe { std::str::from_utf8(reply.value()).ok() } else { None };
     let report = reply.load.as_deref().or(row);
-    let load = report.map(backend::load);
+    let load = report.map(load_report::load);
     let status = match (status, load) {
         // The probe has no other answer than a report: one that cannot be read is as good as none.
         (Status::Good, None | Some(None)) if probe => Status::Spoilt,
--- a/gateway/src/proto/tests.rs
+++ b/gateway/src/proto/tests.rs
@@ -4,9 +4,10 @@
 
 use super::catalog::{Lists, News};
 use super::http::Lines;
-use super::pg::backend::{load, put_query, put_startup, Gather, Load, Reply, Role, Step};
+use super::pg::backend::{put_query, put_startup, Gather, Reply, Role, Step};
 use super::pg::frame::{put, put_text, put_untyped, LONGEST_ANSWER, LONGEST_STATEMENT};
 use super::pg::frontend::{self, local, message, opening};
+use super::pg::load_report::{load, Load};
 use super::pg::statement::request;
 
 /// Feeds `bytes` in two parts for each place to split them at, and wants the same result from all.
--- a/gateway/src/replay.rs
+++ b/gateway/src/replay.rs
@@ -8,7 +8,8 @@
 
 use indicatif::ProgressBar;
 use yewroute_capture::write::{Connection, End, Writer};
-use yewroute_pgwire::backend::{error_code, put_startup};
+use yewroute_pgwire::backend::put_startup;
+use yewroute_pgwire::bodies::error_code;
 use yewroute_pgwire::code;
 use yewroute_pgwire::frame::{self, LONGEST_ANSWER};
 use yewroute_replay::{Action, Plan, Report};
