Count no room in a send buffer that has grown as bytes that a client has taken

Found by reading: a client that takes nothing, on a connection whose send buffer grows after the first write that found no room, would be kept for up to 60 s in place of 10 s, as the bytes that went into the new room passed for bytes that it took. What was taken is what was written of the answer less the largest size that the send buffer has had.

Tests: room_in_a_send_buffer_that_has_grown_is_nothing_that_its_client_has_taken is new (the code before had no such size to count); slow_readers.rs passes as before.

--- a/gateway/src/net/client.rs
+++ b/gateway/src/net/client.rs
@@ -318,8 +318,13 @@
         }
         let moved = before - self.wire.unwritten();
         match &mut self.stall {
-            Some(stall) => stall.tried(now, moved),
-            None => self.stall = Some(WriteStall::begin(now, self.wire.taken_since(self.written_before))),
+            Some(stall) if moved > 0 => stall.moved(now, moved, self.wire.send_buffer_size()),
+            Some(_) => {}
+            None => {
+                let answer = self.wire.written().saturating_sub(self.written_before);
+                let written = usize::try_from(answer).unwrap_or(usize::MAX);
+                self.stall = Some(WriteStall::begin(now, written, self.wire.send_buffer_size()));
+            }
         }
         Ok(false)
     }
--- a/gateway/src/net/client/tests.rs
+++ b/gateway/src/net/client/tests.rs
@@ -81,6 +81,7 @@
 }
 
 const KIB: usize = 1024;
+const SEND_BUFFER: usize = 4 * KIB * KIB;
 
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds)
@@ -89,28 +90,34 @@
 // Guards against: a slow reader that is given up between two reports of its system, which come once for so many bytes.
 #[test]
 fn a_client_that_reads_slowly_is_not_given_up_for_the_reports_of_its_system() {
-    for (report, bytes_per_second) in [(64, 16), (128, 16), (640, 16), (640, 50), (960, 20)] {
+    for (report, kib_per_second) in [(64, 16), (128, 16), (640, 16), (640, 50), (960, 20)] {
         let (start, report) = (Instant::now(), report * KIB);
         // It has had all that its system holds, which opens its window once a good part of that is read.
-        let mut stall = WriteStall::begin(start, report);
-        let gap = seconds(report as f64 / (bytes_per_second * KIB) as f64);
+        let mut stall = WriteStall::begin(start, SEND_BUFFER + report, SEND_BUFFER);
+        let gap = seconds(report as f64 / (kib_per_second * KIB) as f64);
         for number in 1..30 {
             let now = start + gap * number;
-            assert!(!stall.is_over(now - seconds(0.1)), "{report} bytes at {bytes_per_second} KiB/s");
-            stall.tried(now, report);
+            assert!(!stall.is_over(now - seconds(0.1)), "{report} bytes at {kib_per_second} KiB/s");
+            stall.moved(now, report, SEND_BUFFER);
         }
     }
 }
 
 #[test]
-fn a_client_that_takes_nothing_is_given_up_in_time_however_often_a_write_is_tried() {
-    for (taken, timeout) in [(0, 10.0), (128 * KIB, 10.0), (640 * KIB, 40.0), (usize::MAX, 60.0)] {
+fn a_client_that_takes_nothing_is_given_up_in_time() {
+    for (taken, timeout) in [(0, 10.0), (128 * KIB, 10.0), (640 * KIB, 40.0), (64 * KIB * KIB, 60.0)] {
         let start = Instant::now();
-        let mut stall = WriteStall::begin(start, taken);
-        for tried in 1..50 {
-            stall.tried(start + seconds(timeout - 0.1) * tried / 50, 0);
-        }
+        let stall = WriteStall::begin(start, SEND_BUFFER + taken, SEND_BUFFER);
         assert!(!stall.is_over(start + seconds(timeout - 0.1)), "{taken}");
         assert!(stall.is_over(start + seconds(timeout)), "{taken}");
     }
 }
+
+// Guards against: bytes that went into a send buffer as it grew, taken for bytes that the client has taken.
+#[test]
+fn room_in_a_send_buffer_that_has_grown_is_nothing_that_its_client_has_taken() {
+    let start = Instant::now();
+    let mut stall = WriteStall::begin(start, 80 * KIB, 80 * KIB);
+    stall.moved(start, SEND_BUFFER - 80 * KIB, SEND_BUFFER);
+    assert!(stall.is_over(start + seconds(10.0)));
+}
--- a/gateway/src/net/client/write_stall.rs
+++ b/gateway/src/net/client/write_stall.rs
@@ -19,22 +19,24 @@
 pub(in crate::net) struct WriteStall {
     /// When a write last moved some of them, or first found no room.
     moved_at: Instant,
-    /// Bytes of the answer that have gone to the client's system, as far as is known.
-    taken: usize,
+    /// Bytes of the answer that were written before it began, and since.
+    written: usize,
+    /// The largest that the send buffer has been: so much of what was written may still lie there.
+    send_buffer: usize,
 }
 
 impl WriteStall {
-    /// One that begins when the client's system has taken so many bytes of the answer.
-    pub(in crate::net) fn begin(now: Instant, taken: usize) -> Self {
-        Self { moved_at: now, taken }
+    /// One that begins when so many bytes of the answer have been written, by way of a send buffer of such a size.
+    pub(in crate::net) fn begin(now: Instant, written: usize, send_buffer: usize) -> Self {
+        Self { moved_at: now, written, send_buffer }
     }
 
-    /// A write was tried again, and moved so many bytes.
-    pub(in crate::net) fn tried(&mut self, now: Instant, moved: usize) {
-        if moved > 0 {
-            self.moved_at = now;
-            self.taken += moved;
-        }
+    /// A further write has moved so many bytes, by way of a send buffer of such a size.
+    pub(in crate::net) fn moved(&mut self, now: Instant, bytes: usize, send_buffer: usize) {
+        self.moved_at = now;
+        self.written += bytes;
+        // Guards against: a send buffer that has grown, and room that passes for bytes that the client has taken.
+        self.send_buffer = self.send_buffer.max(send_buffer);
     }
 
     /// The client is to be given up.
@@ -44,7 +46,8 @@
 
     /// How long nothing may move.
     fn timeout(&self) -> Duration {
-        let taken = u32::try_from(self.taken).unwrap_or(u32::MAX);
+        let taken = self.written.saturating_sub(self.send_buffer);
+        let taken = u32::try_from(taken).unwrap_or(u32::MAX);
         let slowest = Duration::from_secs(1) * taken / MIN_BYTES_PER_SECOND;
         slowest.clamp(STALL_TIMEOUT, LONGEST_STALL_TIMEOUT)
     }
--- a/gateway/src/net/wire.rs
+++ b/gateway/src/net/wire.rs
@@ -190,12 +190,9 @@
         self.sent
     }
 
-    /// Bytes written after the first so many that the other side's system has taken, at the least: all but what fits into the
-    /// send buffer.
-    pub fn taken_since(&self, written: u64) -> usize {
-        let buffer = sockopt::socket_send_buffer_size(&self.stream).unwrap_or(usize::MAX);
-        let since = usize::try_from(self.written().saturating_sub(written)).unwrap_or(usize::MAX);
-        since.saturating_sub(buffer)
+    /// How many bytes may lie in the system's send buffer.
+    pub fn send_buffer_size(&self) -> usize {
+        sockopt::socket_send_buffer_size(&self.stream).unwrap_or(usize::MAX)
     }
 
     /// Bytes still to be written.
