--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -9,8 +9,8 @@
 //! extends it.
 //!
 //! Discovery that is down and one with too many callers may end calls alike. The end of a call is a sign of
-//! life, unless discovery has ended the watch before, as one that goes down does, and has shown no sign of life
-//! since. Silence is none: neither connections that do not come up nor calls that stay open.
+//! life, unless discovery has ended the watch before, as one that goes down does, and has shown no sign of
+//! life since. Silence is none: neither connections that do not come up nor calls that stay open.
 
 use std::time::{Duration, Instant};
 
@@ -120,8 +120,8 @@
         self.unreachable_since = None;
     }
 
-    /// Guards against: the end of a call taken for silence, by which a new process would go on by an old list for
-    /// as long as too many callers let its calls end in vain. An agent on this machine has no other callers.
+    /// Guards against: the end of a call taken for silence, by which a new process would go on by an old list
+    /// for as long as too many callers let its calls end in vain. A local agent has no other callers.
     fn ends_are_answers(&self) -> bool {
         !self.watch_ended && !self.pushed
     }
