Use connections once to a db host that does not answer separators

Change: the pool of each db host keeps whether it answers separators. If it has not answered the first ones, its connections are used once, as nothing comes before an exchange on a new one; after 60 s a used connection is tried again. One that has answered separators once goes on as before.

Tests: a_connection_to_a_db_host_that_answers_no_separators_is_used_once fails without the change in receive.rs (the connection is kept) and passes; connections_to_a_db_host_that_has_answered_separators_are_used_again_after_a_surplus passes on both; the tests of separators pass as before.

--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -209,6 +209,12 @@
         self.separators = PendingSeparators::new(count);
     }
 
+    /// Separators are not answered yet.
+    #[must_use]
+    pub fn awaits_separators(&self) -> bool {
+        !self.separators.is_empty()
+    }
+
     /// What was sent is an extended query; its answer has these parts.
     pub fn expect(&mut self, mut script: Script) {
         self.stage = script.next();
--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -5,6 +5,7 @@
 mod connection;
 pub mod first_byte;
 mod receive;
+mod separator_support;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
@@ -22,6 +23,7 @@
 use crate::timers::Timers;
 use connection::{HostConnection, JobId, State};
 use first_byte::FirstByteLimit;
+use separator_support::SeparatorSupport;
 
 /// Idle connections are retired after this share of the time that a db host leaves them open.
 const RETIRE_AT_KEEPALIVE_SHARE: f64 = 0.6;
@@ -73,6 +75,7 @@
     idle: Vec<u64>,
     waiting: VecDeque<JobId>,
     dialing: usize,
+    separators: SeparatorSupport,
 }
 
 /// All connections to db hosts.
@@ -263,6 +266,18 @@
         }
     }
 
+    /// Closes the idle connections to a db host that have had an exchange.
+    fn close_used(&mut self, server: ServerId) {
+        let (conns, pools) = (&mut self.conns, &mut self.pools);
+        pools.entry(server).or_default().idle.retain(|number| {
+            let unused = conns.get(number).is_some_and(HostConnection::is_unused);
+            if !unused {
+                conns.remove(number);
+            }
+            unused
+        });
+    }
+
     pub fn next(&self) -> Option<Instant> {
         self.timers.next()
     }
--- a/gateway/src/net/hosts/connection.rs
+++ b/gateway/src/net/hosts/connection.rs
@@ -94,6 +94,11 @@
         self.gather.expect_separators(count);
     }
 
+    /// No exchange has been written on it.
+    pub(super) fn is_unused(&self) -> bool {
+        self.separators == SeparatorSequence::default()
+    }
+
     /// All has been written without which it cannot run.
     pub(super) fn may_have_run(&self) -> bool {
         self.wire.unwritten() <= self.sent.tail
--- a/gateway/src/net/hosts/receive.rs
+++ b/gateway/src/net/hosts/receive.rs
@@ -69,7 +69,10 @@
                     used += len;
                     match step {
                         Step::More => {}
-                        Step::Separated => whole = used,
+                        Step::Separated => {
+                            whole = used;
+                            self.pools.entry(conn.server).or_default().separators.answered();
+                        }
                         Step::Ready(reply) => {
                             whole = used;
                             self.answered(number, reply, a);
@@ -135,12 +138,20 @@
         }
         let Some(conn) = self.conns.get_mut(&number) else { return };
         let before = std::mem::replace(&mut conn.state, State::Idle(a.now));
-        let pool = self.pools.entry(conn.server).or_default();
-        pool.idle.push(number);
-        match before {
-            State::Busy(id) => self.end(id, ended(id, reply), a),
-            _ => pool.dialing -= 1,
+        let server = conn.server;
+        let pool = self.pools.entry(server).or_default();
+        let State::Busy(id) = before else {
+            pool.dialing -= 1;
+            pool.idle.push(number);
+            return;
+        };
+        if pool.separators.allows_reuse(a.now) {
+            pool.idle.push(number);
+        } else {
+            self.conns.remove(&number);
+            self.servable.insert(server);
         }
+        self.end(id, ended(id, reply), a);
     }
 
     /// A connection has ended or broken.
@@ -172,6 +183,14 @@
     /// have run; its db host goes on being judged by what it serves.
     pub(super) fn malformed(&mut self, number: u64, why: &str, a: &mut HostsContext) {
         warn!(why, "spoilt answer from a db host");
+        if let Some(conn) = self.conns.get(&number).filter(|conn| conn.gather.awaits_separators()) {
+            let server = conn.server;
+            let pool = self.pools.entry(server).or_default();
+            pool.separators.spoilt(a.now);
+            if !pool.separators.allows_reuse(a.now) {
+                self.close_used(server);
+            }
+        }
         match self.conns.get(&number).map(|conn| conn.state) {
             Some(State::Busy(id)) => {
                 self.conns.remove(&number);
--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -347,6 +347,69 @@
     }
 }
 
+/// The next connection, welcomed, on which the attempt that waits has been written without separators.
+fn welcomed(bench: &mut Bench) -> TcpStream {
+    let mut peer = bench.accept();
+    peer.write_all(&welcome()).unwrap();
+    bench.wake();
+    bench.with(Hosts::serve_waiting);
+    let (kind, query) = read_frame(&mut peer).unwrap();
+    assert!(kind == b'Q' && query.starts_with(b"INSERT"), "{query:?}");
+    peer
+}
+
+// Guards against: each request on a used connection spoilt, and run twice, by a db host that runs an empty query as a statement.
+#[test]
+fn a_connection_to_a_db_host_that_answers_no_separators_is_used_once() {
+    let mut bench = Bench::new(Dialect::Simple);
+    let answer = served("primary");
+    let first = bench.ask(insert("first"), WAIT);
+    let mut peer = welcomed(&mut bench);
+    peer.write_all(&answer).unwrap();
+    bench.wake();
+    assert_eq!(bench.ended(), [(first, Status::Good)]);
+    // It does not know separators, and answers the one before the second request with a row.
+    let second = bench.ask(insert("second"), WAIT);
+    let (kind, body) = read_frame(&mut peer).unwrap();
+    assert!(yewroute_standin::is_separator(kind, &body));
+    peer.write_all(&answer).unwrap();
+    bench.wake();
+    assert_eq!(bench.ended(), [(second, Status::Spoilt)]);
+    for later in 0..3 {
+        let attempt = bench.ask(insert("later"), WAIT);
+        let mut peer = welcomed(&mut bench);
+        peer.write_all(&answer).unwrap();
+        bench.wake();
+        assert_eq!(bench.ended(), [(attempt, Status::Good)], "{later}");
+        assert_eq!(bench.hosts.len(), 0, "{later}: the connection is not used again");
+    }
+}
+
+#[test]
+fn a_db_host_that_answers_no_separators_is_tried_again_after_a_while() {
+    let (now, mut support) = (Instant::now(), SeparatorSupport::default());
+    support.spoilt(now);
+    assert!(!support.allows_reuse(now + Duration::from_secs(59)));
+    assert!(support.allows_reuse(now + Duration::from_secs(60)));
+    support.answered();
+    support.spoilt(now);
+    assert!(support.allows_reuse(now), "it is known to answer them");
+}
+
+// Guards against: a connection for each request to a db host that answers separators, and now and then writes something more.
+#[test]
+fn connections_to_a_db_host_that_has_answered_separators_are_used_again_after_a_surplus() {
+    let mut bench = Bench::new(Dialect::Simple);
+    let answer = served("primary");
+    let mut peer = served_before(&mut bench, 2, &answer);
+    let next = bench.ask(insert("next"), WAIT);
+    peer.write_all(&answer).unwrap();
+    bench.wake();
+    assert_eq!(bench.ended(), [(next, Status::Spoilt)]);
+    let _peer = served_before(&mut bench, 3, &answer);
+    assert_eq!(bench.hosts.len(), 1, "one connection for three exchanges");
+}
+
 /// What a db host writes behind an exchange, which belongs to no request.
 fn surplus(answer: &[u8], exchange: &[u8]) -> Vec<(&'static str, Vec<u8>)> {
     vec![
