Raise the send buffer of a connection that has grown too, when the process ends

Cause: a send buffer that had grown by itself to 2 MiB or more was left as it was when the bound was lifted (2.6 MB held), as its size, which the system tells doubled, was compared with the size to ask for. The comparison is with the doubled size now.

--- a/gateway/src/net/socket_buffers.rs
+++ b/gateway/src/net/socket_buffers.rs
@@ -20,9 +20,9 @@
 const MAX_SEGMENT_BYTES: u32 = 8_960;
 /// The most that is handed to the system after one look at whether there is room.
 const MAX_PORTION_BYTES: usize = 8 * 1024;
-/// What the send buffer of a connection without a bound may have, where the system's limits allow it. The system doubles it for its
-/// own structures, which comes to what it takes by itself at the most (`tcp_wmem`, tcp(7)).
-const LIFTED_SEND_BUFFER_BYTES: usize = 2 * 1024 * 1024;
+/// What the send buffer of a connection without a bound may have, where the system's limits allow it: what it takes by itself at the
+/// most (`tcp_wmem`, tcp(7)).
+const LIFTED_SEND_BUFFER_BYTES: usize = 4 * 1024 * 1024;
 /// A look that does not wait.
 const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
 
@@ -74,7 +74,8 @@
         let socket = SockRef::from(socket);
         socket.set_tcp_notsent_lowat(u32::MAX)?;
         if socket.send_buffer_size()? < LIFTED_SEND_BUFFER_BYTES {
-            socket.set_send_buffer_size(LIFTED_SEND_BUFFER_BYTES)?;
+            // The system doubles what it is asked for, for its own structures.
+            socket.set_send_buffer_size(LIFTED_SEND_BUFFER_BYTES / 2)?;
         }
         Ok(())
     }
