Tell a clock that is off from the interval in which an answer was under way

Cause: a position was taken for the present at the moment when its answer came. Three answers that a cut had held back agreed on being late and put the clock back by as much. A correction was taken as the last of them gave it, what was off by less than 1 s stayed, and positions dated meanwhile stayed the greatest known. A replica over 60 s behind passed for proof of the same kind.

Change: an answer bounds the offset from both sides, by when its request was sent and when it was read; the clock is off only where the range leaves out 0 by 50 ms. Three ranges that overlap correct it, by the greatest offset that they allow. Until a primary's answer agrees with the clock no read relies on a replica's position, and what was dated by a clock that was off is dated anew. This works because no delay of an answer moves the range past the truth: it only makes it wider.

--- a/crates/standin/src/answers.rs
+++ b/crates/standin/src/answers.rs
@@ -92,10 +92,16 @@
     [error, frame(b'Z', b"I")].concat()
 }
 
-/// The answer to a probe.
+/// The answer to a probe, with a position of some age.
 #[must_use]
 pub fn report(primary: bool, age_ms: u128) -> Vec<u8> {
-    let seconds = (unix_ms() - age_ms) as f64 / 1000.0;
+    report_at(primary, unix_ms() - age_ms)
+}
+
+/// The answer to a probe, with this position.
+#[must_use]
+pub fn report_at(primary: bool, applied_ms: u128) -> Vec<u8> {
+    let seconds = applied_ms as f64 / 1000.0;
     let text = format!("x0={seconds},x1={}", u8::from(primary));
     let mut row = b"\0\x01".to_vec();
     row.extend(u32::try_from(text.len()).unwrap_or(0).to_be_bytes());
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,7 +10,8 @@
 pub mod host;
 
 pub use answers::{
-    error, frame, is_separator, read_frame, report, rows, rows_at, separated, served, served_value, unix_ms,
+    error, frame, is_separator, read_frame, report, report_at, rows, rows_at, separated, served,
+    served_value, unix_ms,
 };
 pub use client::{startup, Client};
 pub use discovery::{entry, list, pair, watch, Call, Discovery, Script};
--- /dev/null
+++ b/gateway/src/clock/evidence.rs
@@ -0,0 +1,190 @@
+//! What the positions in answers show of this machine's clock.
+//!
+//! A position was told at some moment between the sending of a request and the receipt of its answer; either may have been under
+//! way for seconds. So an answer bounds the clock's offset from both sides, as a round trip does in NTP (RFC 5905, section 8), and
+//! shows that the clock is off only where it is off at every moment of that interval. Only a primary is at the present, so a
+//! replica's position bounds the offset from below alone.
+
+use std::time::{Duration, Instant};
+
+use yewroute::interface::{ClockOffset, Role};
+
+use super::{Clock, MAX_OFFSET};
+
+/// So many answers have to agree that the clock is off, and on ranges that overlap. Guards against: positions that are spoilt.
+const AGREEING_ANSWERS: u32 = 3;
+/// Once a primary has refuted a replica, replicas' positions say nothing of the clock for so long. Guards against: a replica whose
+/// positions are always spoilt, which would have all reads go to primaries.
+const REFUTED_REPLICA_HOLDS: Duration = Duration::from_secs(1);
+
+/// A position, and between which moments it was told.
+#[derive(Clone, Copy, Debug)]
+pub struct TimedPosition {
+    /// The role of the db host that told it.
+    pub role: Role,
+    /// The position, as Unix time in milliseconds.
+    pub unix_ms: u64,
+    /// No earlier than when its request was sent ...
+    pub sent: Instant,
+    /// ... and no later than when its answer was read.
+    pub received: Instant,
+}
+
+/// True time less this clock's lies between these, in microseconds. Each side is wider by [`MAX_OFFSET`] than answers show.
+#[derive(Clone, Copy, Debug)]
+struct OffsetRange {
+    least_us: i64,
+    /// None where only replicas have answered.
+    most_us: Option<i64>,
+}
+
+impl OffsetRange {
+    fn shown_by(position: &TimedPosition, clock: &Clock) -> Self {
+        let told_us = i64::try_from(position.unix_ms).unwrap_or(i64::MAX).saturating_mul(1_000);
+        let offset_at = |at: Instant| told_us.saturating_sub(micros(clock.unix(at)));
+        let slack_us = micros(MAX_OFFSET);
+        let primary = position.role == Role::Primary;
+        Self {
+            least_us: offset_at(position.received).saturating_sub(slack_us),
+            most_us: primary.then(|| offset_at(position.sent).saturating_add(slack_us)),
+        }
+    }
+
+    /// The clock is off, and behind.
+    fn is_behind(self) -> bool {
+        self.least_us > 0
+    }
+
+    /// The clock may be right.
+    fn allows_none(self) -> bool {
+        !self.is_behind() && self.most_us.is_none_or(|most| most >= 0)
+    }
+
+    /// Where both hold; none if they contradict each other.
+    fn intersection(self, other: Self) -> Option<Self> {
+        let least_us = self.least_us.max(other.least_us);
+        let most_us = match (self.most_us, other.most_us) {
+            (Some(one), Some(another)) => Some(one.min(another)),
+            (one, another) => one.or(another),
+        };
+        most_us.is_none_or(|most| least_us <= most).then_some(Self { least_us, most_us })
+    }
+
+    /// The offset to correct by: the greatest that answers allow, as by a clock that is behind replicas would seem fresher than
+    /// they are.
+    fn correction(self) -> ClockOffset {
+        let slack_us = micros(MAX_OFFSET);
+        let offset_us = match self.most_us {
+            Some(most) => most.saturating_sub(slack_us),
+            None => self.least_us.saturating_add(slack_us),
+        };
+        let span = Duration::from_micros(offset_us.unsigned_abs());
+        if offset_us > 0 {
+            ClockOffset::Behind(span)
+        } else {
+            ClockOffset::Ahead(span)
+        }
+    }
+}
+
+/// Answers that show that the clock is off.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    range: OffsetRange,
+    answers: u32,
+    /// Answers of primaries since the last of them that allow this and a right clock alike.
+    undecided: u32,
+}
+
+/// Compares a clock with the positions in answers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ClockCheck {
+    confirmed: bool,
+    suspicion: Option<Suspicion>,
+    /// Before this, replicas' positions say nothing of the clock.
+    replicas_ignored_until: Option<Instant>,
+}
+
+impl ClockCheck {
+    /// A primary's answer agrees with the clock, and no position since lies ahead of it.
+    pub fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// Takes a primary's answer without a position, received at this time: there is nothing to compare the clock with.
+    pub fn observe_unstamped(&mut self, received: Instant) {
+        self.take_undecided(received);
+        self.confirmed |= self.suspicion.is_none();
+    }
+
+    /// Takes a db host's position. Corrects the clock and says by how much, once several answers agree that it is off.
+    pub fn observe(&mut self, position: &TimedPosition, clock: &mut Clock) -> Option<ClockOffset> {
+        let range = OffsetRange::shown_by(position, clock);
+        let primary = position.role == Role::Primary;
+        if range.allows_none() {
+            self.take_agreement(range, position);
+            return None;
+        }
+        if !primary && Some(position.received) < self.replicas_ignored_until {
+            return None;
+        }
+        self.confirmed &= !range.is_behind();
+        let suspicion = self.suspect(range);
+        if suspicion.answers < AGREEING_ANSWERS {
+            return None;
+        }
+        self.suspicion = None;
+        self.confirmed = suspicion.range.most_us.is_some();
+        let offset = suspicion.range.correction();
+        clock.correct(offset);
+        Some(offset)
+    }
+
+    /// An answer that allows a clock that is right.
+    fn take_agreement(&mut self, range: OffsetRange, position: &TimedPosition) {
+        let contradicts = |suspicion: &Suspicion| suspicion.range.intersection(range).is_none();
+        let refuted = self.suspicion.as_ref().is_some_and(contradicts);
+        match (position.role, refuted) {
+            (Role::Primary, true) => self.drop_suspicion(position.received),
+            (Role::Primary, false) => self.take_undecided(position.received),
+            (Role::Replica, true) => self.suspicion = None,
+            (Role::Replica, false) => return,
+        }
+        self.confirmed |= position.role == Role::Primary && self.suspicion.is_none();
+    }
+
+    /// A primary's answer that neither supports nor refutes a suspicion. Several of them refute it.
+    fn take_undecided(&mut self, received: Instant) {
+        let Some(suspicion) = &mut self.suspicion else { return };
+        suspicion.undecided += 1;
+        if suspicion.undecided >= AGREEING_ANSWERS {
+            self.drop_suspicion(received);
+        }
+    }
+
+    /// Primaries have refuted a suspicion.
+    fn drop_suspicion(&mut self, received: Instant) {
+        let by_replicas = self.suspicion.take().is_some_and(|suspicion| suspicion.range.most_us.is_none());
+        if by_replicas {
+            self.replicas_ignored_until = received.checked_add(REFUTED_REPLICA_HOLDS);
+        }
+    }
+
+    /// An answer that shows that the clock is off.
+    fn suspect(&mut self, range: OffsetRange) -> Suspicion {
+        let agreed = self.suspicion.and_then(|before| {
+            let range = before.range.intersection(range)?;
+            Some(Suspicion { range, answers: before.answers + 1, undecided: 0 })
+        });
+        let suspicion = agreed.unwrap_or(Suspicion { range, answers: 1, undecided: 0 });
+        self.suspicion = Some(suspicion);
+        suspicion
+    }
+}
+
+fn micros(span: Duration) -> i64 {
+    i64::try_from(span.as_micros()).unwrap_or(i64::MAX)
+}
+
+#[cfg(test)]
+mod tests;
--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -7,7 +7,7 @@
 use yewroute_fleet::load::End;
 
 use super::{Answer, Attempt, AttemptId, Core, Effect, Ended, HostNote, Payload};
-use crate::clock::Clock;
+use crate::clock::{Clock, TimedPosition};
 use crate::proto::catalog::Members;
 
 impl<B: Payload> Core<B> {
@@ -38,7 +38,7 @@
             held.may_have_run |= !ended.status.never_ran();
             held.reached |= !matches!(ended.status, Status::ConnectFailed | Status::NotSent | Status::HeldUp);
         }
-        self.check_clock(now, &ended.note, effects);
+        self.check_clock(now, attempt.sent, (ended.status, &ended.note), effects);
         let outcome = Outcome { finished, ..self.outcome(now, id, &attempt, ended.status, ended.note) };
         let failed = outcome.status != Status::Good;
         self.route(now, Event::Outcome(outcome), effects);
@@ -59,13 +59,54 @@
         }
     }
 
-    /// Corrects the clock by what servers say. Those that the list has as started lately are cold by the corrected one.
-    fn check_clock(&mut self, now: Instant, note: &HostNote, effects: &mut Vec<Effect<B>>) {
-        let (Some(role), Some(unix_ms)) = (note.role, note.applied_ms) else { return };
-        let Some(offset) = self.clock_check.position(now, role, unix_ms, &mut self.clock) else { return };
-        warn!(?offset, "wall clock is off: corrected by the positions of db hosts");
-        for (server, started) in self.directory.restarted(now, &self.clock) {
-            self.route(now, Event::Restarted { server, started }, effects);
+    /// Compares the clock with the position in an answer to a request that was sent at `sent`.
+    fn check_clock(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        (status, note): (Status, &HostNote),
+        effects: &mut Vec<Effect<B>>,
+    ) {
+        // A full queue answers without a look at anything.
+        let (Some(role), false) = (note.role, status == Status::Full) else { return };
+        match note.applied_ms {
+            Some(unix_ms) => {
+                let position = TimedPosition { role, unix_ms, sent, received: note.read_by(now) };
+                self.compare_clock(now, &position, effects);
+            }
+            None if role == Role::Primary => {
+                self.clock_check.observe_unstamped(note.read_by(now));
+                self.tell_clock_confirmed(now, effects);
+            }
+            None => {}
+        }
+    }
+
+    /// The same with a load report. It may be some moments old, so it says no more than a replica's position.
+    fn check_clock_by_report(&mut self, now: Instant, note: &HostNote, effects: &mut Vec<Effect<B>>) {
+        let Some(seconds) = note.report_position else { return };
+        let Ok(told) = Duration::try_from_secs_f64(seconds) else { return };
+        let unix_ms = u64::try_from(told.as_millis()).unwrap_or(u64::MAX);
+        let position = TimedPosition { role: Role::Replica, unix_ms, sent: now, received: note.read_by(now) };
+        self.compare_clock(now, &position, effects);
+    }
+
+    /// Compares the clock with a position. Once it is corrected, the module dates by the corrected one what it was told by the other.
+    fn compare_clock(&mut self, now: Instant, position: &TimedPosition, effects: &mut Vec<Effect<B>>) {
+        if let Some(offset) = self.clock_check.observe(position, &mut self.clock) {
+            warn!(?offset, "wall clock is off: corrected by the positions of db hosts");
+            self.route(now, Event::ClockCorrected(offset), effects);
+            for (server, started) in self.directory.restarted(now, &self.clock) {
+                self.route(now, Event::Restarted { server, started }, effects);
+            }
+        }
+        self.tell_clock_confirmed(now, effects);
+    }
+
+    fn tell_clock_confirmed(&mut self, now: Instant, effects: &mut Vec<Effect<B>>) {
+        let confirmed = self.clock_check.is_confirmed();
+        if std::mem::replace(&mut self.clock_confirmed, confirmed) != confirmed {
+            self.route(now, Event::ClockConfirmed(confirmed), effects);
         }
     }
 
@@ -107,7 +148,7 @@
             finished: true,
             note: Note {
                 role: note.role,
-                position: note.applied_ms.and_then(|ms| self.clock.applied(now, ms)),
+                position: note.applied_ms.and_then(|ms| self.clock.applied(note.read_by(now), ms)),
             },
             report: report(now, &note, &self.clock),
         }
@@ -123,6 +164,7 @@
         let host = self.directory.member(server).map(|listed| (listed.name, listed.group));
         self.book_load(now, host, None, &ended.note, false);
         self.prove_by_probe(now, server, ended.status);
+        self.check_clock_by_report(now, &ended.note, effects);
         let event =
             Event::Probed { server, status: ended.status, report: report(now, &ended.note, &self.clock) };
         self.route(now, event, effects);
@@ -140,5 +182,6 @@
 }
 
 fn report(now: Instant, note: &HostNote, clock: &Clock) -> Report {
-    Report { role: note.report_role, position: note.report_position.and_then(|at| clock.reported(now, at)) }
+    let position = note.report_position.and_then(|at| clock.reported(note.read_by(now), at));
+    Report { role: note.report_role, position }
 }
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -143,6 +143,15 @@
     pub report_position: Option<f64>,
     /// The load report's role.
     pub report_role: Option<Role>,
+    /// When all of this had been read, if that was later than the turn of the event loop began.
+    pub received: Option<Instant>,
+}
+
+impl HostNote {
+    /// When it had been read, in a turn that began at `now`.
+    fn read_by(&self, now: Instant) -> Instant {
+        self.received.map_or(now, |received| received.max(now))
+    }
 }
 
 /// How an attempt or a probe ended.
@@ -320,6 +329,8 @@
 pub struct Core<B> {
     clock: Clock,
     clock_check: ClockCheck,
+    /// What the module was told of it last.
+    clock_confirmed: bool,
     deployment: Deployment,
     router: Router,
     directory: Directory,
@@ -377,6 +388,7 @@
         let mut core = Self {
             clock,
             clock_check: ClockCheck::default(),
+            clock_confirmed: false,
             deployment,
             router,
             directory: Directory::default(),
@@ -409,6 +421,7 @@
             core.near = near.first.then(|| core.directory.stand(&near.zone));
         }
         core.begin(now, known.members, effects);
+        core.route(now, Event::ClockConfirmed(false), effects);
         Ok(core)
     }
 
--- a/gateway/src/net/hosts/connection.rs
+++ b/gateway/src/net/hosts/connection.rs
@@ -155,7 +155,8 @@
     }
 }
 
-/// An answer as the core has it.
+/// An answer as the core has it, which has just been read. Guards against: a position that seems to lie ahead of the clock, as this
+/// process was held up between the begin of the turn and the reading.
 pub(super) fn ended(id: JobId, reply: Reply) -> Ended {
     let status = match reply.verdict {
         // The statement's own fault is an answer as well: every db host would give it.
@@ -183,6 +184,7 @@
         applied_ms: reply.applied_ms,
         report_position: load.x0,
         report_role: load.x1.map(role),
+        received: Some(Instant::now()),
     };
     Ended { status, served: if probe { Vec::new() } else { reply.messages }, note }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -405,6 +405,15 @@
     pub report: Report,
 }
 
+/// By how much a clock was off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClockOffset {
+    /// It was behind: what it dated was earlier.
+    Behind(Duration),
+    /// It was ahead: what it dated was later.
+    Ahead(Duration),
+}
+
 /// What other gateways have proven of a server: that it does not serve what it is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Verdict {
@@ -463,6 +472,11 @@
         /// When.
         started: Instant,
     },
+    /// Whether the gateway's clock, by which it maps positions to times, agrees with a primary's. While it does not, positions of
+    /// replicas prove nothing, unless servers check reads for themselves. Without this event it does.
+    ClockConfirmed(bool),
+    /// That clock has been corrected, and all times that come from now on are by the corrected one.
+    ClockCorrected(ClockOffset),
     /// Other gateways judge a server; the newest word counts.
     Verdict {
         /// Which server.
--- a/src/measured.rs
+++ b/src/measured.rs
@@ -192,6 +192,11 @@
         session.and_then(|key| self.latest.get(&key).copied()).max(self.forgotten)
     }
 
+    /// Moves all commits, as the clock that dated them was off.
+    pub fn redate(&mut self, redated: impl Fn(Instant) -> Instant) {
+        self.latest.values_mut().chain(&mut self.forgotten).for_each(|commit| *commit = redated(*commit));
+    }
+
     /// Whether another process writes for the same sessions. When it ceases to, what it wrote up to then may matter still.
     pub fn set_incomplete(&mut self, now: Instant, incomplete: bool) {
         if self.incomplete && !incomplete {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 //! Everything else here is an exception, and its comment states the condition under which it acts.
 
 mod blame;
+mod clock;
 mod list;
 mod list_lease;
 mod pick;
@@ -149,6 +150,8 @@
     /// None where nothing is observed of discovery.
     list_lease: Option<ListLease>,
     refused_without_list: u64,
+    /// The gateway's clock has not been found to agree with a primary's.
+    clock_unconfirmed: bool,
 }
 
 impl Router {
@@ -172,6 +175,7 @@
             doubt: Doubt::default(),
             list_lease: None,
             refused_without_list: 0,
+            clock_unconfirmed: false,
             settings,
         })
     }
@@ -197,6 +201,8 @@
             Event::OtherProcessWrites(writes) => self.commits.set_incomplete(now, writes),
             Event::Barred(id) => self.finish(now, id, UnservedReason::Barred, out),
             Event::Timer(_) | Event::Started { .. } => {}
+            Event::ClockConfirmed(confirmed) => self.on_clock_confirmed(now, confirmed, out),
+            Event::ClockCorrected(offset) => self.on_clock_corrected(now, offset),
             Event::Verdict { server, verdict } => self.on_verdict(now, server, verdict, out),
             Event::Primary { server, seen } => self.on_primary(server, seen),
             Event::Probed { server, status, report } => self.on_probed(now, server, status, report, out),
--- a/src/policy/pick.rs
+++ b/src/policy/pick.rs
@@ -134,7 +134,7 @@
         let write = self.settings.classes[p.request.class].freshness == Freshness::Write;
         let primary = self.groups[&p.request.group].primary == Some(id);
         let checked = self.checked() && p.request.sees.is_none();
-        write || primary || checked || self.servers[&id].reaches(self.floor(now, p), now, false)
+        write || primary || checked || self.reaches(id, self.floor(now, p), now, false)
     }
 
     /// Servers turn away at once what they must not answer, and say where they stand: the request itself is
@@ -160,7 +160,7 @@
             if !server.answers(now) || group.primary == Some(*member) || passed {
                 continue;
             }
-            if !server.reaches(floor, now, checked) {
+            if !self.reaches(*member, floor, now, checked) {
                 // One that has just turned a read away is not asked again at once by the next.
                 let advanced = server.position.filter(|p| ahead.is_none_or(|(position, _)| *p > position));
                 if let (true, Some(position)) = (server.blame.get(now) == 0.0, advanced) {
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -41,16 +41,19 @@
     pub(super) fn asks_for_news(&mut self, now: Instant, id: RequestId, out: Out) -> bool {
         let p = &self.requests[&id];
         let floor = self.floor(now, p);
-        if !self.settings.limits.probes || self.checked() || floor.is_none() || p.sends > 0 {
+        let of_use = self.settings.limits.probes && !self.checked() && !self.clock_unconfirmed;
+        if !of_use || floor.is_none() || p.sends > 0 {
             return false;
         }
         let group = &self.groups[&p.request.group];
         let answers = |m: &&ServerId| group.primary != Some(**m) && self.servers[m].answers(now);
         let mut asked: Vec<ServerId> = group.members.iter().filter(answers).copied().collect();
-        let served = asked.iter().any(|m| self.servers[m].reaches(floor, now, false));
+        let served = asked.iter().any(|m| self.reaches(*m, floor, now, false));
         // Nobody is asked twice within a moment.
-        let old = |s: &Server| since(now, s.position_at) >= REFRESH && !s.reaches(floor, now, false);
-        asked.retain(|m| old(&self.servers[m]));
+        let old = |m: &ServerId| {
+            since(now, self.servers[m].position_at) >= REFRESH && !self.reaches(*m, floor, now, false)
+        };
+        asked.retain(old);
         self.rng.shuffle(&mut asked);
         if served {
             // Others serve it; one that was left out is asked how far it has come.
--- /dev/null
+++ b/tests/clock.rs
@@ -0,0 +1,63 @@
+//! What the router makes of a clock that is not confirmed, or that is corrected.
+
+mod common;
+
+use common::*;
+use yewroute::interface::*;
+
+// Guards against: a read of old data at a replica that seems fresh by a clock that is behind.
+#[test]
+fn no_read_relies_on_a_replica_s_position_before_the_clock_is_confirmed() {
+    let mut g = Gateway::start(settings(), 1);
+    g.position(1, Role::Replica, g.now);
+    g.play(Event::ClockConfirmed(false));
+    assert_eq!(sends(&g.request(BOUNDED).1)[0].1, 0, "at once, as no replica's word would help");
+    assert_eq!(sends(&g.request_with(SESSION, |r| r.last_write_age = Some(ms(40))).1)[0].1, 0);
+    assert_eq!(sends(&g.request(ANY).1)[0].1, 1, "it needs no position");
+    g.play(Event::ClockConfirmed(true));
+    assert_eq!(sends(&g.request(BOUNDED).1)[0].1, 1);
+}
+
+#[test]
+fn a_read_that_waits_for_a_primary_goes_to_a_fresh_replica_once_the_clock_is_confirmed() {
+    let mut g = Gateway::holding(settings(), 7, vec![entry(1, false)]);
+    g.position(1, Role::Replica, g.now);
+    g.play(Event::ClockConfirmed(false));
+    let (id, out) = g.request(BOUNDED);
+    assert_eq!(sends(&out), []);
+    assert_eq!(sends(&g.play(Event::ClockConfirmed(true))), [(id, 1)]);
+}
+
+// Guards against: positions that were dated by a clock which was behind and stay the greatest known.
+#[test]
+fn a_position_dated_by_a_clock_that_was_behind_is_taken_back() {
+    let mut g = Gateway::start(settings(), 1);
+    g.position(1, Role::Replica, g.now);
+    g.play(Event::ClockCorrected(ClockOffset::Behind(ms(1_500))));
+    assert_eq!(sends(&g.decided(BOUNDED, |_| {}).1)[0].1, 0, "1.5 s behind, bound 1 s");
+    g.position(1, Role::Replica, g.now - ms(900));
+    assert_eq!(sends(&g.decided(BOUNDED, |_| {}).1)[0].1, 1, "told by the corrected clock");
+}
+
+#[test]
+fn a_position_dated_by_a_clock_that_was_ahead_gets_no_newer() {
+    let mut g = Gateway::start(settings(), 1);
+    g.position(1, Role::Replica, g.now - ms(1_100));
+    g.play(Event::ClockCorrected(ClockOffset::Ahead(ms(1_500))));
+    assert_eq!(sends(&g.decided(BOUNDED, |_| {}).1)[0].1, 0, "the clock may have been stepped since");
+}
+
+// Guards against: a session's read from before its write, whose commit was dated by a clock that was ahead.
+#[test]
+fn a_commit_dated_by_a_clock_that_was_ahead_is_looked_for_as_late_as_it_may_have_been() {
+    let mut g = Gateway::start(Settings { tokens: Tokens::Remembered, ..settings() }, 1);
+    let key = Some(SessionKey(9));
+    let (id, _) = g.request_with(WRITE, |r| r.session = key);
+    let commit = g.now - ms(1_500);
+    g.answer(id, 0, 0, Status::Good, note(Role::Primary, commit));
+    g.play(Event::ClockCorrected(ClockOffset::Ahead(ms(1_500))));
+    g.position(1, Role::Replica, g.now - ms(1));
+    assert_eq!(sends(&g.decided(SESSION, |r| r.session = key).1)[0].1, 0);
+    g.position(1, Role::Replica, g.now);
+    assert_eq!(sends(&g.decided(SESSION, |r| r.session = key).1)[0].1, 1);
+}
