Do not take a late answer of a replaced primary for its word of now

What callers could see: an answer in which a db host calls itself the primary, given before it was replaced and held back by a cut, made it the primary again when it came, after it had said that it is a replica or another had become the primary. Writes went there and missed, and reads whose bound a primary always meets were served by a replica that was behind.

Cause: `Router::learn` counted the role in an answer as known at the moment when the answer came.

Change: a claim to be the primary that speaks against what is known counts if its position is greater, as a primary's is the present, or if it was asked for since. Whether the word "replica" is old cannot be told, so it counts as before.

Tests in tests/rules.rs, with what the module did before: ..._does_not_make_a_replica_the_primary_again, ..._does_not_take_the_place_of_the_new_primary and ..._is_known_by_what_was_asked_since fail; all pass since. ..._is_known_by_the_position_in_its_first_answer passes on both: a new primary is known as soon.

--- a/src/policy/blame.rs
+++ b/src/policy/blame.rs
@@ -1,5 +1,6 @@
 //! What came of attempts, and what it says of their servers.
 
+use super::list::Source;
 use super::*;
 
 /// What a server's failures weigh.
@@ -53,8 +54,9 @@
         }
         // A full queue answers without a look: it may belong to a primary that hangs and has been replaced.
         let role = o.note.role.filter(|role| o.status != Status::Full || *role == Role::Replica);
-        self.learn(now, o.server, Note { role, ..o.note }, false);
-        self.learn(now, o.server, Note { role: None, position: o.report.position }, false);
+        let source = Source::Answer { sent: attempt.as_ref().map(|attempt| attempt.sent) };
+        self.learn(now, o.server, Note { role, ..o.note }, source);
+        self.learn(now, o.server, Note { role: None, position: o.report.position }, source);
         if let Some(attempt) = attempt.as_ref().filter(|_| o.status == Status::Good) {
             self.remember_commit(attempt, o.note.position);
         }
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -2,6 +2,15 @@
 
 use super::*;
 
+/// Where a server's word on itself comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    /// An answer to what was sent at this time; none if it is not known any more.
+    Answer { sent: Option<Instant> },
+    /// A load report, which is some moments old.
+    Report,
+}
+
 impl Router {
     pub(super) fn on_list(&mut self, now: Instant, kind: ListKind, entries: &[Entry], out: Out) {
         if kind == ListKind::Broken {
@@ -92,15 +101,21 @@
         }
     }
 
-    pub(super) fn learn(&mut self, now: Instant, id: ServerId, note: Note, from_report: bool) {
+    /// Takes what a server says of itself.
+    pub(super) fn learn(&mut self, now: Instant, id: ServerId, note: Note, source: Source) {
+        let outdated = self.may_be_outdated(id, note, source);
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.position = server.position.max(note.position);
         server.position_at = note.position.map_or(server.position_at, |_| Some(now));
+        if outdated {
+            return;
+        }
         // Guards against: writes going back at once to one that turns them away and calls itself primary.
         let denied = since(now, server.denied_at) < REPLICA_HOLDS && note.role != Some(Role::Replica);
         server.denied_at = server.denied_at.filter(|_| denied || note.role.is_none());
         let Some(role) = (if denied { Some(Role::Replica) } else { note.role }) else { return };
         // Believe the freshest evidence: a report is some moments old, an answer is not.
+        let from_report = source == Source::Report;
         if from_report && since(now, server.role_at) < REPORT_AGE && server.role.is_some_and(|r| r != role) {
             return;
         }
@@ -112,6 +127,26 @@
         }
     }
 
+    /// Whether an answer in which a server calls itself the primary may be older than another that is known:
+    /// in which it called itself a replica, or another server itself the primary. A primary's position is the
+    /// present, so the greater one is the newer; else the answer counts if it was asked for since.
+    ///
+    /// Guards against: answers that were held back for seconds, by which a primary that has been replaced
+    /// gets writes, and bounded reads though it is behind. Hurts where positions are not told: the primary is
+    /// known one answer later.
+    fn may_be_outdated(&self, id: ServerId, note: Note, source: Source) -> bool {
+        let (Source::Answer { sent }, Some(Role::Primary)) = (source, note.role) else { return false };
+        let Some(server) = self.servers.get(&id) else { return false };
+        let primary = self.groups.get(&server.group).and_then(|group| group.primary);
+        let other = primary.filter(|primary| *primary != id).map(|primary| &self.servers[&primary]);
+        let denies = Some(server).filter(|server| server.role == Some(Role::Replica));
+        [denies, other].into_iter().flatten().any(|known| {
+            let newer = note.position.is_some() && known.position.is_some() && note.position > known.position;
+            let asked_since = sent.is_some() && sent >= known.role_at;
+            known.role_at.is_some() && !newer && !asked_since
+        })
+    }
+
     /// The word of others on who is the primary counts less than an answer of the same age.
     pub(super) fn on_primary(&mut self, id: ServerId, seen: Instant) {
         let Some(group) = self.servers.get(&id).and_then(|s| self.groups.get_mut(&s.group)) else { return };
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -1,5 +1,6 @@
 //! Asking servers how they are.
 
+use super::list::Source;
 use super::*;
 
 /// How many replicas a read without a known eligible one has probed, and how long it waits for their word.
@@ -22,7 +23,7 @@
                 server.rise(now, &self.settings);
             }
             let group = server.group;
-            self.learn(now, id, Note { role: report.role, position: report.position }, true);
+            self.learn(now, id, Note { role: report.role, position: report.position }, Source::Report);
             self.retry_waiting(now, group, LOOK_AHEAD, out);
         } else if refused && server.broken <= BROKEN {
             // Guards against: taking a server that answers for dead, and for cold once it is back, because a
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Instant;
+
 use common::*;
 use yewroute::interface::*;
 
@@ -241,3 +243,79 @@
     let (id, out) = g.request(WRITE);
     assert_eq!(sends(&out), [(id, 0)]);
 }
+
+/// A router that has a write out at server 0, which was the primary then and has since said that it is a replica, and another
+/// at server 1, its second attempt.
+struct Replaced {
+    g: Gateway,
+    held_back: RequestId,
+    /// When it was sent.
+    sent: Instant,
+    missed: RequestId,
+}
+
+fn with_a_replaced_primary(stamped: bool) -> Replaced {
+    let mut g = Gateway::start(settings(), 1);
+    let (held_back, out) = g.request(ONCE);
+    assert_eq!(sends(&out), [(held_back, 0)]);
+    let (missed, out) = g.request(ONCE);
+    assert_eq!(sends(&out), [(missed, 0)]);
+    let sent = g.now;
+    g.now += ms(500);
+    let replica = Note { role: Some(Role::Replica), position: stamped.then_some(sent + ms(400)) };
+    assert_eq!(sends(&g.answer(missed, 0, 0, Status::Miss, replica)), [(missed, 1)]);
+    Replaced { g, held_back, sent, missed }
+}
+
+// Guards against: reads at a replica that is behind, by an answer from when it was the primary, which was held back.
+#[test]
+fn an_answer_that_was_held_back_does_not_make_a_replica_the_primary_again() {
+    for stamped in [true, false] {
+        let Replaced { mut g, held_back, sent, .. } = with_a_replaced_primary(stamped);
+        g.now += ms(1_100);
+        let late = Note { role: Some(Role::Primary), position: stamped.then_some(sent + ms(20)) };
+        g.answer(held_back, 0, 0, Status::Good, late);
+        for class in [FRESH, BOUNDED] {
+            let (id, out) = g.decided(class, |_| {});
+            assert!(!sends(&out).contains(&(id, 0)), "stamped: {stamped}, {class}: {out:?}");
+        }
+    }
+}
+
+// Guards against: writes at a primary that has been replaced, by an answer from when it was one, which was held back.
+#[test]
+fn an_answer_that_was_held_back_does_not_take_the_place_of_the_new_primary() {
+    for stamped in [true, false] {
+        let Replaced { mut g, held_back, sent, missed } = with_a_replaced_primary(stamped);
+        g.now += ms(100);
+        let leads = Note { role: Some(Role::Primary), position: stamped.then_some(g.now) };
+        g.answer(missed, 1, 1, Status::Good, leads);
+        let late = Note { role: Some(Role::Primary), position: stamped.then_some(sent + ms(20)) };
+        g.answer(held_back, 0, 0, Status::Good, late);
+        assert_eq!(sends(&g.request(WRITE).1)[0].1, 1, "stamped: {stamped}");
+    }
+}
+
+#[test]
+fn a_replica_that_becomes_the_primary_is_known_by_the_position_in_its_first_answer() {
+    let Replaced { mut g, held_back, sent, .. } = with_a_replaced_primary(true);
+    g.now += ms(100);
+    g.answer(held_back, 0, 0, Status::Good, note(Role::Primary, sent + ms(550)));
+    assert_eq!(sends(&g.request(WRITE).1)[0].1, 0, "it has come further than as a replica");
+}
+
+#[test]
+fn a_replica_that_becomes_the_primary_and_tells_no_position_is_known_by_what_was_asked_since() {
+    let Replaced { mut g, held_back, missed, .. } = with_a_replaced_primary(false);
+    let leads = Note { role: Some(Role::Primary), position: None };
+    let replica = Note { role: Some(Role::Replica), position: None };
+    g.answer(missed, 1, 1, Status::Miss, replica);
+    g.now += ms(300);
+    let (asked, out) = g.request(ANY);
+    let [(_, leader)] = sends(&out)[..] else { panic!("{out:?}") };
+    g.now += ms(20);
+    g.answer(asked, 0, leader, Status::Good, leads);
+    assert_eq!(sends(&g.request(WRITE).1)[0].1, leader);
+    g.answer(held_back, 0, 0, Status::Good, leads);
+    assert_eq!(sends(&g.request(WRITE).1)[0].1, leader, "what was sent before says nothing");
+}
