A corrected clock makes a server that was listed by a clock that was behind warm again

What callers could see: with a clock that was an hour behind when the list came, each server whose last start lay within that hour counted as just started, and stayed so after the correction: it got next to no reads for the settings' whole cold time, and its peers got them instead.

Cause: the start that the list tells and the moment at which a server was back from silence were kept as one time, which a correction could only raise.

Change: both are kept; a correction replaces the start of the list, and the later of the two counts.

--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -89,7 +89,7 @@
         }
         server.gone = entry.phase == Phase::Gone && !server.usable;
         server.stand = entry.stand;
-        server.chill(entry.started, &self.settings);
+        server.take_start(entry.started, &self.settings);
         let group = self.groups.entry(entry.group).or_default();
         group.members.extend(fresh.then_some(entry.server));
         // The list's word on roles is the weakest evidence: it counts until anything else has spoken.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -90,6 +90,9 @@
     usable: bool,
     /// Removed from the list: dropped once nothing is out there.
     gone: bool,
+    /// When it started as far as the list says, and when it was back from silence; it is cold from the later.
+    listed_start: Option<Instant>,
+    risen_at: Option<Instant>,
     cold_from: Option<Instant>,
     warm_at: Option<Instant>,
     weight: f64,
@@ -196,7 +199,7 @@
             Event::Timer(ASK) => out.push(Action::Subscribe),
             Event::Restarted { server, started } => {
                 let settings = &self.settings;
-                self.servers.entry(server).and_modify(|s| s.chill(Some(started), settings));
+                self.servers.entry(server).and_modify(|s| s.redate_start(started, settings));
             }
             Event::OtherProcessWrites(writes) => self.commits.set_incomplete(now, writes),
             Event::Barred(id) => self.finish(now, id, UnservedReason::Barred, out),
--- a/src/policy/warmth.rs
+++ b/src/policy/warmth.rs
@@ -48,14 +48,28 @@
 }
 
 impl Server {
-    pub(super) fn chill(&mut self, since: Option<Instant>, settings: &Settings) {
-        self.cold_from = self.cold_from.max(since);
+    /// The list says that it started then. Guards against: an older list that makes it warmer.
+    pub(super) fn take_start(&mut self, started: Option<Instant>, settings: &Settings) {
+        self.listed_start = self.listed_start.max(started);
+        self.chill(settings);
+    }
+
+    /// What the list said stands for this time by a clock that has been corrected. Guards against: a server that
+    /// stays cold, as a clock that was behind had it start when its list came.
+    pub(super) fn redate_start(&mut self, started: Instant, settings: &Settings) {
+        self.listed_start = Some(started);
+        self.chill(settings);
+    }
+
+    fn chill(&mut self, settings: &Settings) {
+        self.cold_from = self.listed_start.max(self.risen_at);
         self.warm_at = self.cold_from.and_then(|from| from.checked_add(settings.rules.cold));
     }
 
     /// Back after silence to a probe too. It may have restarted, so it is cold, whatever the list says yet.
     pub(super) fn rise(&mut self, now: Instant, settings: &Settings) {
         (self.down, self.retry_at, self.overdue_at) = (false, None, None);
-        self.chill(Some(now), settings);
+        self.risen_at = Some(now);
+        self.chill(settings);
     }
 }
--- a/tests/clock.rs
+++ b/tests/clock.rs
@@ -61,3 +61,26 @@
     g.position(1, Role::Replica, g.now);
     assert_eq!(sends(&g.decided(SESSION, |r| r.session = key).1)[0].1, 1);
 }
+
+/// How many of six reads go to a server.
+fn reads_at(g: &mut Gateway, server: u32) -> usize {
+    (0..6).flat_map(|_| sends(&g.request(ANY).1)).filter(|(_, to)| *to == server).count()
+}
+
+// Guards against: a server that is left out for long, as a clock that was behind had it start when its list came.
+#[test]
+fn a_server_is_no_colder_than_the_corrected_clock_has_it() {
+    let listed = |g: &Gateway| {
+        vec![entry(0, true), Entry { started: Some(g.now), ..entry(1, false) }, entry(2, false)]
+    };
+    let mut g = Gateway::start(settings(), 2);
+    let entries = listed(&g);
+    g.play(Event::List { kind: ListKind::Whole, entries });
+    assert!(reads_at(&mut g, 1) <= 1, "it has just started, by the clock that is off");
+    let mut g = Gateway::start(settings(), 2);
+    let entries = listed(&g);
+    g.play(Event::List { kind: ListKind::Whole, entries });
+    g.play(Event::ClockCorrected(ClockOffset::Behind(ms(60_000))));
+    g.play(Event::Restarted { server: ServerId(1), started: g.now - ms(60_000) });
+    assert_eq!(reads_at(&mut g, 1), 3, "as many as its peer");
+}
