--- a/src/policy/warmth.rs
+++ b/src/policy/warmth.rs
@@ -54,8 +54,8 @@
         self.chill(settings);
     }
 
-    /// What the list said stands for this time by a clock that has been corrected. Guards against: a server that
-    /// stays cold, as a clock that was behind had it start when its list came.
+    /// What the list said stands for this time by a clock that has been corrected. Guards against: a server
+    /// that stays cold, as a clock that was behind had it start when its list came.
     pub(super) fn redate_start(&mut self, started: Instant, settings: &Settings) {
         self.listed_start = Some(started);
         self.chill(settings);
