Remember a session's commit whose answer tells no position that can be used

Cause: `remember_commit` passed over a served write without a position.

Change: such a commit is remembered as of its answer, by which it is over.

Test: a_commit_without_a_position_is_remembered_as_of_its_answer, read at the replica before, at the primary since.

--- a/src/policy/blame.rs
+++ b/src/policy/blame.rs
@@ -58,7 +58,7 @@
         self.learn(now, o.server, Note { role, ..o.note }, source);
         self.learn(now, o.server, Note { role: None, position: o.report.position }, source);
         if let Some(attempt) = attempt.as_ref().filter(|_| o.status == Status::Good) {
-            self.remember_commit(attempt, o.note.position);
+            self.remember_commit(now, attempt, o.note.position);
         }
         if let Some(p) = self.requests.get_mut(&o.request) {
             let write = self.settings.classes[p.request.class].freshness == Freshness::Write;
@@ -100,17 +100,18 @@
         }
     }
 
-    /// Remembers what a session has written, where this router is to.
+    /// Remembers what a session has written, where this router is to. A commit whose position is not known is
+    /// over by now.
     ///
     /// Guards against: a session's read served from before its write, as the writer's client had left
-    /// before the answer came.
-    fn remember_commit(&mut self, attempt: &Attempt, position: Option<Instant>) {
+    /// before the answer came, or as the answer told no position that could be used.
+    fn remember_commit(&mut self, now: Instant, attempt: &Attempt, position: Option<Instant>) {
         let write = self.settings.classes[attempt.class].freshness == Freshness::Write;
         if !write || self.settings.tokens != Tokens::Remembered {
             return;
         }
-        if let (Some(session), Some(position)) = (attempt.session, position) {
-            self.commits.learn(session, position);
+        if let Some(session) = attempt.session {
+            self.commits.learn(session, position.unwrap_or(now));
         }
     }
 
--- a/tests/ordinary_path.rs
+++ b/tests/ordinary_path.rs
@@ -109,6 +109,19 @@
     assert_eq!(sends(&g.request_with(SESSION, |r| r.session = key).1)[0].1, 1);
 }
 
+// Guards against: a session's read served from before its write, whose answer told no position that could be used.
+#[test]
+fn a_commit_without_a_position_is_remembered_as_of_its_answer() {
+    let mut g = Gateway::start(Settings { tokens: Tokens::Remembered, ..settings() }, 1);
+    let key = Some(SessionKey(9));
+    let (id, _) = g.request_with(WRITE, |r| r.session = key);
+    g.outcome(id, 0, 0, Status::Good);
+    g.position(1, Role::Replica, g.now - ms(1));
+    assert_eq!(sends(&g.decided(SESSION, |r| r.session = key).1)[0].1, 0);
+    g.position(1, Role::Replica, g.now);
+    assert_eq!(sends(&g.request_with(SESSION, |r| r.session = key).1)[0].1, 1);
+}
+
 // Guards against: a session's read served from before its write, as the writer's client had left before the answer came.
 #[test]
 fn a_commit_is_remembered_that_comes_after_the_writer_s_client_has_left() {
