Keep role and position of an answer whose load report cannot be read

Cause: `Gather::finish` threw role and position away together with the report, and with them the commit.

Change: a report that cannot be read, or a second one that differs, is dropped alone. A role or position that cannot be read takes the other and the report with it, as before.

--- a/crates/pgwire/src/backend.rs
+++ b/crates/pgwire/src/backend.rs
@@ -198,8 +198,9 @@
     stage: Stage,
     script: Script,
     failed: Option<Verdict>,
-    /// Something that it says of itself cannot be read.
+    /// Its role or position cannot be read; and the same of its load report.
     unreadable: bool,
+    unreadable_load: bool,
     bytes: usize,
 }
 
@@ -437,20 +438,22 @@
     fn parameter(&mut self, body: &[u8]) -> Option<()> {
         let (name, value) = parameter(body)?;
         let value = std::str::from_utf8(value).ok();
-        let readable = match name {
+        match name {
             b"role" => {
                 let role = match value {
                     Some("primary") => Some(Role::Primary),
                     Some("replica") => Some(Role::Replica),
                     _ => None,
                 };
-                set(&mut self.reply.role, role)
+                self.unreadable |= !set(&mut self.reply.role, role);
             }
-            b"applied_ms" => set(&mut self.reply.applied_ms, value.and_then(|text| text.parse().ok())),
-            b"load" => set(&mut self.reply.load, value.map(str::to_owned)),
-            _ => true,
-        };
-        self.unreadable |= !readable;
+            b"applied_ms" => {
+                let position = value.and_then(|text| text.parse().ok());
+                self.unreadable |= !set(&mut self.reply.applied_ms, position);
+            }
+            b"load" => self.unreadable_load |= !set(&mut self.reply.load, value.map(str::to_owned)),
+            _ => {}
+        }
         Some(())
     }
 
@@ -463,7 +466,10 @@
             reply.value_at = 0..0;
         }
         if self.unreadable {
-            (reply.role, reply.applied_ms, reply.load) = (None, None, None);
+            (reply.role, reply.applied_ms) = (None, None);
+        }
+        if self.unreadable || self.unreadable_load {
+            reply.load = None;
         }
         *self = Self { stage: Stage::Description, ..Self::default() };
         reply
