Keep an idle connection whose last answer was a long value

What callers saw: nothing; operators saw "spoilt answer from a db host" why="a value that stopped" 5 s after a value above 64 KiB, and the connection was closed.

Test: an_idle_connection_that_has_passed_a_long_value_on_stays_open, 0 connections left before, 1 since.

--- a/gateway/src/net/hosts.rs
+++ b/gateway/src/net/hosts.rs
@@ -395,8 +395,10 @@
     /// Closes connections that have been idle for long, before the db host does, and those to db hosts that
     /// are to get nothing more.
     fn sweep(&mut self, a: &mut HostsContext) {
-        let stopped =
-            |conn: &HostConnection| conn.passing && !conn.paused && a.now - conn.moved >= VALUE_STALL_TIMEOUT;
+        let stopped = |conn: &HostConnection| {
+            let under_way = matches!(conn.state, State::Busy(_)) && conn.passing;
+            under_way && !conn.paused && a.now - conn.moved >= VALUE_STALL_TIMEOUT
+        };
         let stopped = self.conns.iter().filter(|(_, conn)| stopped(conn)).map(|(number, _)| *number);
         for number in stopped.collect::<Vec<_>>() {
             self.malformed(number, "a value that stopped", a);
--- a/gateway/src/net/hosts/tests.rs
+++ b/gateway/src/net/hosts/tests.rs
@@ -153,6 +153,22 @@
         }
     }
 
+    /// Takes in what has come, until nothing more does for a moment.
+    fn wake_until_quiet(&mut self) {
+        let mut ready = Vec::new();
+        loop {
+            let now = Instant::now();
+            self.poller.wait(now, Some(now + Duration::from_millis(50)), &mut ready).unwrap();
+            if ready.is_empty() {
+                return;
+            }
+            for event in ready.drain(..) {
+                let Token::Host(number) = event.token else { continue };
+                self.with(|hosts, around| hosts.ready(number, event, around));
+            }
+        }
+    }
+
     /// The next connection, up to its startup message.
     fn accept(&mut self) -> TcpStream {
         let start = Instant::now();
@@ -423,6 +439,26 @@
     ]
 }
 
+// Guards against: a connection that is closed as one whose value has stopped, though the value was passed on whole.
+#[test]
+fn an_idle_connection_that_has_passed_a_long_value_on_stays_open() {
+    const LONG: usize = 100 * 1024;
+    let mut bench = Bench::new(Dialect::Simple);
+    let attempt = bench.ask(insert("long"), WAIT);
+    let mut peer = welcomed(&mut bench);
+    let mut answer = served_value("primary", &vec![b'x'; LONG]);
+    let rest = answer.split_off(answer.len() / 2);
+    for part in [answer, rest] {
+        peer.write_all(&part).unwrap();
+        bench.wake_until_quiet();
+    }
+    assert!(bench.inbox.iter().any(|input| matches!(input, Input::Began(..))), "it is passed on as it comes");
+    assert_eq!(bench.ended(), [(attempt, Status::Good)]);
+    bench.now += 2 * VALUE_STALL_TIMEOUT;
+    bench.with(Hosts::tick);
+    assert_eq!(bench.hosts.len(), 1);
+}
+
 /// How many separators come before the first exchanges on a connection.
 const SEPARATORS: [usize; 4] = [0, 1, 2, 1];
 
