Do not tell other gateways of a primary by an answer that was held back

What operators could see: GET /fleet named a db host as a group's primary, proven just now, by an answer from before it was replaced, which a cut had held back. No request is sent by this row.

Cause: the row took the latest answer for the latest proof.

Change: a primary's answer with a position counts only if no greater one is known of the group.

Test: a_group_s_primary_is_the_last_that_proved_it_and_its_position_never_goes_back has one step more, which fails before.

--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -85,7 +85,9 @@
         let known = self.sets.get(&end.group);
         let position_ms = end.position_ms.unwrap_or(0).max(known.map_or(0, |set| set.position_ms));
         let said = known.and_then(|set| set.said);
-        if end.primary {
+        // Guards against: an answer that was held back since before its db host was replaced.
+        let newest = end.position_ms.is_none_or(|at| known.is_none_or(|set| at >= set.position_ms));
+        if end.primary && newest {
             self.sets.insert(end.group, Set { primary: end.host, position_ms, at: now, said });
         } else if let Some(set) = self.sets.get_mut(&end.group) {
             set.position_ms = position_ms;
@@ -282,6 +284,7 @@
             ((2, true, Some(9_000)), Some((2, 9_000, 12))),
             ((1, false, Some(8_000)), Some((2, 9_000, 22))),
             ((4, true, None), Some((4, 9_000, 12))),
+            ((2, true, Some(8_900)), Some((4, 9_000, 22))),
         ];
         let mut at = 0;
         for ((host, primary, position_ms), wanted) in steps {
