Confirm the clock by a primary's report too, and leave one that is ahead to replicas at first

Cause: only answers of primaries confirmed a clock, and only they set it back.

Change: a primary's report confirms it as well, unless it lies ahead. Before a primary has answered, reports and replicas over 60 s behind set the clock back as they did, but then a primary's answer has to confirm it: until then no read relies on a replica's position. Once confirmed, no lag of a replica moves it.

--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -9,7 +9,7 @@
 
 use yewroute::interface::ClockOffset;
 
-pub use evidence::{ClockCheck, TimedPosition};
+pub use evidence::{ClockCheck, PositionSource, TimedPosition};
 
 /// A clock that is off by less is not corrected, and a position may seem to be so far ahead of it: clocks differ, and commits
 /// are rounded up. As much as every time limit is longer on sockets.
--- a/gateway/src/core/book.rs
+++ b/gateway/src/core/book.rs
@@ -7,7 +7,7 @@
 use yewroute_fleet::load::End;
 
 use super::{Answer, Attempt, AttemptId, Core, Effect, Ended, HostNote, Payload};
-use crate::clock::{Clock, TimedPosition};
+use crate::clock::{Clock, PositionSource, TimedPosition};
 use crate::proto::catalog::Members;
 
 impl<B: Payload> Core<B> {
@@ -71,7 +71,8 @@
         let (Some(role), false) = (note.role, status == Status::Full) else { return };
         match note.applied_ms {
             Some(unix_ms) => {
-                let position = TimedPosition { role, unix_ms, sent, received: note.read_by(now) };
+                let (source, received) = (role.into(), note.read_by(now));
+                let position = TimedPosition { source, unix_ms, sent, received };
                 self.compare_clock(now, &position, effects);
             }
             None if role == Role::Primary => {
@@ -82,12 +83,16 @@
         }
     }
 
-    /// The same with a load report. It may be some moments old, so it says no more than a replica's position.
+    /// The same with a load report.
     fn check_clock_by_report(&mut self, now: Instant, note: &HostNote, effects: &mut Vec<Effect<B>>) {
         let Some(seconds) = note.report_position else { return };
         let Ok(told) = Duration::try_from_secs_f64(seconds) else { return };
         let unix_ms = u64::try_from(told.as_millis()).unwrap_or(u64::MAX);
-        let position = TimedPosition { role: Role::Replica, unix_ms, sent: now, received: note.read_by(now) };
+        let source = match note.report_role {
+            Some(Role::Primary) => PositionSource::PrimaryReport,
+            _ => PositionSource::Replica,
+        };
+        let position = TimedPosition { source, unix_ms, sent: now, received: note.read_by(now) };
         self.compare_clock(now, &position, effects);
     }
 
--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -42,8 +42,7 @@
     pub(super) fn asks_for_news(&mut self, now: Instant, id: RequestId, out: Out) -> bool {
         let p = &self.requests[&id];
         let floor = self.floor(now, p);
-        let of_use = self.settings.limits.probes && !self.checked() && !self.clock_unconfirmed;
-        if !of_use || floor.is_none() || p.sends > 0 {
+        if !self.settings.limits.probes || self.checked() || floor.is_none() || p.sends > 0 {
             return false;
         }
         let group = &self.groups[&p.request.group];
