Wait for the primary's word as for a replica's before the first read goes to the primary

Cause: a read waits for up to 40 ms for the words of probed replicas, and as soon as these had come it went on without the primary's.

Change: while the clock is not confirmed the wait, as long as before at the most, is for the primary's as well.

--- a/src/policy/probes.rs
+++ b/src/policy/probes.rs
@@ -61,7 +61,10 @@
             return false;
         }
         if let Some(at) = p.asked_at {
-            return now - at < NEWS_WAIT && asked.iter().any(|m| self.servers[m].probing);
+            // A replica's word is of use once the primary's has confirmed the clock.
+            let confirms = group.primary.filter(|_| self.clock_unconfirmed);
+            let probing = |m: &ServerId| self.servers[m].probing;
+            return now - at < NEWS_WAIT && asked.iter().chain(&confirms).any(probing);
         }
         self.requests.get_mut(&id).expect("looked up above").asked_at = Some(now);
         asked.sort_by_key(|m| !self.servers[m].probing);
--- a/tests/clock.rs
+++ b/tests/clock.rs
@@ -28,6 +28,19 @@
     assert_eq!(sends(&g.play(Event::ClockConfirmed(true))), [(id, 1)]);
 }
 
+// Guards against: first reads that all go to the primary, as its word comes a moment behind a replica's.
+#[test]
+fn a_read_that_has_a_replica_s_word_waits_for_the_primary_s_to_confirm_the_clock() {
+    let mut g = Gateway::start(settings(), 1);
+    g.play(Event::ClockConfirmed(false));
+    let (id, out) = g.request(BOUNDED);
+    assert_eq!(probes(&out), [0, 1]);
+    g.now += ms(5);
+    assert_eq!(sends(&g.position(1, Role::Replica, g.now)), []);
+    g.now += ms(5);
+    assert_eq!(sends(&g.play(Event::ClockConfirmed(true))), [(id, 1)]);
+}
+
 // Guards against: positions that were dated by a clock which was behind and stay the greatest known.
 #[test]
 fn a_position_dated_by_a_clock_that_was_behind_is_taken_back() {
